--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,895 @@
+package choice
+
+// A request meets its customer's quota, ARO, the choice of a server (pick), then maySend and mayRefuse.
+
+import (
+	"math"
+	"time"
+)
+
+// Overload control. The names are those of the paper.
+const (
+	probeEvery   = 100 * time.Millisecond // a probe of the occupancy: the paper's figure
+	probesKept   = 5                      // k, probes in an assessment: half a second follows short bursts
+	rhoTarget    = 0.95                   // occupancy aimed at: the paper's figure
+	growMost     = 1.3                    // phi max, growth of f in one assessment
+	fLeast       = 0.1                    // f min, so that recovery is always seen
+	slowShare    = 0.1                    // share of a new sample in the slow average of mu max
+	pressed      = 0.8                    // occupancy from which fA acts: the design page's figure
+	calm         = 0.5                    // occupancy up to which spare capacity may go to extras
+	learnLeast   = 0.1                    // occupancy from which mu max is sampled: the design page's figure
+	batchLeast   = 16                     // samples in a mean that may count as the lowest latency
+	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
+	jamFloor     = 2.0                    // attempts out per server, over all gateways, that the bound leaves
+	jamAge       = 0.5                    // share of its aim until which an attempt out counts
+	comeBack     = 4                      // parts of an aim after which a throttled client should try again
+	passShare    = 0.1                    // share of a new ask in the share that a holder grants
+	samplesLeast = 10                     // samples of its own that a gateway goes by alone
+	ownShare     = 0.05                   // share of a probe in the mean over gateways: about two seconds
+	poolShare    = 0.3                    // share of a peer's figures in that mean
+	rateShare    = 0.1                    // share of a probe in the rate of answers: about a second
+	lowestForgs  = 0.01                   // share by which the lowest latency creeps up at each batch
+)
+
+// Servers and attempts.
+const (
+	latencyShare = 0.15                   // share of a new sample in a server's latency average
+	errorShare   = 0.2                    // share of a new outcome in a server's error average
+	ejectAt      = 0.35                   // error average that ejects: about three failures in a row
+	errorWeight  = 8                      // cost factor of an error average of 1
+	ejectFirst   = 500 * time.Millisecond // first ejection; doubles up to ejectMost
+	ejectMost    = 8 * time.Second
+	forgetAfter  = 5 * time.Second        // time constant for forgetting what was learned of a server
+	coldShare    = 0.5                    // share of the fall-over budget that is used: work varies
+	meanShare    = 0.05                   // share of a new sample in the slow means
+	triedWeight  = 4                      // cost factor of a server that this request has tried
+	crossWeight  = 1.1                    // cost factor of another zone where crossing has a price
+	slowDevs     = 10                     // mean deviations over the mean at which an attempt counts as slow
+	crowdedFor   = time.Second            // a customer refused counts as crowded for so long
+	unheardGaps  = 10                     // gaps between tells after which a level told is forgotten
+	idleOpen     = 5 * time.Second        // a store without a rate is dropped when idle so long
+	retryEarn    = 0.2                    // further attempts earned by each first one
+	retryMost    = 20                     // further attempts that can be saved up
+	tellFastest  = 40 * time.Millisecond  // shortest gap between tells
+	inboxRoom    = 1.3                    // gap between tells as a multiple of what the inbox limit allows
+	askWait      = 100 * time.Millisecond // an answer to an ask is taken for lost then: two hops' time
+	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
+	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
+	memberRate   = 0.15                   // and of its rate
+	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
+)
+
+// Start begins the gateway's work. Call it once, before any other event.
+func (g *Gateway) Start(now time.Duration, out Actions) {
+	g.now, g.out, g.started, g.aro.f = now, out, now, 1
+	g.tellGap = probeEvery
+	if in := g.set.InboxPerS; in > 0 {
+		gap := time.Duration(inboxRoom * float64(g.set.Instances-1) / in * float64(time.Second))
+		g.tellGap = max(gap, g.set.Tick, tellFastest)
+	}
+	// Gateways started together must not beat in step.
+	g.out.SetTimer(timerProbe, time.Duration(g.rng.Int64N(int64(probeEvery))))
+	if g.set.Peers && g.set.Instances > 1 {
+		g.out.SetTimer(timerTell, time.Duration(g.rng.Int64N(int64(g.tellGap))))
+	}
+	if g.set.AskList {
+		g.out.Watch(true)
+	}
+}
+
+// List brings the list of servers or changes of it.
+func (g *Gateway) List(now time.Duration, form ListForm, entries []Server, out Actions) {
+	g.now, g.out = now, out
+	if form == ListError {
+		if g.set.AskList {
+			g.out.SetTimer(timerList, time.Second+time.Duration(g.rng.Int64N(int64(time.Second))))
+		}
+		return
+	}
+	if form != ListChanges {
+		for _, s := range g.servers {
+			s.listed = false
+		}
+	}
+	for _, e := range entries {
+		s := g.byID[e.ID]
+		if s == nil {
+			s = &server{lat: 1, queue: -1, credit: -1}
+			g.byID[e.ID] = s
+			g.servers = append(g.servers, s)
+		}
+		if s.Boot != e.Boot {
+			// A restarted server is another one: nothing learned of it holds.
+			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit = 0, 0, 0, 1, -1, -1
+		}
+		s.Server, s.listed = e, e.State != Removed
+		if _, ok := g.kinds[e.Kind]; !ok {
+			g.kinds[e.Kind] = len(g.kinds)
+			g.kindLat = append(g.kindLat, &kindMean{mean: 1})
+		}
+	}
+	g.recount()
+}
+
+// Request is a new try of a client: it is sent on or refused at once.
+func (g *Gateway) Request(now time.Duration, q Request, out Actions) {
+	g.now, g.out = now, out
+	if g.reqs[q.ID] != nil {
+		return
+	}
+	ci, okClass := g.class[q.Class]
+	pi, okPlan := g.plan[q.Plan]
+	if !okClass || !okPlan || q.Grace <= 0 {
+		g.out.Refuse(q.ID, 0)
+		return
+	}
+	q.Units = math.Max(q.Units, 0)
+	q.Spread = min(max(q.Spread, 1), g.set.Instances)
+	st := g.storeFor(q.Customer, pi, q.Spread, q.First)
+	g.nextNum++
+	r := &request{Request: q, num: g.nextNum, class: ci, store: st, ends: now + q.Grace - 2*g.set.Tick}
+	if l := &g.lat[ci]; g.jammed(ci) || l.n >= batchLeast && q.Grace.Seconds() < l.mean { // too short
+		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
+		return
+	}
+	if st.wide && now < st.shut && g.set.Plans[pi].OverWorth == 0 {
+		g.refuse(q.ID, st.shut-now)
+		return
+	}
+	g.reqs[q.ID], g.byNum[r.num] = r, r
+	g.out.SetTimer(r.num<<timerBits|timerEnd, max(r.ends-now, 0))
+	if r.holder = g.holder(st); st.wide && r.holder != g.set.Me {
+		g.ask(r)
+		return
+	}
+	in, wait := g.quota(st, q.Units)
+	if in {
+		g.take(st, q.Units)
+	}
+	g.admit(r, in, wait)
+}
+
+// admit goes on with a request once it is known whether it is inside the quota, which its units have left.
+func (g *Gateway) admit(r *request, in bool, wait time.Duration) {
+	st, p, ci := r.store, &g.set.Plans[r.store.plan], r.class
+	r.inQuota = in
+	var s *server
+	// Exception: beyond the quota only where that earns more than it costs and the back end is calm.
+	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < calm && g.aro.f >= 1) {
+	} else if !r.granted && st.ceiling < r.Units && p.CeilingRate > 0 {
+		wait = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart)
+	} else if wait, g.aro.r = g.set.Classes[ci].Aim/comeBack, g.aro.r+g.aro.f; g.aro.r >= 1 {
+		g.aro.r--
+		wait = probesKept * probeEvery
+		s = g.pick(r)
+	}
+	if s == nil {
+		g.giveBack(r, r.Units)
+		g.refuse(r.ID, wait)
+		g.close(r)
+		return
+	}
+	if p.CeilingRate > 0 && !r.granted {
+		st.ceiling -= r.Units
+	}
+	st.opened++
+	g.aro.sent[g.aro.slot()]++
+	g.retries = math.Min(g.retries+retryEarn, retryMost)
+	g.send(r, s)
+}
+
+// Quotas.
+
+// storeFor returns the customer's store, filled up to now.
+func (g *Gateway) storeFor(key uint64, plan, spread, first int) *store {
+	st := g.stores[key]
+	p := &g.set.Plans[plan]
+	if st == nil {
+		st = &store{key: key, plan: plan, spread: spread, first: first, at: g.now, pass: 1}
+		if st.split = spread; g.set.Peers && spread > 1 && g.tellGap > probesKept*probeEvery {
+			// As many holders as it takes for their inboxes to hold the asks.
+			st.wide, st.split = true, min(max(1, int(math.Ceil(p.Rate/(askShare*g.set.InboxPerS)))), spread)
+		}
+		// Filled since this gateway's start: a store dropped when full comes back full.
+		st.level = math.Min(p.Burst, p.Burst/float64(st.split)+p.Rate*(g.now-g.started).Seconds())
+		if st.parts = 1; st.wide {
+			st.parts = float64(st.split)
+			st.level = p.Burst / st.parts
+		}
+		// Rule 5: the parts of a ceiling sum to the whole. Each counts as empty at its gateway's start, since
+		// one killed before may have spent it, and has filled since. A holder has most of it, for its grants.
+		st.burstPart = 1 / float64(spread)
+		st.ratePart = st.burstPart
+		if st.wide {
+			held := float64(g.partsHeld(st)) / st.parts
+			st.burstPart = memberBurst*st.burstPart + (1-memberBurst)*held
+			st.ratePart = memberRate*st.ratePart + (1-memberRate)*held
+		}
+		st.ceiling = math.Min(p.CeilingBurst*st.burstPart,
+			p.CeilingRate*st.ratePart*(g.now-g.started).Seconds())
+		g.stores[key] = st
+		g.order = append(g.order, st)
+	}
+	g.fillUp(st)
+	return st
+}
+
+// quota tells whether units are inside the customer's quota and, if not, when to come back.
+func (g *Gateway) quota(st *store, units float64) (bool, time.Duration) {
+	p := &g.set.Plans[st.plan]
+	n := float64(st.split)
+	if st.wide {
+		n = 1
+		st.since, st.opened, st.crowded = 0, 0, 0 // nothing is spent here without the store's knowing
+	}
+	if p.Open > 0 {
+		room := g.openRoom(st)
+		least := 1
+		if g.now < st.crowded {
+			least = max(min(st.spread, p.Open/2), 1)
+		}
+		if room < least || st.opened > 0 && float64(st.opened+1) > float64(room+st.opened)/n {
+			st.crowded = g.now + crowdedFor
+			return false, min(g.tellGap, askWait)
+		}
+	}
+	if p.Rate > 0 {
+		room := (st.level + st.since) / n
+		// Exception: one request between tells needs only its units, or the split of a small
+		// store would hold none. Not so for a customer that was refused of late: its gateways
+		// would all send that one. There the store must have it for each, as far as it can.
+		least := units
+		if g.now < st.crowded {
+			least = math.Max(units, math.Min(units*n, p.Burst/2))
+		}
+		if st.level < least || st.since > 0 && st.since+units > room {
+			st.crowded = g.now + crowdedFor
+			return false, max(fill(units-st.level, p.Rate/st.parts), min(g.tellGap, askWait))
+		}
+	}
+	return true, 0
+}
+
+// openRoom is how many more attempts the customer may have out, as far as is known.
+func (g *Gateway) openRoom(st *store) int {
+	room := g.set.Plans[st.plan].Open - st.out
+	for i, l := range st.levels {
+		// An unheard peer counts as nought.
+		if i != g.set.Me && g.now-l.at < unheardGaps*g.tellGap {
+			room -= l.n
+		}
+	}
+	st.dropLeases(func(l lease) bool { return g.now >= l.ends })
+	return room - len(st.leases)
+}
+
+// idle tells whether a store may be dropped: full for a burst's time, with nothing out and nothing to tell.
+// Memory stays bounded when customers come once only.
+func (g *Gateway) idle(st *store) bool {
+	p := &g.set.Plans[st.plan]
+	idle := idleOpen
+	if p.Rate > 0 {
+		idle = fill(2*p.Burst-st.level, p.Rate)
+	}
+	idle = max(idle, fillIf(p.CeilingBurst, p.CeilingRate))
+	return st.out == 0 && !st.dirty && len(st.leases) == 0 && g.now-st.at >= idle
+}
+
+// Peers. A tell repeats the deltas of the one before: a peer that missed that learns them, and one
+// that comes late or twice is known by its number. Attempts out go as levels.
+
+func (g *Gateway) hear(from int, es []entry) {
+	for _, e := range es {
+		if st := g.stores[e.key]; st != nil && st.plan != e.plan {
+			continue
+		}
+		st := g.storeFor(e.key, e.plan, e.spread, e.first)
+		if g.set.Plans[e.plan].Rate > 0 {
+			st.level = math.Max(st.level-e.units, -g.set.Plans[e.plan].Burst)
+		}
+		if g.set.Plans[e.plan].Open > 0 {
+			if st.levels == nil {
+				st.levels = make([]told, g.set.Instances)
+			}
+			st.levels[from] = told{e.out, g.now}
+		}
+	}
+}
+
+// tell tells each peer of the stores whose sets it is in, and returns the most messages that one was sent.
+func (g *Gateway) tell() (most int) {
+	for i := range g.peers {
+		if i != g.set.Me {
+			most = max(most, g.tellPeer(i, func(st *store) bool { return g.inSet(i, st.first, st.spread) }))
+		}
+	}
+	kept := g.dirty[:0]
+	for _, st := range g.dirty {
+		st.untold -= math.Round(st.untold)
+		st.since, st.opened = 0, 0
+		if st.zeros++; st.out > 0 {
+			st.zeros = 0
+		}
+		// Levels are told until two tells have said that nothing is out.
+		if st.dirty = g.set.Plans[st.plan].Open > 0 && st.zeros < 3; st.dirty {
+			kept = append(kept, st)
+		}
+	}
+	g.dirty = kept
+	return most
+}
+
+// Peer brings a message of another gateway. A malformed one is ignored whole.
+func (g *Gateway) Peer(now time.Duration, from int, message []byte, out Actions) {
+	g.now, g.out = now, out
+	if from < 0 || from >= len(g.peers) || from == g.set.Me || len(message) == 0 {
+		return
+	}
+	g.inbox++
+	if message[0] != kindTell {
+		g.heed(from, message)
+		return
+	}
+	epoch, seq, cur, prev, ok := g.decodeTell(message)
+	p := &g.peers[from]
+	if !ok || p.heard && epoch == p.oldEpoch && epoch != p.inEpoch {
+		return
+	}
+	if !p.heard || epoch != p.inEpoch {
+		// The peer has restarted: its numbers begin anew, and what still comes from before is ignored.
+		p.oldEpoch, p.inEpoch, p.inSeq, p.heard = p.inEpoch, epoch, 0, true
+	}
+	if seq <= p.inSeq {
+		return
+	}
+	if seq > p.inSeq+1 {
+		g.hear(from, prev)
+	}
+	p.inSeq = seq
+	g.hear(from, cur)
+}
+
+// Exception for sets to which tells come late (their gap is longer than an assessment): one gateway of
+// the set, by the customer's hash, holds the only store, and the others ask it. It covers wide sets in large
+// fleets; it costs two hops of waiting, and a holder that restarts begins with a full store.
+
+func (g *Gateway) ask(r *request) {
+	g.out.Tell(r.holder, g.encodeAsk(r))
+	if g.peers[r.holder].unanswered >= silentAsks {
+		g.unanswered(r)
+		return
+	}
+	g.out.SetTimer(r.num<<timerBits|timerAsk, askWait)
+}
+
+// unanswered goes by the share of asks that its holder granted of late, as far as heard. It covers lost
+// messages, holders that are down, stalled or flooded; it harms while that share changes unheard.
+func (g *Gateway) unanswered(r *request) {
+	r.drawn = true
+	g.peers[r.holder].unanswered++
+	g.admit(r, g.rng.Float64() < r.store.pass, askWait)
+}
+
+// heed takes an ask of a member, the answer of a holder, or what a member gives back.
+func (g *Gateway) heed(from int, message []byte) {
+	m, ok := g.decodeAsk(message)
+	if !ok {
+		return
+	}
+	if m.kind != kindBack {
+		g.aro.mix(poolShare, m.pool)
+	}
+	switch m.kind {
+	case kindAsk:
+		if !g.inSet(from, m.first, m.spread) || !g.inSet(g.set.Me, m.first, m.spread) {
+			return
+		}
+		st := g.storeFor(m.key, m.plan, m.spread, m.first)
+		if st.plan != m.plan || !st.wide {
+			return
+		}
+		in, wait := g.quota(st, m.units)
+		if in = in && (g.set.Plans[m.plan].CeilingRate <= 0 || st.ceiling >= m.units); in {
+			wait, st.ceiling = 0, st.ceiling-m.units
+			g.take(st, m.units)
+			if g.set.Plans[m.plan].Open > 0 {
+				st.leases = append(st.leases, lease{from, m.num, g.now + g.longestAim()})
+			}
+		} else if g.inboxRate > askShare*g.set.InboxPerS {
+			// More members ask in vain than the inbox takes: each pauses until it is their turn again.
+			wait = max(wait, fill(float64(st.spread/st.split), askShare*g.set.InboxPerS))
+		}
+		st.pass += passShare * (b2f(in) - st.pass)
+		g.out.Tell(from, g.encodeAnswer(m.num, in, wait, st.pass))
+	case kindAnswer:
+		g.peers[from].unanswered = 0
+		r := g.byNum[m.num]
+		if r == nil || r.closed || r.holder != from || len(r.attempts) > 0 {
+			return
+		}
+		r.store.pass = m.pass
+		if !m.granted {
+			r.store.shut = g.now + m.wait
+		}
+		r.granted = m.granted
+		g.admit(r, m.granted, m.wait)
+	case kindBack:
+		if st := g.stores[m.key]; st != nil && st.wide {
+			g.fillUp(st)
+			st.level = math.Min(st.level+m.units, g.set.Plans[st.plan].Burst/st.parts)
+			st.dropLeases(func(l lease) bool { return l.from == from && l.num == m.num })
+		}
+	}
+}
+
+// giveBack returns units that were not sent, and a place under an open cap.
+func (g *Gateway) giveBack(r *request, units float64) {
+	open := g.set.Plans[r.store.plan].Open > 0
+	units *= 1 - b2f(r.drawn) // whether its ask was granted is not known: only the place is surely free
+	if !r.inQuota && !r.drawn || units == 0 && !open {
+		return
+	}
+	if !r.store.wide || r.holder == g.set.Me {
+		g.fillUp(r.store)
+		g.take(r.store, -units)
+		return
+	}
+	msg := encodeBack(r.store.key, r.num, units)
+	g.out.Tell(r.holder, msg)
+	if open && units == 0 {
+		g.out.Tell(r.holder, msg) // a lost one would block a place for long
+	}
+}
+
+// Overload control (ARO).
+
+// assess closes a probe, and every k probes sets f.
+func (a *aro) assess(oks, held float64) {
+	i := a.slot()
+	a.mix(ownShare, [poolSize]float64{a.occ[i], a.n[i], a.sent[i], oks, held})
+	if a.probes++; a.slot() == 0 {
+		var occ, n, sent float64
+		for i := range a.occ {
+			occ, n, sent = occ+a.occ[i], n+a.n[i], sent+a.sent[i]
+		}
+		a.alpha = sent / probesKept
+		if n < samplesLeast { // too few of its own: by the mean over the gateways it hears from
+			occ, n, a.alpha = a.pool[poolOcc], a.pool[poolN], a.pool[poolSent]
+		}
+		if a.rho = 0; n > samplesLeast*ownShare/4 {
+			a.rho = math.Min(occ/n, 1)
+		}
+		fO := clamp(math.Min(rhoTarget/math.Max(a.rho, 1e-9), growMost) * a.f)
+		fA := 1.0
+		if a.mu > 0 && a.rho >= pressed && a.alpha > 0 {
+			fA = clamp(rhoTarget * a.mu / a.alpha * a.f)
+		}
+		a.f = math.Min(fA, fO)
+		if a.rho >= learnLeast {
+			if mu := a.alpha / a.rho; a.mu == 0 {
+				a.mu = mu
+			} else {
+				a.mu += slowShare * (mu - a.mu)
+			}
+		}
+	}
+	a.occ[a.slot()], a.n[a.slot()], a.sent[a.slot()] = 0, 0, 0
+}
+
+// jammed is an exception to ARO, whose f follows what has been answered and so comes late when work
+// piles up. By Little's law the attempts out over the answers per second are the delay that a new
+// request meets; where that leaves no hope of its aim, it is refused. It covers overload, stalls,
+// lost servers and retry storms alike; it harms where latency is long by nature, not by waiting.
+func (g *Gateway) jammed(class int) bool {
+	best := 0.0
+	for c := range g.set.Classes {
+		best = math.Max(best, g.set.Classes[c].Worth/g.work(c))
+	}
+	c := &g.set.Classes[class]
+	rank := 1.0
+	if best > 0 {
+		rank = (1 + c.Worth/g.work(class)/best) / 2
+	}
+	bound := g.okRate * jamShare * rank * c.Aim.Seconds()
+	floor := jamFloor * float64(g.up) / float64(g.set.Instances)
+	if bound < samplesLeast && g.inboxRate > 1 {
+		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
+		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
+		return float64(g.held) >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
+	}
+	return float64(g.held) >= math.Max(bound, floor)
+}
+
+// observe learns from one answered attempt.
+func (g *Gateway) observe(class int, s *server, took time.Duration) {
+	c := &g.lat[class]
+	x := took.Seconds()
+	if c.mean == 0 {
+		c.mean, c.dev = x, x/2
+	}
+	c.n++
+	c.dev += meanShare * (math.Abs(x-c.mean) - c.dev)
+	c.mean += meanShare * (x - c.mean)
+	s.lat += latencyShare * (x/math.Max(c.mean, 1e-6) - s.lat)
+	for len(c.kinds) <= g.kinds[s.Kind] {
+		c.kinds = append(c.kinds, kindLatency{})
+	}
+	l := g.kindLat[g.kinds[s.Kind]]
+	l.n++
+	l.mean += math.Max(1/(l.n+1), meanShare) * (x/math.Max(c.mean, 1e-6) - l.mean)
+	k := &c.kinds[g.kinds[s.Kind]]
+	k.sum += x
+	if k.n++; k.n >= batchLeast {
+		k.lowest *= 1 + lowestForgs
+		if m := k.sum / float64(k.n); k.lowest == 0 || m < k.lowest {
+			k.lowest = m
+		}
+		k.sum, k.n = 0, 0
+	}
+	if g.set.Report == ReportNone || s.reported == 0 {
+		if k.lowest > 0 {
+			// Each latency weighs by its length, which makes the mean over a probe 1 - lowest/mean.
+			g.aro.occ[g.aro.slot()] += x/k.lowest - 1
+			g.aro.n[g.aro.slot()] += x / k.lowest
+		} else {
+			g.aro.n[g.aro.slot()]++ // or a few full refusals would be all there is
+		}
+	}
+}
+
+// Choice of a server.
+
+// pick returns the server with the least expected delay that the request may go to, or nil.
+func (g *Gateway) pick(r *request) *server {
+	var best *server
+	bestCost := math.Inf(1)
+	// Gateways that all took the best of all servers would crowd it. Each looks at a random part.
+	looks := max(len(g.servers)/g.set.Instances+1, 2)
+	for i := range g.servers {
+		if best != nil && looks == 0 && g.now >= best.ejected {
+			break
+		}
+		j := i + g.rng.IntN(len(g.servers)-i)
+		g.servers[i], g.servers[j] = g.servers[j], g.servers[i]
+		s := g.servers[i]
+		if !s.takes() || !g.maySend(r, s) || !g.coldRoom(s, r.class) {
+			continue
+		}
+		cost := g.cost(s)
+		if g.rng.Float64()*g.topWeight > g.share(s) {
+			cost += 1e3 // candidates are drawn by their size
+		} else {
+			looks = max(looks-1, 0)
+		}
+		for _, a := range r.attempts {
+			if a.server == s && a.result != OK {
+				cost *= triedWeight
+			}
+		}
+		if g.now < s.ejected {
+			cost += 1e6 // only if no other is left
+		}
+		if cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+func (g *Gateway) cost(s *server) float64 {
+	lat := s.lat
+	if s.out > 0 {
+		// Silence with work out counts as latency: it covers pauses, silent death and cut links alike.
+		lat = math.Max(lat, (g.now-s.seen).Seconds()/math.Max(g.meanLatency(), 1e-3))
+	}
+	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
+	cost /= g.warmth(s)
+	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
+		cost *= crossWeight
+	}
+	return cost
+}
+
+// coldRoom keeps rule 4: this gateway sends a cold server part of the fall-over multiple of what a warm
+// one is seen to carry, which all together can't exceed the whole. The credit starts by chance: hundreds
+// of gateways with less than one request a window to send must not all send it at once.
+func (g *Gateway) coldRoom(s *server, class int) bool {
+	w := g.warmth(s)
+	if w >= 1 {
+		s.credit = -1
+		return true
+	}
+	work := g.work(class)
+	// A server does at least a second's work a second, which counts where no warm one is seen.
+	rate := coldShare * g.set.FallMultiple * w * g.weight(s) *
+		math.Max(g.warmRate, 1/float64(g.set.Instances))
+	most := math.Max(work, rate*g.set.OverloadFor.Seconds()/2)
+	if s.credit < 0 {
+		s.credit = most * g.rng.Float64()
+	} else {
+		s.credit = math.Min(s.credit+rate*(g.now-s.credited).Seconds(), most)
+	}
+	s.credited = g.now
+	return s.credit >= work
+}
+
+// work is the work of one request of a class, in seconds of the lowest latency seen.
+func (g *Gateway) work(class int) float64 {
+	if w := g.learnedWork(class); w > 0 {
+		return w
+	}
+	return g.set.Classes[class].Aim.Seconds() / 4
+}
+
+// share is the server's size: as listed or, where all are listed alike, by the speed of its kind.
+func (g *Gateway) share(s *server) float64 {
+	if k := g.kinds[s.Kind]; !g.sized && g.kindLat[k].n > 0 {
+		return g.weight(s) * math.Min(1/g.kindLat[k].mean, 1)
+	}
+	return g.weight(s)
+}
+
+// Attempts.
+
+// neverRan tells which results prove that the attempt did not run.
+func neverRan(r Result) bool { return r == Full || r == ConnectFailed || r == Moot }
+
+// maySend is rule 2 for a further attempt of the request at the server.
+func (g *Gateway) maySend(r *request, s *server) bool {
+	if r.closed || r.stream || r.out > 0 && !g.set.Parallel ||
+		g.set.MaxAttempts > 0 && len(r.attempts) >= g.set.MaxAttempts {
+		return false
+	}
+	c := &g.set.Classes[r.class]
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.noRun || c.Effect == Safe {
+			continue
+		}
+		if c.Effect == Unsafe || g.now-a.sent > c.Window-2*g.set.Tick {
+			return false
+		}
+		if c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse is rule 2 for a refusal, which promises that trying again is harmless.
+func (g *Gateway) mayRefuse(r *request) bool {
+	c := &g.set.Classes[r.class]
+	if c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
+		return true
+	}
+	for i := range r.attempts {
+		if !r.attempts[i].noRun {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gateway) send(r *request, s *server) {
+	c := &g.set.Classes[r.class]
+	l := &g.lat[r.class]
+	timeout := max(r.ends-g.now, g.set.Tick)
+	more := g.set.MaxAttempts == 0 || len(r.attempts)+1 < g.set.MaxAttempts
+	if c.Effect != Unsafe && more && l.n >= batchLeast && g.aro.rho < pressed {
+		slow := max(time.Duration((l.mean+slowDevs*l.dev)*float64(time.Second)), c.Aim/4)
+		if g.set.Parallel {
+			g.out.SetTimer(r.num<<timerBits|timerHedge, slow)
+		} else if slow < timeout/2 && slow < c.Aim {
+			timeout = slow
+		}
+	}
+	if s.out == 0 {
+		s.seen = g.now
+	}
+	s.out++
+	g.held++
+	r.out++
+	r.store.out++
+	g.mark(r.store)
+	if g.warmth(s) < 1 {
+		s.credit = math.Max(s.credit-g.work(r.class), 0)
+	}
+	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell})
+	g.out.Send(r.ID, s.ID, timeout)
+}
+
+// retry sends a further attempt if one is legal, affordable and of use.
+func (g *Gateway) retry(r *request) bool {
+	if g.retries < 1 || g.now+time.Duration(g.lat[r.class].mean*float64(time.Second)) > r.ends {
+		return false
+	}
+	s := g.pick(r)
+	if s != nil {
+		g.retries--
+		g.send(r, s)
+	}
+	return s != nil
+}
+
+// finish gives the final answer: a refusal where that promise holds.
+func (g *Gateway) finish(r *request) {
+	if r.closed {
+		return
+	}
+	if g.mayRefuse(r) {
+		g.refuse(r.ID, probesKept*probeEvery)
+	} else {
+		g.out.Fail(r.ID)
+	}
+	g.close(r)
+	g.cancelAll(r)
+}
+
+// Outcome is the end of an attempt.
+func (g *Gateway) Outcome(now time.Duration, o Outcome, out Actions) {
+	g.now, g.out = now, out
+	r := g.reqs[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].done {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.done, a.result, a.noRun = true, o.Result, neverRan(o.Result)
+	s := a.server
+	s.out--
+	g.held--
+	r.out--
+	r.store.out--
+	g.mark(r.store)
+	g.learn(r, s, o)
+	if o.Result == OK && g.set.PostPaid && o.Units > 0 && r.inQuota && !r.settled {
+		r.settled = true
+		g.fillUp(r.store)
+		g.giveBack(r, r.Units-o.Units)
+	}
+	if o.Closed || o.Result == OK {
+		g.close(r)
+	}
+	if r.closed {
+		g.close(r)
+		return
+	}
+	if r.out > 0 {
+		return
+	}
+	if o.Result == Moot || !g.retry(r) {
+		g.finish(r)
+	}
+}
+
+// learn keeps a server's health.
+func (g *Gateway) learn(r *request, s *server, o Outcome) {
+	g.report(s, o.Load)
+	bad := 1.0
+	switch o.Result {
+	case OK:
+		bad = 0
+		s.seen, s.strikes = g.now, 0
+		g.oks++
+		g.observe(r.class, s, o.Took)
+		// Rule 4: only of servers that count in the mean, and only work that is known: answers of
+		// draining servers or a guess that proves too high would inflate what cold ones may be sent.
+		if g.warmth(s) >= 1 && s.takes() {
+			g.okWarm += g.learnedWork(r.class)
+		}
+	case Moot, Cancelled:
+		return
+	case Full:
+		s.seen = g.now
+		g.aro.sample(1)
+		s.ejected = max(s.ejected, g.now+probeEvery)
+		return
+	case TimedOut:
+		g.aro.sample(1)
+		s.lat += latencyShare * (o.Took.Seconds()/math.Max(g.lat[r.class].mean, 1e-3) - s.lat)
+		bad = 0.5
+	case ErrorAnswer:
+		s.seen = g.now
+	}
+	if o.Result == Reset || o.Result == ConnectFailed {
+		// The process may have restarted and be cold, long before the list says so. Also covers one
+		// that comes back after a cut. Harms for a while where only connections ran short.
+		s.broke = g.now
+	}
+	s.errs += errorShare * (bad - s.errs)
+	if (s.errs > ejectAt || o.Result == ConnectFailed) && g.now >= s.ejected {
+		s.ejected = g.now + min(ejectFirst<<min(s.strikes, 10), ejectMost)
+		s.strikes++
+		s.errs = ejectAt / 2
+		g.log("ejected server %s after result %d, strike %d", s.ID, o.Result, s.strikes)
+	}
+}
+
+// Gone tells that a request is over without an answer of the gateway.
+func (g *Gateway) Gone(now time.Duration, id string, out Actions) {
+	g.now, g.out = now, out
+	r := g.reqs[id]
+	if r == nil || r.closed {
+		return
+	}
+	g.close(r)
+	if !r.stream {
+		g.cancelAll(r)
+	}
+}
+
+// Probed brings the result of a probe.
+func (g *Gateway) Probed(now time.Duration, id string, res Result, l *Load, out Actions) {
+	g.now, g.out = now, out
+	if s := g.byID[id]; s != nil && res == OK {
+		g.report(s, l)
+	}
+}
+
+// Timer is the firing of a timer.
+func (g *Gateway) Timer(now time.Duration, token uint64, out Actions) {
+	g.now, g.out = now, out
+	r := g.byNum[token>>timerBits]
+	switch token & (1<<timerBits - 1) {
+	case timerProbe:
+		g.tick()
+		g.out.SetTimer(timerProbe, probeEvery)
+	case timerTell:
+		// Each message takes its gap, so that long tells stay within the inbox limit too.
+		g.out.SetTimer(timerTell, g.tellGap*time.Duration(max(g.tell(), 1)))
+	case timerList:
+		g.out.Watch(true)
+	case timerEnd:
+		if r != nil && !r.closed && !r.stream {
+			g.finish(r)
+		}
+	case timerAsk:
+		if r != nil && !r.closed && len(r.attempts) == 0 {
+			g.unanswered(r)
+		}
+	case timerHedge:
+		if r != nil && !r.closed && !r.stream && r.out == 1 && g.aro.rho < pressed {
+			// A second copy counts as out: it must not push the customer's next try beyond its cap.
+			if g.set.Plans[r.store.plan].Open == 0 || g.openRoom(r.store) > r.store.spread {
+				g.retry(r)
+			}
+		}
+	}
+}
+
+// tick is the work of each probe.
+func (g *Gateway) tick() {
+	f := g.aro.f
+	g.aro.assess(g.oks, g.younger(jamAge)) // attempts at a few silent servers must not read as a jam of all
+	if f >= 1 && g.aro.f < 1 {
+		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
+	}
+	g.sweep()
+	var weight float64
+	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
+	for _, s := range g.servers {
+		if s.takes() && g.warmth(s) >= 1 {
+			weight += g.weight(s)
+		}
+		if s.out == 0 {
+			s.lat = 1 + (s.lat-1)*keep
+			s.errs *= keep
+		}
+	}
+	if weight > 0 {
+		g.warmRate += meanShare * (g.okWarm/weight/probeEvery.Seconds() - g.warmRate)
+	}
+	// After a start the average is over what there is, or the first second would be refused.
+	share := math.Max(rateShare, 1/(1+float64(g.now-g.started)/float64(probeEvery)))
+	g.okRate += share * (g.oks/probeEvery.Seconds() - g.okRate)
+	g.inboxRate += rateShare * (g.inbox/probeEvery.Seconds() - g.inboxRate)
+	g.okWarm, g.oks, g.inbox = 0, 0, 0
+	// Probes are priced and cost work: a gateway that sends seldom probes half as often as it sends.
+	g.probeDue = math.Min(g.probeDue+g.aro.pool[poolSent]/2, 1)
+	if g.set.Probes && g.set.Report != ReportNone && len(g.servers) > 0 && g.probeDue >= 1 {
+		g.probeDue = 0
+		g.probeAt = (g.probeAt + 1) % len(g.servers)
+		if s := g.servers[g.probeAt]; s.takes() {
+			g.out.Probe(s.ID)
+		}
+	}
+}
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,976 @@
+package choice
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// recorder keeps actions as text.
+type recorder struct {
+	acts   []string
+	timers []timerSet
+	tells  map[int][][]byte
+}
+
+type timerSet struct {
+	token uint64
+	after time.Duration
+}
+
+func (r *recorder) Send(id, server string, d time.Duration) { r.add("send %s %s", id, server) }
+func (r *recorder) Refuse(id string, d time.Duration)       { r.add("refuse %s", id) }
+func (r *recorder) Fail(id string)                          { r.add("fail %s", id) }
+func (r *recorder) Cancel(id string, n int)                 { r.add("cancel %s %d", id, n) }
+func (r *recorder) SetTimer(token uint64, d time.Duration) {
+	r.timers = append(r.timers, timerSet{token, d})
+}
+func (r *recorder) Probe(server string) { r.add("probe %s", server) }
+func (r *recorder) Watch(on bool)       { r.add("watch %v", on) }
+func (r *recorder) Log(string)          {}
+func (r *recorder) Tell(p int, m []byte) {
+	if r.tells == nil {
+		r.tells = map[int][][]byte{}
+	}
+	r.tells[p] = append(r.tells[p], append([]byte(nil), m...))
+}
+func (r *recorder) add(f string, a ...any) { r.acts = append(r.acts, fmt.Sprintf(f, a...)) }
+func (r *recorder) count(prefix string) int {
+	n := 0
+	for _, a := range r.acts {
+		if strings.HasPrefix(a, prefix) {
+			n++
+		}
+	}
+	return n
+}
+func (r *recorder) last() string {
+	if len(r.acts) == 0 {
+		return ""
+	}
+	return r.acts[len(r.acts)-1]
+}
+
+const t0 = 1000 * time.Second
+
+func newGate(t *testing.T, s Settings, servers ...Server) (*Gateway, *recorder) {
+	t.Helper()
+	g, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{}
+	g.Start(t0, r)
+	g.List(t0, ListSaved, servers, r)
+	return g, r
+}
+
+func newRequest(n int, class, plan string, customer uint64) Request {
+	return Request{ID: fmt.Sprintf("r%d", n), Class: class, Plan: plan, Customer: customer,
+		Grace: 2 * time.Second, Units: 1, Spread: 1}
+}
+
+func fleet(n int) (list []Server) {
+	for i := 0; i < n; i++ {
+		list = append(list, Server{ID: fmt.Sprintf("s%d", i), Kind: "k", Zone: "a", Cell: 1})
+	}
+	return list
+}
+
+// What may follow each outcome, by the effect of the class: rule 2.
+func TestAfterEachOutcome(t *testing.T) {
+	mayRun := map[Result]bool{OK: true, ErrorAnswer: true, TimedOut: true, Reset: true, Cancelled: true}
+	for res := OK; res <= Moot; res++ {
+		for _, class := range []string{"safe", "keyed", "unsafe"} {
+			for _, inGroup := range []bool{true, false} {
+				first := Server{ID: "s0", Kind: "k", Zone: "a"}
+				other := Server{ID: "s1", Kind: "k", Zone: "b"}
+				if inGroup {
+					other.Zone = "a"
+				}
+				g, r := newGate(t, testSettings(), first)
+				g.retries = 5
+				g.Request(t0, newRequest(1, class, "rate", 1), r)
+				g.List(t0, ListFull, []Server{{ID: "s0", State: Draining, Kind: "k", Zone: "a"}, other}, r)
+				r.acts = nil
+				g.Outcome(t0+ms, Outcome{ID: "r1", Result: res, Server: "s0", Closed: res == OK}, r)
+				again := res != OK && res != Moot && (!mayRun[res] || class == "safe" || class == "keyed" && inGroup)
+				want := "send r1 s1"
+				switch {
+				case res == OK:
+					want = ""
+				case !again && (class == "safe" || !mayRun[res]):
+					want = "refuse r1"
+				case !again:
+					want = "fail r1"
+				}
+				if got := r.last(); got != want {
+					t.Errorf("%s after result %d, same group %v: %q, want %q", class, res, inGroup, got, want)
+				}
+			}
+		}
+	}
+}
+
+func TestKeyedNotSentAfterItsWindow(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(3)...)
+	g.retries = 5
+	g.Request(t0, newRequest(1, "keyed", "rate", 1), r)
+	g.Outcome(t0+300*ms, Outcome{ID: "r1", Result: Reset}, r)
+	if r.last() != "fail r1" {
+		t.Errorf("got %q", r.last())
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name string
+		q    Request
+	}{
+		{"unknown class", newRequest(1, "none", "rate", 1)},
+		{"unknown plan", newRequest(1, "safe", "none", 1)},
+		{"no grace", Request{ID: "r1", Class: "safe", Plan: "rate"}},
+		{"more than the burst", Request{ID: "r1", Class: "safe", Plan: "rate", Units: 41, Grace: time.Second}},
+		{"no servers", newRequest(1, "safe", "rate", 1)},
+	}
+	for _, tt := range tests {
+		list := fleet(2)
+		if tt.name == "no servers" {
+			list = nil
+		}
+		g, r := newGate(t, testSettings(), list...)
+		g.Request(t0, tt.q, r)
+		if len(r.acts) != 1 || r.acts[0] != "refuse r1" {
+			t.Errorf("%s: %q", tt.name, r.acts)
+		}
+	}
+}
+
+// flood offers n requests of one customer at once and returns how many were sent.
+func flood(g *Gateway, r *recorder, now time.Duration, n int, q Request) int {
+	before := r.count("send")
+	for i := 0; i < n; i++ {
+		q.ID = fmt.Sprintf("%s-%d-%v-%d", q.Class, q.Customer, now, i)
+		q.Units = max(q.Units, 1)
+		g.held = 0 // the quota alone is looked at
+		g.Request(now, q, r)
+	}
+	return r.count("send") - before
+}
+
+func TestStoreSpendsItsShareBetweenTells(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	g, r := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "rate", 1)
+	q.Spread = 2
+	// A new store holds 40/2; half of it may be spent before the next tell.
+	if n := flood(g, r, t0, 50, q); n != 10 {
+		t.Errorf("%d sent before the first tell, want 10", n)
+	}
+	g.Timer(t0, timerTell, r)
+	if n := flood(g, r, t0, 50, q); n != 5 {
+		t.Errorf("%d sent before the second tell, want 5", n)
+	}
+}
+
+// A split store smaller than a request must not starve its customer.
+func TestSmallStoreGivesOneRequest(t *testing.T) {
+	s := testSettings()
+	s.Instances, s.Plans[1].Rate, s.Plans[1].Burst = 3, 0.5, 2
+	g, r := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "rate", 1)
+	q.Spread = 3
+	now := t0 + 4*time.Second
+	if n := flood(g, r, now, 5, q); n != 1 {
+		t.Errorf("%d sent, want 1", n)
+	}
+}
+
+// Units told must be taken from the peer's store once: whether tells are lost, repeated or late.
+func TestTellsSurviveLossAndOrder(t *testing.T) {
+	orders := map[string][]int{"in order": {0, 1, 2}, "middle lost": {0, 2}, "twice": {0, 0, 1, 1, 2, 2}, "late": {1, 0, 2}}
+	for name, order := range orders {
+		s := testSettings()
+		s.Instances = 2
+		a, ra := newGate(t, s, fleet(4)...)
+		s.Me = 1
+		b, rb := newGate(t, s, fleet(4)...)
+		q := newRequest(0, "safe", "rate", 1)
+		q.Spread = 2
+		for i := 0; i < 3; i++ {
+			now := t0 + time.Duration(i)*ms
+			flood(a, ra, now, 3, q)
+			a.Timer(now, timerTell, ra)
+		}
+		for _, i := range order {
+			b.Peer(t0, 0, ra.tells[1][i], rb)
+		}
+		if got := 20 - b.stores[1].level; got != 9 {
+			t.Errorf("%s: %v units taken, want 9", name, got)
+		}
+	}
+}
+
+// A long tell must not lose the entries that its first message has no room for.
+func TestEveryEntryIsTold(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	a, ra := newGate(t, s, fleet(40)...)
+	s.Me = 1
+	b, rb := newGate(t, s, fleet(4)...)
+	for c := uint64(0); c < 100; c++ {
+		q := newRequest(0, "safe", "rate", c<<25)
+		q.Spread = 2
+		flood(a, ra, t0, 1, q)
+		a.held = 0
+	}
+	a.Timer(t0, timerTell, ra)
+	for _, m := range ra.tells[1] {
+		if len(m) > messageMost {
+			t.Errorf("message of %d bytes", len(m))
+		}
+		b.Peer(t0, 0, m, rb)
+	}
+	if len(b.stores) != 100 {
+		t.Errorf("%d of 100 customers heard of", len(b.stores))
+	}
+}
+
+// What gateways overspend together must be paid back, not forgotten at nought.
+func TestHeardUnitsGoBelowNought(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	a, ra := newGate(t, s, fleet(4)...)
+	s.Me = 1
+	b, rb := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "rate", 1)
+	q.Spread = 2
+	for i := 0; i < 6; i++ {
+		flood(a, ra, t0, 9, q)
+		a.Timer(t0, timerTell, ra)
+		q.Customer = 1
+		q.ID = ""
+		q.Units = 1
+		flood(b, rb, t0+time.Duration(i)*ms, 9, q)
+		b.Timer(t0+time.Duration(i)*ms, timerTell, rb)
+	}
+	for _, m := range ra.tells[1] {
+		b.Peer(t0+6*ms, 0, m, rb)
+	}
+	if b.stores[1].level >= 0 {
+		t.Errorf("level %v after both spent most of it", b.stores[1].level)
+	}
+}
+
+// A customer refused of late must not get one request from each gateway as soon as one is free.
+func TestCrowdedCustomerWaitsForItsShare(t *testing.T) {
+	s := testSettings()
+	s.Instances = 3
+	g, r := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "rate", 1)
+	q.Spread = 3
+	flood(g, r, t0, 30, q)
+	g.stores[1].level = 1.5
+	g.Timer(t0, timerTell, r)
+	if n := flood(g, r, t0+ms, 5, q); n != 0 {
+		t.Errorf("%d sent with units for one gateway of three", n)
+	}
+	if n := flood(g, r, t0+60*ms, 5, q); n != 1 {
+		t.Errorf("%d sent with units for all, want 1", n)
+	}
+}
+
+// The bound on piled-up work must not refuse the first second after a start.
+func TestRateIsKnownSoonAfterStart(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(4)...)
+	for i := 0; i < 200; i++ {
+		now := t0 + time.Duration(i)*ms
+		g.Request(now, newRequest(i, "safe", "rate", uint64(i)), r)
+		answer(g, r, now, ms, OK)
+		if i%100 == 99 {
+			g.Timer(now, timerProbe, r)
+		}
+	}
+	if g.okRate < 500 {
+		t.Errorf("rate %v after 200 ms at 1000 a second", g.okRate)
+	}
+}
+
+// A refused connection ejects at once, for longer each time, and an answer ends it.
+func TestEjectionGrows(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(2)...)
+	s := g.byID["s0"]
+	q := &request{}
+	var last time.Duration
+	for i := 1; i <= 6; i++ {
+		g.now = s.ejected
+		if i == 1 {
+			g.now = t0
+		}
+		g.out = r
+		g.learn(q, s, Outcome{Result: ConnectFailed})
+		span := s.ejected - g.now
+		if span <= last && span != ejectMost {
+			t.Errorf("ejection %d lasts %v after %v", i, span, last)
+		}
+		last = span
+	}
+	g.learn(q, s, Outcome{Result: OK, Took: ms})
+	if s.strikes != 0 {
+		t.Errorf("%d strikes after an answer", s.strikes)
+	}
+}
+
+func TestBadTellsChangeNothing(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	a, ra := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "rate", 1)
+	q.Spread = 2
+	flood(a, ra, t0, 3, q)
+	a.Timer(t0, timerTell, ra)
+	good := ra.tells[1][0]
+	s.Me = 1
+	for n := 0; n < len(good); n++ {
+		b, rb := newGate(t, s, fleet(4)...)
+		b.Peer(t0, 0, good[:n], rb)
+		b.Peer(t0, 7, good, rb)
+		b.Peer(t0, 1, good, rb)
+		b.Peer(t0, 0, append([]byte{0xff, 0xff}, good[:n]...), rb)
+		if len(b.stores) != 0 || len(rb.acts) != 0 {
+			t.Fatalf("%d bytes of %d were believed", n, len(good))
+		}
+	}
+}
+
+func FuzzPeer(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{1, 1, 1, 5, 0, 2, 0})
+	f.Add([]byte{1, 1, 255, 255, 255, 255, 15, 5, 0, 2, 0})
+	s := testSettings()
+	s.Instances = 3
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &recorder{}
+		g.Start(t0, r)
+		g.Peer(t0, 1, b, r)
+		if len(g.stores) > len(b) {
+			t.Errorf("%d stores from %d bytes", len(g.stores), len(b))
+		}
+	})
+}
+
+// The cap on attempts open at once counts what peers told.
+func TestOpenCapCountsPeers(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	a, ra := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "open", 1)
+	q.Spread = 2
+	sentA := flood(a, ra, t0, 9, q)
+	a.Timer(t0, timerTell, ra)
+	s.Me = 1
+	b, rb := newGate(t, s, fleet(4)...)
+	b.Peer(t0, 0, ra.tells[1][0], rb)
+	for i := 0; i < 9; i++ {
+		flood(b, rb, t0, 9, q)
+		b.Timer(t0, timerTell, rb)
+	}
+	if got := sentA + rb.count("send"); sentA == 0 || got < 5 || got > 6 {
+		t.Errorf("%d out, %d of them on the peer; want 5 or 6", got, sentA)
+	}
+}
+
+// Rule 5: a gateway that just started may be the successor of one that spent its part.
+func TestCeilingStartsEmpty(t *testing.T) {
+	s := testSettings()
+	g, r := newGate(t, s, fleet(4)...)
+	q := newRequest(0, "safe", "hard", 1)
+	if n := flood(g, r, t0, 30, q); n != 0 {
+		t.Errorf("%d sent at the start", n)
+	}
+	if n := flood(g, r, t0+200*ms, 30, q); n != 5 {
+		t.Errorf("%d sent after 200 ms at 25 a second, want 5", n)
+	}
+}
+
+// A second copy counts as out: it must not take a capped customer's last places.
+func TestNoSecondCopyNearTheCap(t *testing.T) {
+	for plan, want := range map[string]int{"rate": 1, "open": 0} {
+		s := testSettings()
+		s.Parallel = true
+		s.Plans[2].Open = 2
+		g, r := newGate(t, s, fleet(4)...)
+		g.retries = 5
+		g.Request(t0, newRequest(1, "safe", plan, 1), r)
+		r.acts = nil
+		g.Timer(t0+ms, g.nextNum<<timerBits|timerHedge, r)
+		if n := r.count("send"); n != want {
+			t.Errorf("%s: %d second copies, want %d", plan, n, want)
+		}
+	}
+}
+
+func TestDrainsAtOnce(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(2)...)
+	g.List(t0, ListChanges, []Server{{ID: "s0", State: Draining}}, r)
+	q := newRequest(0, "safe", "rate", 1)
+	flood(g, r, t0, 20, q)
+	if r.count("send") == 0 {
+		t.Fatal("nothing sent")
+	}
+	for _, a := range r.acts {
+		if strings.HasSuffix(a, " s0") {
+			t.Fatalf("%q", a)
+		}
+	}
+	g.List(t0, ListFull, nil, r)
+	r.acts = nil
+	if n := flood(g, r, t0, 5, q); n != 0 {
+		t.Errorf("%d sent to servers gone from the list", n)
+	}
+}
+
+// answer gives an OK to each request that is out.
+func answer(g *Gateway, r *recorder, now, took time.Duration, res Result) {
+	for _, a := range r.acts {
+		var id, server string
+		if n, _ := fmt.Sscanf(a, "send %s %s", &id, &server); n == 2 {
+			g.Outcome(now, Outcome{ID: id, Result: res, Server: server, Closed: res == OK, Took: took}, r)
+		}
+	}
+	r.acts = nil
+}
+
+// Rule 4: all gateways together must keep a cold server within the budget, also when there are hundreds that
+// each would send it one request, when nothing is known of its size, and when all servers are cold.
+func TestColdServerIsSpared(t *testing.T) {
+	for _, n := range []int{1, 3, 300} {
+		s := testSettings()
+		s.Instances = n
+		work, sent := 0.0, 0
+		for me := 0; me < n; me++ {
+			s.Me = me
+			g, err := New(s, uint64(me))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &recorder{}
+			g.Start(t0, r)
+			g.List(t0, ListFull, []Server{{ID: "cold", Kind: "k", Zone: "a", Boot: t0 - ms}}, r)
+			for at := time.Duration(0); at < s.OverloadFor; at += 50 * ms {
+				sent += flood(g, r, t0+at, 2, newRequest(int(at/ms), "safe", "rate", 1))
+			}
+			work = float64(sent) * g.work(0)
+		}
+		// One core's work, the least that a server can do when warm, is what the budget is taken of.
+		share := s.ColdFrom + (1-s.ColdFrom)*s.OverloadFor.Seconds()/s.RampTime.Seconds()
+		budget := s.FallMultiple * share * s.OverloadFor.Seconds()
+		if sent == 0 && n > 100 || work > math.Max(budget, 2*s.Classes[0].Aim.Seconds()) {
+			t.Errorf("%d gateways sent %d requests of work %.2f to a cold server, budget %.2f", n, sent, work, budget)
+		}
+	}
+}
+
+// A connection that broke may mean a restart that the list tells later.
+func TestBrokenConnectionCountsAsStart(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(1)...)
+	g.Request(t0, newRequest(1, "unsafe", "rate", 1), r)
+	g.Outcome(t0+ms, Outcome{ID: "r1", Result: Reset, Server: "s0"}, r)
+	r.acts = nil
+	if n := flood(g, r, t0+2*ms, 30, newRequest(0, "safe", "rate", 2)); n > 1 {
+		t.Errorf("%d sent after the break, want 1 at most", n)
+	}
+}
+
+// A server that fails fast must not draw traffic; the last one must not be ejected.
+func TestFastErrorsAreShunned(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(4)...)
+	bad := 0
+	for i := 0; i < 400; i++ {
+		now := t0 + time.Duration(i)*20*ms
+		q := newRequest(i, "unsafe", "rate", uint64(i))
+		g.Request(now, q, r)
+		a := strings.Fields(r.last())
+		if a[0] == "send" && a[2] == "s0" {
+			bad++
+			g.Outcome(now+ms, Outcome{ID: q.ID, Result: ErrorAnswer, Server: "s0", Took: ms}, r)
+		} else {
+			g.Outcome(now+10*ms, Outcome{ID: q.ID, Result: OK, Closed: true, Server: a[2], Took: 50 * ms}, r)
+		}
+	}
+	if bad > 20 {
+		t.Errorf("%d of 400 requests went to the failing server", bad)
+	}
+	g.List(t0+9*time.Second, ListFull, fleet(1), r)
+	g.Request(t0+9*time.Second, newRequest(1000, "safe", "rate", 5000), r)
+	if r.last() != "send r1000 s0" {
+		t.Errorf("the last server is not used: %q", r.last())
+	}
+}
+
+// Work that piles up unanswered must be bounded before latencies tell of it.
+func TestPiledUpWorkIsRefused(t *testing.T) {
+	s := testSettings()
+	s.Plans[1].Burst = 1e6
+	g, r := newGate(t, s, fleet(4)...)
+	sent := 0
+	for i := 0; i < 200; i++ {
+		g.Request(t0+time.Duration(i)*ms, newRequest(i, "safe", "rate", 1), r)
+	}
+	if sent = r.count("send"); sent == 0 || sent > 8 {
+		t.Errorf("%d sent to 4 silent servers, want 1 to 8", sent)
+	}
+	if r.count("refuse") != 200-sent {
+		t.Errorf("%d refused", r.count("refuse"))
+	}
+}
+
+// Silence with work out counts as latency.
+func TestSilentServerIsAvoided(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(2)...)
+	toSilent := 0
+	for i := 0; i < 200; i++ {
+		now := t0 + time.Duration(i)*20*ms
+		q := newRequest(i, "unsafe", "rate", uint64(i))
+		g.Request(now, q, r)
+		a := strings.Fields(r.last())
+		if a[0] == "send" && a[2] == "s0" {
+			toSilent++
+		} else {
+			g.Outcome(now+10*ms, Outcome{ID: q.ID, Result: OK, Closed: true, Server: a[2], Took: 50 * ms}, r)
+		}
+	}
+	if toSilent > 10 {
+		t.Errorf("%d of 200 requests went to the silent server", toSilent)
+	}
+}
+
+// Of two servers alike, the silent, the failing, the slow, the cold and the full one costs more.
+func TestCostOfSymptoms(t *testing.T) {
+	for name, spoil := range map[string]func(*server){
+		"silent":    func(s *server) { s.seen = t0 - time.Second },
+		"failing":   func(s *server) { s.errs = 0.3 },
+		"slow":      func(s *server) { s.lat = 2 },
+		"cold":      func(s *server) { s.Boot = t0 - ms },
+		"queueing":  func(s *server) { s.queue = 3 },
+		"more out":  func(s *server) { s.out = 2 },
+		"was reset": func(s *server) { s.broke = t0 },
+	} {
+		g, _ := newGate(t, testSettings(), fleet(2)...)
+		a, b := g.servers[0], g.servers[1]
+		for _, s := range g.servers {
+			s.out, s.seen = 1, t0
+		}
+		g.lat[0].mean = 0.1
+		spoil(b)
+		if g.cost(b) < 1.3*g.cost(a) {
+			t.Errorf("%s: cost %v against %v", name, g.cost(b), g.cost(a))
+		}
+	}
+}
+
+// One attempt at a time where the site has it so.
+func TestNoSecondCopyWhereForbidden(t *testing.T) {
+	for _, parallel := range []bool{false, true} {
+		s := testSettings()
+		s.Parallel = parallel
+		g, r := newGate(t, s, fleet(2)...)
+		g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+		if got := g.maySend(g.reqs["r1"], g.servers[0]); got != parallel {
+			t.Errorf("parallel %v: second copy %v", parallel, got)
+		}
+	}
+}
+
+// Deadlines: a request without an answer ends in time by its own timer.
+func TestOwnTimerAnswersInTime(t *testing.T) {
+	for class, want := range map[string]string{"safe": "refuse r1", "keyed": "fail r1", "unsafe": "fail r1"} {
+		g, r := newGate(t, testSettings(), fleet(2)...)
+		g.Request(t0, newRequest(1, class, "rate", 1), r)
+		var due timerSet
+		for _, ts := range r.timers {
+			if ts.token&7 == timerEnd {
+				due = ts
+			}
+		}
+		if due.after <= 0 || due.after >= 2*time.Second {
+			t.Fatalf("timer after %v", due.after)
+		}
+		r.acts = nil
+		g.Timer(t0+due.after, due.token, r)
+		if r.count(want) != 1 || r.count("cancel r1 0") != 1 {
+			t.Errorf("%s: %q", class, r.acts)
+		}
+		g.Timer(t0+due.after, due.token, r)
+		g.Outcome(t0+due.after, Outcome{ID: "r1", Result: Cancelled}, r)
+		if len(r.acts) != 2 || len(g.reqs) != 0 {
+			t.Errorf("%s: %q, %d requests kept", class, r.acts, len(g.reqs))
+		}
+	}
+}
+
+func TestStrayEventsAreIgnored(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(2)...)
+	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+	r.acts = nil
+	g.Outcome(t0, Outcome{ID: "r1", Attempt: 1, Result: ErrorAnswer}, r)
+	g.Outcome(t0, Outcome{ID: "r1", Attempt: -1, Result: ErrorAnswer}, r)
+	if g.reqs["r1"] == nil || g.reqs["r1"].out != 1 {
+		t.Error("an attempt never made ended the request")
+	}
+	g.Outcome(t0, Outcome{ID: "r1", Result: OK, Closed: true, Server: "s0"}, r)
+	r.acts = nil
+	g.Outcome(t0, Outcome{ID: "r1", Result: OK, Closed: true}, r)
+	g.Outcome(t0, Outcome{ID: "none", Attempt: 9}, r)
+	g.Outcome(t0, Outcome{ID: "r1", Attempt: -1}, r)
+	g.Gone(t0, "r1", r)
+	g.First(t0, "r1", 0, r)
+	g.Timer(t0, 1<<40|timerEnd, r)
+	g.Timer(t0, 7, r)
+	g.Probed(t0, "none", OK, &Load{Util: 1}, r)
+	g.List(t0, ListError, nil, r)
+	if len(r.acts) != 0 {
+		t.Errorf("%q", r.acts)
+	}
+}
+
+// A stream that has begun belongs to the client: no deadline, no cancel.
+func TestStreamIsLeftAlone(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].Stream = true
+	g, r := newGate(t, s, fleet(2)...)
+	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+	g.First(t0+ms, "r1", 0, r)
+	r.acts = nil
+	g.Timer(t0+2*time.Second, 1<<timerBits|timerEnd, r)
+	if len(r.acts) != 0 {
+		t.Errorf("%q", r.acts)
+	}
+}
+
+func TestSubscribesWhereAsked(t *testing.T) {
+	s := testSettings()
+	s.AskList = true
+	g, r := newGate(t, s)
+	if r.count("watch true") != 1 {
+		t.Fatalf("%q", r.acts)
+	}
+	g.List(t0, ListError, nil, r)
+	last := r.timers[len(r.timers)-1]
+	g.Timer(t0+last.after, last.token, r)
+	if r.count("watch true") != 2 {
+		t.Errorf("no new subscription after an error: %q", r.acts)
+	}
+}
+
+// True units that come with the answer settle the store.
+func TestSettledUnits(t *testing.T) {
+	s := testSettings()
+	s.PostPaid = true
+	g, r := newGate(t, s, fleet(2)...)
+	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+	g.Outcome(t0, Outcome{ID: "r1", Result: OK, Closed: true, Units: 4}, r)
+	if got := g.stores[1].level; got != 36 {
+		t.Errorf("level %v, want 36", got)
+	}
+}
+
+// Customers seen once must not fill the memory.
+func TestFloodOfCustomersIsForgotten(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(4)...)
+	for i := 0; i < 20000; i++ {
+		now := t0 + time.Duration(i)*ms
+		g.Request(now, newRequest(i, "safe", "rate", uint64(i)), r)
+		answer(g, r, now, ms, OK)
+		if i%100 == 0 {
+			g.Timer(now, timerProbe, r)
+		}
+	}
+	if len(g.stores) > 5000 || len(g.stores) != len(g.order) {
+		t.Errorf("%d stores, %d in order", len(g.stores), len(g.order))
+	}
+}
+
+func TestInvalidSettings(t *testing.T) {
+	tests := map[string]func(*Settings){
+		"Instances":    func(s *Settings) { s.Instances = 0 },
+		"Me":           func(s *Settings) { s.Me = 3 },
+		"Classes":      func(s *Settings) { s.Classes = nil },
+		"Plans":        func(s *Settings) { s.Plans[0].Rate = -1 },
+		"FallMultiple": func(s *Settings) { s.FallMultiple = -1 },
+		"MaxAttempts":  func(s *Settings) { s.MaxAttempts = -1 },
+		"twice":        func(s *Settings) { s.Classes[1].Name = s.Classes[0].Name },
+	}
+	for field, spoil := range tests {
+		s := testSettings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// ARO: full refusals drive f down, calm brings it back, and the throttle is even.
+func TestOverloadControl(t *testing.T) {
+	a := aro{f: 1}
+	for i := 0; i < 50; i++ {
+		a.sent[a.slot()] = 10
+		a.sample(1)
+		a.assess(0, 0)
+	}
+	if a.f > 0.9 {
+		t.Errorf("f %v after 5 s at occupancy 1", a.f)
+	}
+	low := a.f
+	for i := 0; i < 50; i++ {
+		a.sample(0.3)
+		a.assess(0, 0)
+	}
+	if a.f != 1 || low < fLeast {
+		t.Errorf("f %v after 5 s of calm, least %v", a.f, low)
+	}
+}
+
+func TestSizeOfTheModule(t *testing.T) {
+	f, err := os.Open("choice.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines := 0
+	for s := bufio.NewScanner(f); s.Scan(); {
+		if strings.TrimSpace(s.Text()) != "" {
+			lines++
+		}
+		if n := len(strings.ReplaceAll(s.Text(), "\t", "    ")); n > 110 {
+			t.Errorf("%d columns: %s", n, s.Text())
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines, at most 850", lines)
+	}
+}
+
+// wideGate is a gateway of a fleet of 300, whose sets are so wide that holders are asked.
+func wideGate(t *testing.T, me int) (*Gateway, *recorder) {
+	s := testSettings()
+	s.Me, s.Instances, s.Peers, s.InboxPerS = me, 300, true, 40
+	return newGate(t, s, fleet(4)...)
+}
+
+// wideRequest is of a customer that comes in through the gateways 10 to 109.
+func wideRequest(n int, customer uint64) Request {
+	q := newRequest(n, "safe", "rate", customer)
+	q.Spread, q.First = 100, 10
+	return q
+}
+
+// Tells to a hundred gateways come seconds late: the customer's holder is asked, and its answer decides.
+func TestHolderIsAsked(t *testing.T) {
+	const customer = 77
+	member, r := wideGate(t, 10)
+	q := wideRequest(1, customer)
+	member.Request(t0, q, r)
+	holder := member.holder(member.stores[customer])
+	if !member.inSet(holder, q.First, q.Spread) || r.count("send")+r.count("refuse") != 0 || r.tells[holder] == nil {
+		t.Fatalf("holder %d, actions %v", holder, r.acts)
+	}
+	h, hr := wideGate(t, holder)
+	h.Peer(t0, 10, r.tells[holder][0], hr)
+	member.Peer(t0+20*ms, holder, hr.tells[10][0], r)
+	if r.count("send") != 1 {
+		t.Errorf("not sent after a grant: %v", r.acts)
+	}
+	// An answer that comes again, from another gateway, or to a number unknown changes nothing.
+	r.acts = nil
+	for _, from := range []int{holder, 11, -1, 300} {
+		member.Peer(t0+30*ms, from, hr.tells[10][0], r)
+	}
+	if len(r.acts) != 0 {
+		t.Errorf("%v", r.acts)
+	}
+}
+
+// All members together must not be granted more than the store holds.
+func TestHolderGrantsItsStoreOnce(t *testing.T) {
+	const customer = 77
+	first, r := wideGate(t, 10)
+	first.Request(t0, wideRequest(1, customer), r)
+	holder := first.holder(first.stores[customer])
+	h, hr := wideGate(t, holder)
+	sent := 0.0
+	for me := 10; me < 110; me++ {
+		if me == holder {
+			continue
+		}
+		g, r := wideGate(t, me)
+		if g.holder(g.storeFor(customer, g.plan["rate"], 100, 10)) != holder {
+			continue // another part of the holder's
+		}
+		for n := 0; n < 4; n++ {
+			r.tells, hr.tells = nil, nil
+			g.Request(t0, wideRequest(n, customer), r)
+			if r.tells != nil { // else refused of late
+				h.Peer(t0, me, r.tells[holder][0], hr)
+				g.Peer(t0, holder, hr.tells[me][0], r)
+			}
+		}
+		sent += float64(r.count("send"))
+	}
+	if burst := h.set.Plans[h.plan["rate"]].Burst; sent == 0 || sent > burst {
+		t.Errorf("%v sent of a burst of %v", sent, burst)
+	}
+}
+
+// A holder that is down must cost a wait, not the customer.
+func TestUnansweredAskGoesByTheShareGranted(t *testing.T) {
+	for _, pass := range []float64{0, 1} {
+		g, r := wideGate(t, 10)
+		g.storeFor(77, g.plan["rate"], 100, 10).pass = pass
+		g.Request(t0, wideRequest(1, 77), r)
+		g.Timer(t0+askWait, g.nextNum<<timerBits|timerAsk, r)
+		if got := r.count("send"); got != int(pass) || r.count("refuse") != 1-got {
+			t.Errorf("share %v: %v", pass, r.acts)
+		}
+	}
+}
+
+// An ask for a customer whose set lacks the sender or the receiver changes nothing, nor does a malformed one.
+func TestBadAsksChangeNothing(t *testing.T) {
+	member, r := wideGate(t, 10)
+	member.Request(t0, wideRequest(1, 77), r)
+	good := r.tells[member.holder(member.stores[77])][0]
+	for _, c := range []struct{ me, from int }{{5, 10}, {20, 5}, {20, 250}} {
+		g, r := wideGate(t, c.me)
+		g.Peer(t0, c.from, good, r)
+		if len(g.stores) != 0 || len(r.tells) != 0 {
+			t.Errorf("%+v: %d stores, %d answers", c, len(g.stores), len(r.tells))
+		}
+	}
+	g, gr := wideGate(t, 20)
+	for n := 0; n < len(good); n++ {
+		g.Peer(t0, 10, good[:n], gr)
+	}
+	g.Peer(t0, 10, append(append([]byte{}, good...), 0), gr)
+	if len(g.stores) != 0 {
+		t.Error("a malformed ask made a store")
+	}
+}
+
+// Rule 5: the parts of a ceiling over all gateways of a set must not sum to more than the whole.
+func TestPartsOfACeilingSumToTheWhole(t *testing.T) {
+	burst, rate := 0.0, 0.0
+	for me := 10; me < 110; me++ {
+		g, _ := wideGate(t, me)
+		st := g.storeFor(77, g.plan["rate"], 100, 10)
+		burst, rate = burst+st.burstPart, rate+st.ratePart
+	}
+	if math.Abs(burst-1) > 1e-9 || math.Abs(rate-1) > 1e-9 {
+		t.Errorf("parts sum to %v of the burst and %v of the rate", burst, rate)
+	}
+}
+
+// Sums of occupancy below nought, as latencies under the lowest mean give, must reach peers as they are.
+func TestPoolIsPackedSigned(t *testing.T) {
+	g, _ := wideGate(t, 10)
+	g.aro.pool = [poolSize]float64{-0.5, 0.25, 2, 0, 1}
+	m, ok := g.decodeAsk(g.encodeAnswer(1, true, 0, 1))
+	if !ok || m.pool != g.aro.pool {
+		t.Errorf("%v came as %v", g.aro.pool, m.pool)
+	}
+}
+
+// Attempts stuck at one silent server must not read as a jam of all.
+func TestOldAttemptsDoNotCountInThePool(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(4)...)
+	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+	aim := g.set.Classes[g.class["safe"]].Aim
+	if n := g.younger(jamAge); n != 1 {
+		t.Errorf("%v young at once", n)
+	}
+	g.now = t0 + aim
+	if n := g.younger(jamAge); n != 0 {
+		t.Errorf("%v young after the aim", n)
+	}
+}
+
+// A try whose client leaves before answers usually come is refused at once.
+func TestShortPatienceIsRefused(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(4)...)
+	c := &g.lat[g.class["safe"]]
+	c.n, c.mean, c.dev = batchLeast, 0.2, 0.01
+	q := newRequest(1, "safe", "rate", 1)
+	q.Grace = 100 * ms
+	g.Request(t0, q, r)
+	if r.count("refuse") != 1 {
+		t.Errorf("%v", r.acts)
+	}
+}
+
+// A place under an open cap must be free again soon, also where the answer to the ask was lost, and a refusal
+// must not keep the customer out for longer than an ask takes.
+func TestPlacesUnderACapComeBack(t *testing.T) {
+	member, r := wideGate(t, 10)
+	q := wideRequest(1, 77)
+	q.Plan = "open"
+	member.Request(t0, q, r)
+	holder := member.holder(member.stores[77])
+	h, hr := wideGate(t, holder)
+	h.Peer(t0, 10, r.tells[holder][0], hr)
+	if n := len(h.stores[77].leases); n != 1 {
+		t.Fatalf("%d leases", n)
+	}
+	r.tells = nil
+	member.Timer(t0+askWait, member.nextNum<<timerBits|timerAsk, r)
+	answer(member, r, t0+askWait+50*ms, 50*ms, OK)
+	for _, m := range r.tells[holder] {
+		h.Peer(t0+200*ms, 10, m, hr)
+	}
+	if n := len(h.stores[77].leases); n != 0 {
+		t.Errorf("%d leases after the answer", n)
+	}
+	h.stores[77].out = h.set.Plans[h.plan["open"]].Open
+	if in, wait := h.quota(h.stores[77], 1); in || wait > askWait {
+		t.Errorf("in %v, wait %v", in, wait)
+	}
+}
+
+// Rule 5: a holder that has just started must not grant what one before it may have spent.
+func TestNewHolderGrantsNoCeiling(t *testing.T) {
+	member, r := wideGate(t, 10)
+	q := wideRequest(1, 77)
+	q.Plan = "hard"
+	member.Request(t0, q, r)
+	holder := member.holder(member.stores[77])
+	h, hr := wideGate(t, holder)
+	h.Peer(t0, 10, r.tells[holder][0], hr)
+	member.Peer(t0+ms, holder, hr.tells[10][0], r)
+	if r.count("send") != 0 {
+		t.Errorf("%v", r.acts)
+	}
+}
+
+// Rule 1: a request that waits for its holder longer than its client must be answered in time.
+func TestWaitingRequestIsAnswered(t *testing.T) {
+	g, r := wideGate(t, 10)
+	q := wideRequest(1, 77)
+	q.Grace = 30 * ms
+	g.Request(t0, q, r)
+	for _, s := range r.timers {
+		if s.token == g.nextNum<<timerBits|timerEnd && s.after < q.Grace {
+			g.Timer(t0+s.after, s.token, r)
+		}
+	}
+	if r.count("refuse") != 1 {
+		t.Errorf("%v", r.acts)
+	}
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,468 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// What a gateway remembers. How it is used is decided in choice.go.
+
+// server is what is known of one server.
+type server struct {
+	Server
+	out      int           // attempts out
+	lat      float64       // latency as a multiple of its class's mean, averaged
+	seen     time.Duration // last answer or first attempt out
+	errs     float64       // share of failures, averaged
+	ejected  time.Duration // ejected until then
+	strikes  int           // ejections in a row
+	queue    float64       // reported queue
+	credit   float64       // work that may be sent while cold; below 0: not begun
+	credited time.Duration
+	listed   bool
+	reported time.Duration
+	broke    time.Duration // last broken or refused connection
+}
+
+type attempt struct {
+	server *server
+	sent   time.Duration
+	zone   string // of the server when it was sent
+	cell   int
+	done   bool
+	noRun  bool // known not to have run
+	result Result
+}
+
+type request struct {
+	Request
+	num      uint64
+	class    int
+	store    *store
+	ends     time.Duration // final answer due
+	attempts []attempt
+	out      int
+	inQuota  bool
+	drawn    bool // its ask came to nothing: sent by chance or not at all
+	granted  bool // by its holder, with its part of the ceiling
+	holder   int  // gateway that was asked for its units, or this one
+	settled  bool
+	closed   bool // finally answered
+	stream   bool // its stream has begun
+}
+
+// classLatency is the latency learned for a class.
+type classLatency struct {
+	mean, dev float64 // seconds
+	n         int
+	kinds     []kindLatency
+}
+
+// kindLatency finds the lowest mean latency of a class on one kind of server.
+type kindLatency struct {
+	sum    float64
+	n      int
+	lowest float64
+}
+
+// kindMean is the latency of a kind as a multiple of the mean.
+type kindMean struct{ mean, n float64 }
+
+// store is a customer's quota as this gateway sees it.
+type store struct {
+	key       uint64
+	plan      int
+	spread    int
+	first     int
+	at        time.Duration
+	level     float64 // units left of the quota
+	ceiling   float64 // units left of this gateway's part of the ceiling
+	since     float64 // units sent since the last tell
+	untold    float64 // units to tell, settlements included
+	out       int     // attempts out
+	opened    int     // tries sent since the last tell
+	zeros     int     // tells that said nothing is out
+	dirty     bool
+	levels    []told        // per peer: attempts out there
+	wide      bool          // its holder is asked; tells would come too late
+	split     int           // gateways over which the room is split
+	parts     float64       // stores that the quota is kept in
+	pass      float64       // share of asks that were granted of late
+	shut      time.Duration // no ask until then: the holder has refused
+	leases    []lease       // attempts that this holder has granted under an open cap
+	burstPart float64       // this gateway's part of the ceiling's burst
+	ratePart  float64       // and of its rate
+	crowded   time.Duration // refused of late: until then, less is spent on a chance
+}
+
+// lease is a place under an open cap that a holder gave to a gateway.
+type lease struct {
+	from int
+	num  uint64
+	ends time.Duration
+}
+
+type told struct {
+	n  int
+	at time.Duration
+}
+
+// peer is the state of tells to and from one peer.
+type peer struct {
+	seq        uint64
+	last       []byte // entries of the last tell
+	lastN      int
+	heard      bool
+	inEpoch    uint64
+	oldEpoch   uint64
+	inSeq      uint64
+	unanswered int // asks since its last answer
+}
+
+// Gateway decides for one edge node.
+type Gateway struct {
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	out     Actions
+	started time.Duration
+	epoch   uint64
+
+	servers []*server
+	byID    map[string]*server
+	reqs    map[string]*request
+	byNum   map[uint64]*request
+	nextNum uint64
+	class   map[string]int
+	plan    map[string]int
+	kinds   map[string]int
+	lat     []classLatency
+
+	stores  map[uint64]*store
+	order   []*store // the stores, for sweeping
+	sweepAt int
+	dirty   []*store // stores to tell of
+	peers   []peer
+	tellGap time.Duration
+
+	aro              aro
+	retries          float64 // further attempts saved up
+	inbox, inboxRate float64 // messages taken in since the last probe, and per second
+	held             int     // attempts out
+	oks              float64 // answers since the last probe
+	okRate           float64 // answers per second, averaged
+	okWarm           float64 // work answered by warm servers since the last probe
+	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
+	probeDue         float64 // probes earned by sends
+	probeAt          int
+	up               int     // servers that take work
+	topWeight        float64 // the largest of their weights
+	sized            bool    // their weights differ
+	kindLat          []*kindMean
+	logAt            time.Duration
+}
+
+// What goes into the pool.
+const (
+	poolOcc = iota // sum of the samples of the occupancy
+	poolN          // their number
+	poolSent
+	poolOKs
+	poolHeld
+	poolSize
+)
+
+// aro is the state of the overload control.
+type aro struct {
+	f, r       float64
+	occ, n     [probesKept]float64
+	sent       [probesKept]float64
+	probes     int
+	rho, alpha float64
+	mu         float64
+	pool       [poolSize]float64 // means per probe, over this gateway and those it hears from
+}
+
+// New returns a gateway for the settings, or an error that names a field that cannot be.
+func New(s Settings, seed uint64) (*Gateway, error) {
+	if err := s.validate(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	g := &Gateway{
+		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
+		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
+		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)),
+	}
+	g.set.Classes = append([]Class(nil), s.Classes...)
+	g.set.Plans = append([]Plan(nil), s.Plans...)
+	for i, c := range s.Classes {
+		g.class[c.Name] = i
+	}
+	for i, p := range s.Plans {
+		g.plan[p.Name] = i
+	}
+	g.epoch = uint64(g.rng.Uint32() >> 16)
+	g.nextNum = uint64(g.rng.Uint32() >> 12) // so that answers to a gateway before its restart match nothing
+	return g, nil
+}
+
+// Timer tokens: the low bits tell what the timer is for.
+const (
+	timerProbe = iota
+	timerTell
+	timerEnd
+	timerHedge
+	timerList
+	timerAsk
+	timerBits = 3
+)
+
+func fill(units, rate float64) time.Duration {
+	return time.Duration(math.Min(math.Max(units/rate, 0), 60) * float64(time.Second))
+}
+
+func fillIf(units, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return fill(units, rate)
+}
+
+func b2f(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// inSet tells whether a gateway is one of a customer's.
+func (g *Gateway) inSet(i, first, spread int) bool {
+	return (i-first+g.set.Instances)%g.set.Instances < spread
+}
+
+func (g *Gateway) longestAim() (d time.Duration) {
+	for _, c := range g.set.Classes {
+		d = max(d, c.Aim)
+	}
+	return d
+}
+
+func clamp(f float64) float64 { return math.Min(math.Max(f, fLeast), 1) }
+
+func (g *Gateway) weight(s *server) float64 {
+	if s.Weight > 0 {
+		return s.Weight
+	}
+	return 1
+}
+
+func (g *Gateway) meanLatency() float64 {
+	var sum, n float64
+	for i := range g.lat {
+		if g.lat[i].mean > 0 {
+			sum, n = sum+g.lat[i].mean, n+1
+		}
+	}
+	return sum / math.Max(n, 1)
+}
+
+// learnedWork is 0 as long as nothing is known of the class.
+func (g *Gateway) learnedWork(class int) float64 {
+	least := 0.0
+	for _, k := range g.lat[class].kinds {
+		if k.lowest > 0 && (least == 0 || k.lowest < least) {
+			least = k.lowest
+		}
+	}
+	return least
+}
+
+func (g *Gateway) log(format string, args ...any) {
+	if g.now-g.logAt >= time.Second {
+		g.logAt = g.now
+		g.out.Log(fmt.Sprintf(format, args...))
+	}
+}
+
+// mix takes figures of this or another gateway into the mean that goes with asks and answers.
+func (a *aro) mix(share float64, x [poolSize]float64) {
+	for i := range x {
+		a.pool[i] += share * (x[i] - a.pool[i])
+	}
+}
+
+func (a *aro) slot() int { return a.probes % probesKept }
+
+// sample enters one reading of the occupancy into the present probe.
+func (a *aro) sample(rho float64) {
+	a.occ[a.slot()] += rho
+	a.n[a.slot()]++
+}
+
+func (g *Gateway) mark(st *store) {
+	if !st.dirty && !st.wide && g.set.Peers && g.set.Instances > 1 {
+		st.dirty = true
+		g.dirty = append(g.dirty, st)
+	}
+}
+
+// takes tells whether the server is in the list and not draining.
+func (s *server) takes() bool { return s.listed && s.State == Up }
+
+// dropLeases removes the leases for which gone holds.
+func (st *store) dropLeases(gone func(lease) bool) {
+	kept := st.leases[:0]
+	for _, l := range st.leases {
+		if !gone(l) {
+			kept = append(kept, l)
+		}
+	}
+	st.leases = kept
+}
+
+// cancelAll asks to stop waiting for the attempts that are still out.
+func (g *Gateway) cancelAll(r *request) {
+	for i := range r.attempts {
+		if g.set.Cancel && !r.attempts[i].done {
+			g.out.Cancel(r.ID, i)
+		}
+	}
+}
+
+// recount drops servers that are gone and holds what the list says of all that are up.
+func (g *Gateway) recount() {
+	kept := g.servers[:0]
+	g.up, g.topWeight, g.sized = 0, 0, false
+	for _, s := range g.servers {
+		if !s.listed && s.out == 0 {
+			delete(g.byID, s.ID)
+			continue
+		}
+		kept = append(kept, s)
+		if s.takes() {
+			g.up++
+			g.sized = g.sized || g.topWeight > 0 && g.weight(s) != g.topWeight
+			g.topWeight = math.Max(g.topWeight, g.weight(s))
+		}
+	}
+	g.servers = kept
+}
+
+// sweep drops idle stores among the next eighth.
+func (g *Gateway) sweep() {
+	for n := len(g.order)/8 + 1; n > 0 && len(g.order) > 0; n-- {
+		if g.sweepAt >= len(g.order) {
+			g.sweepAt = 0
+		}
+		st := g.order[g.sweepAt]
+		if !g.idle(st) {
+			g.sweepAt++
+			continue
+		}
+		delete(g.stores, st.key)
+		g.order[g.sweepAt] = g.order[len(g.order)-1]
+		g.order = g.order[:len(g.order)-1]
+	}
+}
+
+// warmth is the least share of its capacity that a server can have by now.
+func (g *Gateway) warmth(s *server) float64 {
+	boot := max(s.Boot, s.broke)
+	age := g.now - boot
+	if boot == 0 || age >= g.set.RampTime || g.set.RampTime == 0 {
+		return 1
+	}
+	share := g.set.ColdFrom + (1-g.set.ColdFrom)*math.Max(age.Seconds(), 0)/g.set.RampTime.Seconds()
+	return math.Max(share, 0.01)
+}
+
+func (g *Gateway) fillUp(st *store) {
+	p := &g.set.Plans[st.plan]
+	dt := (g.now - st.at).Seconds()
+	st.at = g.now
+	st.level = math.Min(st.level+p.Rate/st.parts*dt, p.Burst/st.parts)
+	st.ceiling = math.Min(st.ceiling+p.CeilingRate*st.ratePart*dt, p.CeilingBurst*st.burstPart)
+}
+
+// take takes units of a request inside the quota, now or when it settles.
+func (g *Gateway) take(st *store, units float64) {
+	if g.set.Plans[st.plan].Rate > 0 {
+		st.level -= units
+		st.since += units
+		st.untold += units
+	}
+	g.mark(st)
+}
+
+// report takes in a load report.
+func (g *Gateway) report(s *server, l *Load) {
+	if l == nil {
+		return
+	}
+	if l.Queue >= 0 {
+		s.queue = l.Queue
+	}
+	if l.Util >= 0 {
+		s.reported = g.now
+		g.aro.sample(math.Min(l.Util, 1))
+	}
+}
+
+// refuse refuses a request of which nothing was sent.
+func (g *Gateway) refuse(id string, wait time.Duration) {
+	if !g.set.RetryAfter {
+		wait = 0
+	}
+	g.out.Refuse(id, min(wait, g.set.MaxRetryAfter))
+}
+
+// close marks the request answered; it is kept until its attempts have ended.
+func (g *Gateway) close(r *request) {
+	r.closed = true
+	delete(g.byNum, r.num)
+	if r.out == 0 {
+		delete(g.reqs, r.ID)
+		if len(r.attempts) > 0 && g.set.Plans[r.store.plan].Open > 0 && r.store.wide {
+			g.giveBack(r, 0)
+		}
+	}
+}
+
+// First tells that the answer of an attempt has begun to stream: it is the client's now.
+func (g *Gateway) First(now time.Duration, id string, n int, out Actions) {
+	g.now, g.out = now, out
+	if r := g.reqs[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		r.stream = true
+		r.attempts[n].server.seen = now
+	}
+}
+
+func (g *Gateway) holderOf(st *store, part int) int {
+	x := (st.key + 1 + uint64(part)<<40) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>32) * 0xd6e8feb86659fd93
+	return (st.first + int((x^x>>32)%uint64(st.spread))) % g.set.Instances
+}
+
+func (g *Gateway) partsHeld(st *store) (n int) {
+	for part := range st.split {
+		n += int(b2f(g.holderOf(st, part) == g.set.Me))
+	}
+	return n
+}
+
+func (g *Gateway) holder(st *store) int {
+	return g.holderOf(st, g.set.Me%st.split)
+}
+
+// younger counts the attempts out that were sent less than a share of their class's aim ago.
+func (g *Gateway) younger(share float64) (n float64) {
+	for _, r := range g.reqs {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			n += b2f(!a.done && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,128 @@
+// Command drill hosts gateways on the simulator's wire: batches of events on
+// standard input, one reply each on standard output. It decides nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"seamsail/choice"
+	"seamsail/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// host is the state of the process: its instances and the reply being written.
+type host struct {
+	gates map[int]*choice.Gateway
+	now   time.Duration
+	open  bool // inside a batch
+	reply wire.Reply
+}
+
+func run(in io.Reader, out io.Writer) error {
+	r := wire.NewReader(in)
+	w := bufio.NewWriterSize(out, 1<<16)
+	h := host{gates: map[int]*choice.Gateway{}}
+	for {
+		ev, err := r.Next()
+		if err == io.EOF && h.open {
+			return fmt.Errorf("line %d: input ends inside a batch", r.Line())
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err == nil {
+			err = h.handle(ev)
+			if err != nil {
+				err = fmt.Errorf("line %d: %w", r.Line(), err)
+			}
+		}
+		if err != nil {
+			return err
+		}
+		if _, ok := ev.(wire.Commit); ok {
+			w.Write(h.reply.Take())
+			if err := w.Flush(); err != nil {
+				return fmt.Errorf("writing the reply: %w", err)
+			}
+		}
+	}
+}
+
+func (h *host) handle(ev any) error {
+	switch e := ev.(type) {
+	case wire.Clock:
+		if h.open {
+			return errors.New("CLOCK inside a batch")
+		}
+		if e.Now < h.now {
+			return errors.New("CLOCK goes backwards")
+		}
+		h.open, h.now = true, e.Now
+		return nil
+	}
+	if !h.open {
+		return errors.New("message outside a batch")
+	}
+	switch e := ev.(type) {
+	case wire.Commit:
+		h.open = false
+	case wire.Launch:
+		g, err := choice.New(e.Settings, e.Seed)
+		if err != nil {
+			return err
+		}
+		h.gates[e.Inst] = g
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Start(h.now, &h.reply) })
+	case wire.Halt:
+		if _, ok := h.gates[e.Inst]; !ok {
+			return fmt.Errorf("unknown instance %d", e.Inst)
+		}
+		delete(h.gates, e.Inst)
+	case wire.List:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.List(h.now, e.Form, e.Servers, &h.reply) })
+	case wire.Accept:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Request(h.now, e.Request, &h.reply) })
+	case wire.Headers:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.First(h.now, e.ID, e.Attempt, &h.reply) })
+	case wire.Completed:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Outcome(h.now, e.Outcome, &h.reply) })
+	case wire.Left:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Gone(h.now, e.ID, &h.reply) })
+	case wire.TimerFired:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Timer(h.now, e.Token, &h.reply) })
+	case wire.ProbeDone:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Probed(h.now, e.Server, e.Result, e.Load, &h.reply) })
+	case wire.Whisper:
+		return h.deliver(e.Inst, func(g *choice.Gateway) { g.Peer(h.now, e.From, e.Payload, &h.reply) })
+	case wire.Total:
+		return h.deliver(e.Inst, func(*choice.Gateway) {})
+	}
+	return nil
+}
+
+// deliver hands one event to an instance; a panic of the module becomes BROKEN.
+func (h *host) deliver(inst int, f func(*choice.Gateway)) error {
+	g, ok := h.gates[inst]
+	if !ok {
+		return fmt.Errorf("unknown instance %d", inst)
+	}
+	h.reply.Inst = inst
+	defer func() {
+		if p := recover(); p != nil {
+			h.reply.Broken(fmt.Sprint(p))
+		}
+	}()
+	f(g)
+	return nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,520 @@
+// Package wire is the codec of the simulator's line protocol: it turns lines
+// into typed events and the gateway's actions into lines. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"seamsail/choice"
+)
+
+// Events as they come off the wire, in order.
+type (
+	Clock  struct{ Now time.Duration }
+	Commit struct{}
+	Launch struct {
+		Inst     int
+		Seed     uint64
+		Settings choice.Settings
+	}
+	Halt struct{ Inst int }
+	// List is a FLEET event with the entries of its table resolved.
+	List struct {
+		Inst    int
+		Form    choice.ListForm
+		Servers []choice.Server
+	}
+	Accept struct {
+		Inst    int
+		Request choice.Request
+	}
+	Headers struct {
+		Inst    int
+		ID      string
+		Attempt int
+	}
+	Completed struct {
+		Inst    int
+		Outcome choice.Outcome
+	}
+	Left struct {
+		Inst int
+		ID   string
+	}
+	TimerFired struct {
+		Inst  int
+		Token uint64
+	}
+	ProbeDone struct {
+		Inst   int
+		Server string
+		Result choice.Result
+		Took   time.Duration
+		Load   *choice.Load
+	}
+	Whisper struct {
+		Inst, From int
+		Payload    []byte
+	}
+	Total struct{ Inst int }
+)
+
+// maxLine bounds one line; settings and lists of entries are the longest.
+const maxLine = 1 << 24
+
+// Reader reads events. It keeps the numbered tables of the process.
+type Reader struct {
+	s      *bufio.Scanner
+	line   int
+	tables map[int][]choice.Server
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 1<<16), maxLine)
+	return &Reader{s: s, tables: map[int][]choice.Server{}}
+}
+
+// Line returns the number of the line read last.
+func (r *Reader) Line() int { return r.line }
+
+// Next returns the next event, io.EOF at the end of input between messages, or an
+// error that names the line.
+func (r *Reader) Next() (any, error) {
+	for {
+		text, err := r.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if text == "" {
+			continue
+		}
+		ev, err := r.parse(text)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", r.line, err)
+		}
+		if ev != nil {
+			return ev, nil
+		}
+	}
+}
+
+func (r *Reader) readLine() (string, error) {
+	if !r.s.Scan() {
+		if err := r.s.Err(); err != nil {
+			return "", fmt.Errorf("line %d: %w", r.line+1, err)
+		}
+		return "", io.EOF
+	}
+	r.line++
+	return r.s.Text(), nil
+}
+
+func (r *Reader) parse(text string) (any, error) {
+	name, rest, _ := strings.Cut(text, " ")
+	if name == "LAUNCH" {
+		return parseLaunch(rest)
+	}
+	f := fields{name: name}
+	if rest != "" {
+		f.vals = strings.Split(rest, " ")
+	}
+	ev, err := r.event(&f)
+	if err != nil {
+		return nil, err
+	}
+	if f.err != nil {
+		return nil, fmt.Errorf("%s: %w", name, f.err)
+	}
+	if len(f.vals) > f.next {
+		return nil, fmt.Errorf("%s: %d values more than expected", name, len(f.vals)-f.next)
+	}
+	return ev, nil
+}
+
+func (r *Reader) event(f *fields) (any, error) {
+	switch f.name {
+	case "CLOCK":
+		return Clock{f.dur("clock")}, nil
+	case "COMMIT":
+		return Commit{}, nil
+	case "HALT":
+		return Halt{f.int("i")}, nil
+	case "PAGE":
+		return nil, r.page(f)
+	case "FLEET":
+		return r.fleet(f)
+	case "ACCEPT":
+		e := Accept{Inst: f.int("i")}
+		q := &e.Request
+		q.ID, q.Class, q.Plan = f.str("ref"), f.str("tierClass"), f.str("tier")
+		q.Customer, q.Grace, q.Units = f.uint("holder"), f.dur("grace"), f.num("weight")
+		q.Spread, q.First = f.int("entryPoints"), f.int("fromNo")
+		f.uint("bits")
+		return e, nil
+	case "HEADERS":
+		e := Headers{Inst: f.int("i"), ID: f.str("ref"), Attempt: f.int("roundNo")}
+		f.str("server")
+		f.dur("spent")
+		return e, nil
+	case "COMPLETED":
+		e := Completed{Inst: f.int("i")}
+		o := &e.Outcome
+		o.ID, o.Closed, o.Result, o.Server = f.str("ref"), f.bool("closed"), f.result("reason"), f.str("server")
+		o.Took, o.Attempt = f.dur("spent"), f.int("roundNo")
+		f.num("fleetUse")
+		o.Units, o.Load = f.num("actual"), f.load("feedback")
+		return e, nil
+	case "LEFT":
+		return Left{f.int("i"), f.str("ref")}, nil
+	case "TIMEOUT_FIRED":
+		return TimerFired{f.int("i"), f.uint("ctx")}, nil
+	case "PROBE_DONE":
+		e := ProbeDone{Inst: f.int("i"), Result: f.result("reason"), Server: f.str("server")}
+		e.Took, e.Load = f.dur("spent"), f.load("feedback")
+		return e, nil
+	case "WHISPER":
+		return Whisper{f.int("i"), f.int("neighbour"), f.bytes("payload")}, nil
+	case "TOTAL":
+		e := Total{f.int("i")}
+		f.num("level")
+		f.result("reason")
+		f.dur("spent")
+		f.uint("slotName")
+		return e, nil
+	}
+	return nil, fmt.Errorf("unknown message %q", f.name)
+}
+
+func (r *Reader) page(f *fields) error {
+	table, rows := f.int("table"), f.int("rows")
+	if f.err != nil {
+		return nil // reported by the caller
+	}
+	if table < 0 || table > 15 || rows < 0 {
+		return fmt.Errorf("PAGE: table %d or row count %d out of range", table, rows)
+	}
+	var list []choice.Server
+	for i := 0; i < rows; i++ {
+		text, err := r.readLine()
+		if err != nil {
+			return fmt.Errorf("PAGE: %d of %d entries: %w", i, rows, noEOF(err))
+		}
+		e := fields{name: "ITEM", vals: strings.Split(text, " "), next: 1}
+		if e.vals[0] != "ITEM" {
+			return fmt.Errorf("expected ITEM, got %q", e.vals[0])
+		}
+		s := choice.Server{ID: e.str("server"), State: e.state("mode"), Weight: e.num("rating"), Kind: e.str("machine")}
+		s.Zone, s.Cell, s.Boot = e.str("regionPart"), e.int("pod"), e.dur("bootTime")
+		if e.err == nil && len(e.vals) > e.next {
+			e.err = errors.New("too many values")
+		}
+		if e.err != nil {
+			return fmt.Errorf("ITEM: %w", e.err)
+		}
+		list = append(list, s)
+	}
+	r.tables[table] = list
+	return nil
+}
+
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func (r *Reader) fleet(f *fields) (any, error) {
+	e := List{Inst: f.int("i")}
+	f.num("seqNo")
+	ref, form := f.str("table"), f.str("form")
+	if f.err != nil {
+		return nil, nil // reported by the caller
+	}
+	forms := map[string]choice.ListForm{"Partial": choice.ListChanges, "Complete": choice.ListFull,
+		"Persisted": choice.ListSaved, "Error": choice.ListError}
+	var ok bool
+	if e.Form, ok = forms[form]; !ok {
+		return nil, fmt.Errorf("FLEET: unknown form %q", form)
+	}
+	if e.Form != choice.ListError {
+		table, err := strconv.Atoi(ref)
+		if err != nil {
+			return nil, fmt.Errorf("FLEET: bad table %q", ref)
+		}
+		if e.Servers, ok = r.tables[table]; !ok {
+			return nil, fmt.Errorf("FLEET: unknown table %d", table)
+		}
+	}
+	return e, nil
+}
+
+// fields takes the values of one line in order and keeps the first error.
+type fields struct {
+	name string
+	vals []string
+	next int
+	err  error
+}
+
+// str returns the next value; an absent one, written "-", is "".
+func (f *fields) str(what string) string {
+	if f.next >= len(f.vals) {
+		if f.err == nil {
+			f.err = fmt.Errorf("%s is missing", what)
+		}
+		return ""
+	}
+	v := f.vals[f.next]
+	f.next++
+	if v == "-" {
+		return ""
+	}
+	if v == "" && f.err == nil {
+		f.err = fmt.Errorf("%s is empty", what)
+	}
+	return v
+}
+
+func (f *fields) bad(what, v string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("bad %s %q", what, v)
+	}
+}
+
+func (f *fields) num(what string) float64 {
+	v := f.str(what)
+	if v == "" {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		f.bad(what, v)
+	}
+	return x
+}
+
+func (f *fields) dur(what string) time.Duration {
+	x := f.num(what)
+	if math.Abs(x) > 1e9 {
+		f.bad(what, strconv.FormatFloat(x, 'g', -1, 64))
+		return 0
+	}
+	return seconds(x)
+}
+
+func (f *fields) int(what string) int {
+	v := f.str(what)
+	x, err := strconv.Atoi(v)
+	if err != nil {
+		f.bad(what, v)
+	}
+	return x
+}
+
+func (f *fields) uint(what string) uint64 {
+	v := f.str(what)
+	if v == "" {
+		return 0
+	}
+	x, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		f.bad(what, v)
+	}
+	return x
+}
+
+func (f *fields) bool(what string) bool {
+	v := f.str(what)
+	if v != "0" && v != "1" {
+		f.bad(what, v)
+	}
+	return v == "1"
+}
+
+func (f *fields) bytes(what string) []byte {
+	v := f.str(what)
+	b, err := base64.StdEncoding.DecodeString(v)
+	if err != nil {
+		f.bad(what, v)
+	}
+	return b
+}
+
+func (f *fields) state(what string) choice.ServerState {
+	switch v := f.str(what); v {
+	case "IN":
+		return choice.Up
+	case "LAME":
+		return choice.Draining
+	case "OUT":
+		return choice.Removed
+	default:
+		f.bad(what, v)
+		return choice.Up
+	}
+}
+
+func (f *fields) result(what string) choice.Result {
+	switch v := f.str(what); v {
+	case "0":
+		return choice.OK
+	case "255":
+		return choice.ErrorAnswer
+	case "254":
+		return choice.Full
+	case "253":
+		return choice.TimedOut
+	case "252":
+		return choice.ConnectFailed
+	case "251":
+		return choice.Reset
+	case "250":
+		return choice.Cancelled
+	case "249":
+		return choice.Moot
+	default:
+		f.bad(what, v)
+		return choice.Moot
+	}
+}
+
+// load parses a load report. Unknown names are skipped.
+func (f *fields) load(what string) *choice.Load {
+	v := f.str(what)
+	if v == "" {
+		return nil
+	}
+	l := choice.Load{InFlight: -1, Queue: -1, Util: -1}
+	for _, pair := range strings.Split(v, ",") {
+		name, val, ok := strings.Cut(pair, ":")
+		x, err := strconv.ParseFloat(val, 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			f.bad(what, v)
+			return nil
+		}
+		switch name {
+		case "outstanding":
+			l.InFlight = x
+		case "backlog":
+			l.Queue = x
+		case "utilization":
+			l.Util = x
+		}
+	}
+	return &l
+}
+
+func seconds(x float64) time.Duration {
+	return time.Duration(math.Round(x*1e6)) * time.Microsecond
+}
+
+// info mirrors the settings object; keys that are not named here are skipped.
+type info struct {
+	Instances, Me int
+	Zone          string
+	Tick          float64
+	RegistryMode  string
+	FamilyInfo    struct {
+		InboxPerS float64
+		PostPaid  bool
+	}
+	Feedback struct{ How string }
+	Lanes    []struct {
+		Name, Idempotency, KeyScope             string
+		Deadline, OnTime, LateWorth, MemorySpan float64
+		Worth                                   float64
+		Streamed                                bool
+	}
+	Penalties    struct{ CrossZone, Peer, Probe, Waste float64 }
+	PolicyLimits struct {
+		Cancel, ParallelTries, Peers, Probes, RetryAfter bool
+		MostTries                                        int
+		MaxRetryAfter                                    float64
+	}
+	Rules struct {
+		AnswerSlack, AskWithin, ColdFrom, DrainGrace, FallMultiple, OverloadFor, RampTime float64
+	}
+	Tariffs []struct {
+		Name                                                     string
+		QuotaRate, PeakUnits, NeverOverRate, HardBurst, CapSlack float64
+		WorthFactor, ExtraWorth, OverCost                        float64
+		MaxOut                                                   int
+	}
+}
+
+func parseLaunch(rest string) (any, error) {
+	inst, rest, _ := strings.Cut(rest, " ")
+	seed, text, _ := strings.Cut(rest, " ")
+	f := fields{name: "LAUNCH", vals: []string{inst, seed}}
+	e := Launch{Inst: f.int("i"), Seed: f.uint("prng")}
+	if f.err != nil {
+		return nil, fmt.Errorf("LAUNCH: %w", f.err)
+	}
+	var in info
+	if err := json.Unmarshal([]byte(text), &in); err != nil {
+		return nil, fmt.Errorf("LAUNCH: info: %w", err)
+	}
+	s, err := in.settings()
+	if err != nil {
+		return nil, fmt.Errorf("LAUNCH: info: %w", err)
+	}
+	e.Settings = s
+	return e, nil
+}
+
+func (in *info) settings() (choice.Settings, error) {
+	l, r := &in.PolicyLimits, &in.Rules
+	s := choice.Settings{
+		Me: in.Me, Instances: in.Instances, Zone: in.Zone,
+		AnswerSlack: seconds(r.AnswerSlack), DrainGrace: seconds(r.DrainGrace),
+		ColdFrom: r.ColdFrom, RampTime: seconds(r.RampTime),
+		FallMultiple: r.FallMultiple, OverloadFor: seconds(r.OverloadFor),
+		MaxAttempts: l.MostTries, Parallel: l.ParallelTries, Cancel: l.Cancel, Peers: l.Peers, Probes: l.Probes,
+		RetryAfter: l.RetryAfter, MaxRetryAfter: seconds(l.MaxRetryAfter),
+		AskList: in.RegistryMode == "subscribe", AskWithin: seconds(r.AskWithin),
+		InboxPerS: in.FamilyInfo.InboxPerS, PostPaid: in.FamilyInfo.PostPaid, Tick: seconds(in.Tick),
+		PriceCross: in.Penalties.CrossZone, PricePeer: in.Penalties.Peer,
+		PriceProbe: in.Penalties.Probe, PriceWaste: in.Penalties.Waste,
+	}
+	switch in.Feedback.How {
+	case "answers":
+		s.Report = choice.ReportAnswers
+	case "probe":
+		s.Report = choice.ReportProbes
+	case "none", "":
+	default:
+		return s, fmt.Errorf("feedback.how: unknown word %q", in.Feedback.How)
+	}
+	for _, c := range in.Lanes {
+		k := choice.Class{Name: c.Name, Window: seconds(c.MemorySpan), Aim: seconds(c.OnTime),
+			Deadline: seconds(c.Deadline), Worth: c.Worth, Late: c.LateWorth, Stream: c.Streamed}
+		effects := map[string]choice.Effect{"retryable": choice.Safe, "dedup": choice.Keyed, "fragile": choice.Unsafe}
+		groups := map[string]choice.Group{"all": choice.GroupAll, "zone": choice.GroupZone, "cell": choice.GroupCell}
+		var ok bool
+		if k.Effect, ok = effects[c.Idempotency]; !ok {
+			return s, fmt.Errorf("lanes: unknown idempotency %q", c.Idempotency)
+		}
+		if k.Group, ok = groups[c.KeyScope]; !ok && k.Effect == choice.Keyed {
+			return s, fmt.Errorf("lanes: unknown keyScope %q", c.KeyScope)
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	for _, t := range in.Tariffs {
+		s.Plans = append(s.Plans, choice.Plan{Name: t.Name, Rate: t.QuotaRate, Burst: t.PeakUnits, Open: t.MaxOut,
+			CeilingRate: t.NeverOverRate, CeilingBurst: t.HardBurst, CeilingSlack: t.CapSlack,
+			Price: t.WorthFactor, OverWorth: t.ExtraWorth, OverCost: t.OverCost})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,119 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"seamsail/choice"
+)
+
+func all(text string) (events []any, err error) {
+	r := NewReader(strings.NewReader(text))
+	for {
+		ev, err := r.Next()
+		if err == io.EOF {
+			return events, nil
+		}
+		if err != nil {
+			return events, err
+		}
+		events = append(events, ev)
+	}
+}
+
+const launch = `LAUNCH 3 99 {"instances":2,"me":1,"zone":"z","newKey":[1],"tick":0.004,"feedback":{"how":"answers"},` +
+	`"lanes":[{"name":"c","idempotency":"dedup","keyScope":"cell","memorySpan":5,"onTime":1,"deadline":4}],` +
+	`"tariffs":[{"name":"p","quotaRate":2.5,"peakUnits":7,"maxOut":3}],"policyLimits":{"mostTries":3},"rules":{"drainGrace":2}}`
+
+func TestReadEvents(t *testing.T) {
+	events, err := all("CLOCK 8.41225\n" + launch + "\nPAGE 0 2\nITEM s.a IN 1 k z 0 -\nITEM s.b LAME 1.5 k y 3 6.1\n" +
+		"FLEET 3 41 0 Persisted\nACCEPT 3 rq_a c p 4569004829183723 0.24 2 3 1 1\n" +
+		"COMPLETED 3 rq_a 1 254 s.a 0.0185 0 86 3 backlog:3,novel:7\nTIMEOUT_FIRED 3 77\nWHISPER 3 0 aGkgNw==\n" +
+		"FLEET 3 42 - Error\nLEFT 3 rq_a\nCOMMIT\n")
+	if err != nil || len(events) != 10 {
+		t.Fatalf("%d events, error %v", len(events), err)
+	}
+	if c := events[0].(Clock); c.Now != 8412250*time.Microsecond {
+		t.Errorf("clock %v", c.Now)
+	}
+	l := events[1].(Launch)
+	if s := l.Settings; l.Seed != 99 || s.Me != 1 || s.Classes[0].Effect != choice.Keyed || s.Classes[0].Group != choice.GroupCell ||
+		s.Plans[0].Open != 3 || s.Plans[0].Burst != 7 || s.Report != choice.ReportAnswers || s.DrainGrace != 2*time.Second {
+		t.Errorf("launch %+v", l)
+	}
+	list := events[2].(List)
+	if len(list.Servers) != 2 || list.Servers[1].State != choice.Draining || list.Servers[1].Boot != 6100*time.Millisecond {
+		t.Errorf("list %+v", list)
+	}
+	if q := events[3].(Accept).Request; q.Customer != 4569004829183723 || q.Units != 2 || q.Spread != 3 || q.First != 1 {
+		t.Errorf("request %+v", q)
+	}
+	if o := events[4].(Completed).Outcome; o.Result != choice.Full || !o.Closed || o.Load == nil || o.Load.Queue != 3 || o.Units != 3 {
+		t.Errorf("outcome %+v", o)
+	}
+	if w := events[6].(Whisper); string(w.Payload) != "hi 7" {
+		t.Errorf("payload %q", w.Payload)
+	}
+	if e := events[7].(List); e.Form != choice.ListError {
+		t.Errorf("form %v", e.Form)
+	}
+}
+
+func TestMalformedLinesAreNamed(t *testing.T) {
+	for _, bad := range []string{
+		"NONSENSE 1", "CLOCK x", "CLOCK", "LEFT 3", "LEFT 3 a b", "TIMEOUT_FIRED 3 -1", "WHISPER 3 0 ???",
+		"COMPLETED 3 rq 2 0 s 0 0 0 0 -", "COMPLETED 3 rq 1 17 s 0 0 0 0 -", "COMPLETED 3 rq 1 0 s 0 0 0 0 backlog",
+		"FLEET 3 1 9 Complete", "FLEET 3 1 0 Odd", "PAGE 16 0", "PAGE 0 1\nITEM s GONE 1 k z 0 -", "PAGE 0 2\nITEM s IN 1 k z 0 -",
+		"LAUNCH 3 99 {", "LAUNCH x 99 {}", `LAUNCH 3 9 {"feedback":{"how":"odd"}}`, `LAUNCH 3 9 {"lanes":[{"idempotency":"odd"}]}`,
+		"ACCEPT 3 rq c p 1 nan 1 1 1 1", "LEFT 3  rq",
+	} {
+		_, err := all("CLOCK 1\n" + bad + "\n")
+		if err == nil || !strings.HasPrefix(err.Error(), "line ") {
+			t.Errorf("%q: error %v", bad, err)
+		}
+	}
+}
+
+func TestWriteActions(t *testing.T) {
+	r := Reply{Inst: 3}
+	r.Send("rq", "s.a", 80*time.Millisecond)
+	r.Refuse("rq", 0)
+	r.Fail("rq")
+	r.Cancel("rq", 1)
+	r.SetTimer(77, 500*time.Millisecond)
+	r.Probe("s.a")
+	r.Tell(choice.AllPeers, []byte("hi 7"))
+	r.Tell(2, nil)
+	r.Watch(true)
+	r.Log("two\nlines")
+	want := "CALL_OUT 3 rq s.a 0.08\nTURN_AWAY 3 rq 0\nSURRENDER 3 rq\nWITHDRAW 3 rq 1\nSET_ALARM 3 77 0.5\nPROBE 3 s.a\n" +
+		"SIGNAL 3 all aGkgNw==\nSIGNAL 3 2 -\nSTREAM_CHANGES 3 1\nPRINT 3 two lines\nFINISHED\n"
+	if got := string(r.Take()); got != want {
+		t.Errorf("got %q\nwant %q", got, want)
+	}
+	if got := string(r.Take()); got != "FINISHED\n" {
+		t.Errorf("empty reply %q", got)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("CLOCK 1\nCOMMIT\n"))
+	f.Add([]byte(launch + "\n"))
+	f.Add([]byte("PAGE 0 1\nITEM s IN 1 k z 0 -\nFLEET 3 41 0 Partial\n"))
+	f.Add([]byte("COMPLETED 3 rq 1 0 s 0 0 0 0 backlog:3\nACCEPT 3 r c p 1 1 1 1 1 1\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewReader(bytes.NewReader(b))
+		for n := 0; ; n++ {
+			ev, err := r.Next()
+			if err != nil {
+				return
+			}
+			if ev == nil || n > len(b) {
+				t.Fatalf("event %d is %v", n, ev)
+			}
+		}
+	})
+}
