--- /dev/null
+++ b/cmd/mulleinmux/main.go
@@ -0,0 +1,40 @@
+// Command mulleinmux is one edge node on real sockets.
+package main
+
+import (
+	"context"
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"seamsail/internal/node"
+)
+
+// The collector's pace. The heap is a few megabytes, so that letting it grow
+// fivefold between collections costs little memory; the limit, a share of what the
+// node may use, makes collections more frequent before that runs out.
+const (
+	gcPercent   = 400
+	memoryShare = 0.6
+)
+
+func main() {
+	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	cfg, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		logger.Fatalf("configuration: %v", err)
+	}
+	runtime.GOMAXPROCS(1) // the node has one core
+	debug.SetGCPercent(gcPercent)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := node.Run(ctx, cfg, logger); err != nil {
+		logger.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"seamsail/choice"
+	"seamsail/internal/wire"
+)
+
+// Config is all that an edge node is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort // where clients connect
+	Discovery netip.AddrPort // the agent of the server register
+	Seed      uint64
+	MemoryMB  int // 0: no limit told
+	Sockets   int // descriptors that the process may hold
+
+	PeerListen netip.AddrPort   // invalid where edge nodes may not message each other
+	Peers      []netip.AddrPort // by number, this node's own among them
+	PeersAll   netip.AddrPort   // every edge node of the tier
+
+	Known     List // the app servers as this node last had them
+	Settings  choice.Settings
+	Transport wire.Transport
+}
+
+// defaultSockets is the descriptor budget where no limit is told.
+const defaultSockets = 1024
+
+// leastSockets is the smallest budget that leaves room for clients and servers.
+const leastSockets = 64
+
+// defaultConnIdle and defaultConnectTimeout hold where the settings are silent.
+const (
+	defaultConnIdle       = 30 * time.Second
+	defaultConnectTimeout = 250 * time.Millisecond
+)
+
+// LoadConfig reads the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN and
+// PROXY_DISCOVERY, where set, go before what the file says. getenv is os.Getenv
+// but for tests.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	return parseConfig(text, getenv)
+}
+
+// parseConfig validates the configuration; an error names the field at fault.
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var raw struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
+		}
+		PeerListen string `json:"peer_listen"`
+		Peers      []string
+		PeersAll   string `json:"peers_all"`
+		Known      json.RawMessage
+		Settings   json.RawMessage
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	for env, field := range map[string]*string{"PROXY_NAME": &raw.Name, "PROXY_LISTEN": &raw.Listen,
+		"PROXY_DISCOVERY": &raw.Discovery} {
+		if v := getenv(env); v != "" {
+			*field = v
+		}
+	}
+	c := &Config{Name: raw.Name}
+	if c.Name == "" {
+		return nil, errors.New("name: is empty")
+	}
+	var err error
+	if c.Listen, err = address("listen", raw.Listen); err != nil {
+		return nil, err
+	}
+	if c.Discovery, err = address("discovery", raw.Discovery); err != nil {
+		return nil, err
+	}
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a 64-bit hex number", raw.Seed)
+	}
+	if m := raw.Limits.MemoryMB; m < 0 || m > 1<<20 || math.IsNaN(m) {
+		return nil, fmt.Errorf("limits.memory_mb: %v is out of range", m)
+	}
+	c.MemoryMB = int(raw.Limits.MemoryMB)
+	if c.Sockets = int(raw.Limits.Sockets); c.Sockets == 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.Sockets < leastSockets || c.Sockets > 1<<20 {
+		return nil, fmt.Errorf("limits.sockets: %v is out of range", raw.Limits.Sockets)
+	}
+	if len(raw.Settings) == 0 {
+		return nil, errors.New("settings: is missing")
+	}
+	if c.Settings, c.Transport, err = wire.ParseSettings(raw.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Transport.ConnIdle <= 0 {
+		c.Transport.ConnIdle = defaultConnIdle
+	}
+	if c.Transport.ConnectTimeout <= 0 {
+		c.Transport.ConnectTimeout = defaultConnectTimeout
+	}
+	if c.Settings.Peers && c.Settings.Instances > 1 {
+		if c.PeerListen, err = address("peer_listen", raw.PeerListen); err != nil {
+			return nil, err
+		}
+		if len(raw.Peers) != c.Settings.Instances {
+			return nil, fmt.Errorf("peers: %d addresses for %d instances", len(raw.Peers), c.Settings.Instances)
+		}
+		for i, p := range raw.Peers {
+			a, err := address(fmt.Sprintf("peers[%d]", i), p)
+			if err != nil {
+				return nil, err
+			}
+			c.Peers = append(c.Peers, a)
+		}
+		if c.PeersAll, err = address("peers_all", raw.PeersAll); err != nil {
+			return nil, err
+		}
+	}
+	if len(raw.Known) > 0 && string(raw.Known) != "null" {
+		if c.Known, err = parseList(raw.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func address(field, v string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return a, fmt.Errorf("%s: %w", field, err)
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()), nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,296 @@
+// Package node is the real edge node: the host of a [choice.Gateway] on sockets.
+// It moves bytes, keeps the clock and enforces what the module relies on; what is
+// sent where, refused or tried again is decided in package choice alone.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"seamsail/choice"
+)
+
+// Node hosts the gateway of one edge node. Its events come from many goroutines;
+// one mutex makes them one sequence. The gateway's actions change the books under
+// the mutex; what does I/O runs after it is released or in a goroutine of its own.
+type Node struct {
+	cfg   *Config
+	log   *log.Logger
+	start time.Time // the clock reads Unix time at the start plus the monotonic time since
+	ctx   context.Context
+	up    *upstream
+	peers *peers // nil where edge nodes don't message each other
+
+	mu      sync.Mutex
+	gw      *choice.Gateway
+	flights map[string]*flight
+	after   []func() // what the event under way leaves to do without the mutex
+	work    sync.WaitGroup
+}
+
+// flight is a request of a client until it is answered and its attempts have ended.
+type flight struct {
+	id       string
+	msg      message
+	deadline time.Time
+	answer   chan answer // takes the one final answer
+	done     bool
+	attempts []*attempt
+	out      int // attempts that have not ended
+}
+
+// attempt is one attempt of a flight.
+type attempt struct {
+	number int
+	server string
+	sent   time.Duration
+	cancel context.CancelFunc
+}
+
+// answer is a final answer.
+type answer struct {
+	kind       answerKind
+	retryAfter time.Duration // of a refusal
+	reply      reply         // of a served one
+}
+
+type answerKind int
+
+const (
+	served answerKind = iota
+	refused
+	failed
+)
+
+// newNode makes a node whose goroutines end with ctx.
+func newNode(ctx context.Context, cfg *Config, logger *log.Logger) (*Node, error) {
+	gw, err := choice.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{
+		cfg: cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
+		up: newUpstream(cfg.Transport, serverSockets(cfg.Sockets)),
+	}, nil
+}
+
+// now reads the clock: Unix time, so that start times in lists convert, which never goes back.
+func (n *Node) now() time.Duration {
+	return time.Duration(n.start.UnixNano()) + time.Since(n.start)
+}
+
+// event runs one event of the gateway, then what its actions left to do. It tells
+// whether the event came through: a panic of the module is logged, with the stack
+// that names its cause, and costs the one event.
+func (n *Node) event(f func(now time.Duration, out choice.Actions)) bool {
+	n.mu.Lock()
+	ok := n.guarded(f)
+	after := n.after
+	n.after = nil
+	n.mu.Unlock()
+	for _, do := range after {
+		do()
+	}
+	return ok
+}
+
+func (n *Node) guarded(f func(now time.Duration, out choice.Actions)) (ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			text := fmt.Sprintf("panic: %v\n%s", p, debug.Stack())
+			n.after = append(n.after, func() { n.log.Print(text) })
+		}
+	}()
+	f(n.now(), (*actions)(n))
+	return true
+}
+
+// boot starts the gateway with the saved list.
+func (n *Node) boot() {
+	n.event(func(now time.Duration, out choice.Actions) { n.gw.Start(now, out) })
+	n.list(n.cfg.Known, choice.ListSaved)
+}
+
+// list hands a list to the connections and to the gateway, as one event.
+func (n *Node) list(l List, form choice.ListForm) {
+	servers := make([]choice.Server, len(l.Servers))
+	for i, s := range l.Servers {
+		servers[i] = s.Server
+	}
+	n.event(func(now time.Duration, out choice.Actions) {
+		stale := n.up.update(l.Servers, form != choice.ListChanges)
+		n.after = append(n.after, func() { closeAll(stale) })
+		n.gw.List(now, form, servers, out)
+	})
+}
+
+// heard hands a message of discovery on.
+func (n *Node) heard(l List) {
+	form := choice.ListChanges
+	if l.Full {
+		form = choice.ListFull
+	}
+	n.list(l, form)
+}
+
+// whisper hands a message of a peer on.
+func (n *Node) whisper(from int, message []byte) {
+	n.event(func(now time.Duration, out choice.Actions) { n.gw.Peer(now, from, message, out) })
+}
+
+// begin takes a request of a client. It returns nil if its id is in use. The final
+// answer comes on the flight's channel, also where the gateway gives none in time.
+func (n *Node) begin(q choice.Request, m message, deadline time.Time) *flight {
+	fl := &flight{id: q.ID, msg: m, deadline: deadline, answer: make(chan answer, 1)}
+	taken := false
+	ok := n.event(func(now time.Duration, out choice.Actions) {
+		if taken = n.flights[q.ID] != nil; taken {
+			return
+		}
+		n.flights[q.ID] = fl
+		n.gw.Request(now, q, out)
+	})
+	if taken {
+		return nil
+	}
+	if !ok {
+		n.abandon(fl)
+	}
+	return fl
+}
+
+// abandon ends a flight whose client has gone or for which no answer was given in time.
+func (n *Node) abandon(fl *flight) {
+	n.event(func(now time.Duration, out choice.Actions) {
+		n.end(fl, answer{kind: failed})
+		n.gw.Gone(now, fl.id, out)
+	})
+}
+
+// end gives a flight its final answer unless it has one. Called under the mutex.
+func (n *Node) end(fl *flight, a answer) {
+	if fl.done {
+		return
+	}
+	fl.done = true
+	fl.answer <- a
+	n.forget(fl)
+}
+
+// forget drops a flight once it is over in every respect. Called under the mutex.
+func (n *Node) forget(fl *flight) {
+	if fl.done && fl.out == 0 && n.flights[fl.id] == fl {
+		delete(n.flights, fl.id)
+	}
+}
+
+// try carries out one attempt and brings its outcome to the gateway.
+func (n *Node) try(ctx context.Context, fl *flight, a *attempt) {
+	defer n.work.Done()
+	rep, result := n.up.exchange(ctx, a.server, &fl.msg)
+	a.cancel()
+	n.event(func(now time.Duration, out choice.Actions) {
+		if result == choice.OK {
+			n.end(fl, answer{kind: served, reply: rep})
+		}
+		fl.out--
+		n.gw.Outcome(now, choice.Outcome{ID: fl.id, Attempt: a.number, Closed: fl.done, Result: result,
+			Server: a.server, Took: now - a.sent, Load: rep.load}, out)
+		n.forget(fl)
+	})
+}
+
+// probe asks a server for its load.
+func (n *Node) probe(server string) {
+	defer n.work.Done()
+	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
+	defer cancel()
+	rep, result := n.up.exchange(ctx, server, &message{method: "GET", target: loadPath})
+	load := rep.load
+	if load == nil {
+		load = parseLoad(string(rep.body))
+	}
+	n.event(func(now time.Duration, out choice.Actions) { n.gw.Probed(now, server, result, load, out) })
+}
+
+// actions carries out what the gateway asks for. All are called under the mutex.
+type actions Node
+
+// Send starts an attempt, bounded by its timeout and by the client's deadline.
+func (a *actions) Send(id, server string, timeout time.Duration) {
+	n := (*Node)(a)
+	fl := n.flights[id]
+	if fl == nil || fl.done {
+		n.logLater("module: send for %s, which is not open", id)
+		return
+	}
+	until := fl.deadline
+	if t := time.Now().Add(timeout); timeout != 0 && t.Before(until) {
+		until = t
+	}
+	ctx, cancel := context.WithDeadline(n.ctx, until)
+	at := &attempt{number: len(fl.attempts), server: server, sent: n.now(), cancel: cancel}
+	fl.attempts = append(fl.attempts, at)
+	fl.out++
+	n.work.Add(1)
+	go n.try(ctx, fl, at)
+}
+
+func (a *actions) Refuse(id string, retryAfter time.Duration) {
+	if fl := a.flights[id]; fl != nil {
+		(*Node)(a).end(fl, answer{kind: refused, retryAfter: retryAfter})
+	}
+}
+
+func (a *actions) Fail(id string) {
+	if fl := a.flights[id]; fl != nil {
+		(*Node)(a).end(fl, answer{kind: failed})
+	}
+}
+
+func (a *actions) Cancel(id string, attempt int) {
+	if fl := a.flights[id]; fl != nil && attempt >= 0 && attempt < len(fl.attempts) {
+		fl.attempts[attempt].cancel()
+	}
+}
+
+func (a *actions) SetTimer(token uint64, after time.Duration) {
+	n := (*Node)(a)
+	time.AfterFunc(after, func() {
+		if n.ctx.Err() == nil {
+			n.event(func(now time.Duration, out choice.Actions) { n.gw.Timer(now, token, out) })
+		}
+	})
+}
+
+func (a *actions) Probe(server string) {
+	n := (*Node)(a)
+	n.work.Add(1)
+	go n.probe(server)
+}
+
+func (a *actions) Tell(peer int, message []byte) {
+	n := (*Node)(a)
+	message = append([]byte(nil), message...)
+	n.after = append(n.after, func() {
+		if n.peers == nil {
+			return
+		}
+		if err := n.peers.send(peer, message); err != nil {
+			n.log.Printf("peers: %v", err)
+		}
+	})
+}
+
+// Watch has nothing to do: the list is always watched.
+func (a *actions) Watch(bool) {}
+
+func (a *actions) Log(text string) { (*Node)(a).logLater("module: %s", text) }
+
+func (n *Node) logLater(format string, args ...any) {
+	n.after = append(n.after, func() { n.log.Printf(format, args...) })
+}
--- /dev/null
+++ b/internal/node/registry.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"seamsail/choice"
+)
+
+// List is one message of discovery.
+type List struct {
+	Generation uint64
+	Full       bool // the complete list: a server missing from it is gone
+	Servers    []Instance
+}
+
+// Instance is one app server and where it listens.
+type Instance struct {
+	choice.Server
+	Addr netip.AddrPort
+}
+
+// maxList bounds one message of discovery.
+const maxList = 4 << 20
+
+// parseList parses one message of discovery.
+func parseList(text []byte) (List, error) {
+	var raw struct {
+		Generation uint64
+		Reset      bool
+		Instances  []struct {
+			InstanceID  string
+			HostPort    string
+			Zone        string
+			MachineType string
+			Cell        int
+			Lifecycle   string
+			Weight      float64
+			StartedAtMs float64
+		}
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return List{}, err
+	}
+	l := List{Generation: raw.Generation, Full: raw.Reset}
+	for i, e := range raw.Instances {
+		s := Instance{Server: choice.Server{ID: e.InstanceID, Weight: e.Weight, Kind: e.MachineType, Zone: e.Zone,
+			Cell: e.Cell, Boot: time.Duration(e.StartedAtMs * float64(time.Millisecond))}}
+		if s.ID == "" {
+			return List{}, fmt.Errorf("instances[%d].instanceId: is empty", i)
+		}
+		switch e.Lifecycle {
+		case "up":
+			s.State = choice.Up
+		case "draining":
+			s.State = choice.Draining
+		case "removed":
+			s.State = choice.Removed
+		default:
+			return List{}, fmt.Errorf("instances[%d].lifecycle: unknown word %q", i, e.Lifecycle)
+		}
+		var err error
+		if s.Addr, err = address(fmt.Sprintf("instances[%d].hostPort", i), e.HostPort); err != nil && s.State != choice.Removed {
+			return List{}, err
+		}
+		l.Servers = append(l.Servers, s)
+	}
+	return l, nil
+}
+
+// Pace of the watch.
+const (
+	watchSilent  = 5 * time.Second        // a line comes every 2 s: silence past this is a dead watch
+	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
+	backoffMost  = 2 * time.Second
+)
+
+// registry follows the changes of the list of app servers.
+type registry struct {
+	addr   netip.AddrPort
+	silent time.Duration // watchSilent but in tests
+	last   uint64        // the version that is held
+	apply  func(List)
+	logf   func(format string, args ...any)
+}
+
+// run watches until ctx ends. A watch that breaks, ends or falls silent is opened
+// again from the version held, after a pause that doubles while nothing comes.
+func (r *registry) run(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: r.silent}).DialContext,
+		DisableKeepAlives: true, // each watch is a connection of its own
+	}}
+	pause := backoffLeast
+	for {
+		heard, err := r.watch(ctx, client)
+		if ctx.Err() != nil {
+			return
+		}
+		if heard {
+			pause = backoffLeast
+		}
+		r.logf("discovery: watch ended, again in %v: %v", pause, err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, backoffMost)
+	}
+}
+
+// watch follows one watch to its end, which always has a reason, and tells
+// whether anything was heard on it.
+func (r *registry) watch(ctx context.Context, client *http.Client) (heard bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(r.silent, func() { cancel(errors.New("silent for too long")) })
+	defer silence.Stop()
+	defer func() {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+	}()
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", r.addr, r.last)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("status %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxList)
+	for lines.Scan() {
+		silence.Reset(r.silent)
+		heard = true
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		l, err := parseList(lines.Bytes())
+		if err != nil {
+			// What was said is lost with this line: only the whole list can make up for it.
+			r.last = 0
+			return heard, fmt.Errorf("malformed line: %w", err)
+		}
+		r.last = l.Generation
+		r.apply(l)
+	}
+	if err := lines.Err(); err != nil {
+		return heard, err
+	}
+	return heard, io.EOF
+}
--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,422 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"seamsail/choice"
+	"seamsail/internal/wire"
+)
+
+const (
+	loadPath     = "/stats"               // an app server's load report
+	probeTimeout = 500 * time.Millisecond // a probe that takes longer tells nothing of the present
+	idleShare    = 0.8                    // of connIdle after which an idle connection is not used again
+	maxReply     = 64 << 10               // bytes that the body of an answer may hold
+	maxInterim   = 4                      // 1xx answers before the one that counts
+)
+
+// message is what goes on to an app server.
+type message struct {
+	method      string
+	target      string // path and query, byte for byte as the client sent them
+	host        string
+	id          string // X-Trace-Id
+	key         string // Idempotency-Key
+	contentType string
+	body        []byte
+}
+
+// reply is an app server's whole answer.
+type reply struct {
+	body        []byte
+	contentType string
+	load        *choice.Load // nil: it carried no report
+}
+
+// upstream holds the connections to app servers. net/http's own client is not used:
+// it silently sends a request again when a kept connection turns out dead, which
+// would be a second copy. Here one call of exchange writes a request once at most.
+type upstream struct {
+	dialer  net.Dialer
+	maxIdle time.Duration
+	most    int // connections open at once, descriptors being limited
+
+	mu       sync.Mutex
+	backends map[string]*backend
+	open     int
+}
+
+// backend is an app server and its idle connections, the latest used last.
+type backend struct {
+	addr netip.AddrPort
+	boot time.Duration
+	up   bool
+	idle []*conn
+}
+
+// conn is a connection to a backend. It carries one request at a time.
+type conn struct {
+	net.Conn
+	raw  syscall.RawConn
+	br   *bufio.Reader
+	of   *backend // to which it may return; connections of a moved or restarted server belong to none
+	idle time.Time
+}
+
+func newUpstream(t wire.Transport, most int) *upstream {
+	return &upstream{
+		dialer:   net.Dialer{Timeout: t.ConnectTimeout, KeepAlive: -1},
+		maxIdle:  time.Duration(idleShare * float64(t.ConnIdle)),
+		most:     most,
+		backends: map[string]*backend{},
+	}
+}
+
+// update takes in entries of the list and returns the idle connections that are of
+// no more use, for the caller to close. A server that drains, moved, restarted or
+// vanished from the list keeps none.
+func (u *upstream) update(entries []Instance, full bool) (stale []*conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	listed := map[string]bool{}
+	for _, e := range entries {
+		if e.State == choice.Removed {
+			if b := u.backends[e.ID]; b != nil {
+				stale = append(stale, u.drop(e.ID, b)...)
+			}
+			continue
+		}
+		listed[e.ID] = true
+		b := u.backends[e.ID]
+		if b != nil && (b.addr != e.Addr || b.boot != e.Boot) {
+			stale = append(stale, u.drop(e.ID, b)...)
+			b = nil
+		}
+		if b == nil {
+			b = &backend{addr: e.Addr, boot: e.Boot}
+			u.backends[e.ID] = b
+		}
+		if b.up = e.State == choice.Up; !b.up {
+			stale, b.idle = append(stale, b.idle...), nil
+		}
+	}
+	if full {
+		for id, b := range u.backends {
+			if !listed[id] {
+				stale = append(stale, u.drop(id, b)...)
+			}
+		}
+	}
+	u.open -= len(stale)
+	return stale
+}
+
+// drop forgets a backend and returns its idle connections.
+func (u *upstream) drop(id string, b *backend) []*conn {
+	idle := b.idle
+	b.up, b.idle = false, nil
+	delete(u.backends, id)
+	return idle
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// reap closes what has been idle for too long, once every period until ctx ends.
+func (u *upstream) reap(ctx context.Context) {
+	tick := time.NewTicker(max(u.maxIdle/8, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var stale []*conn
+		u.mu.Lock()
+		for _, b := range u.backends {
+			fresh := 0
+			for fresh < len(b.idle) && time.Since(b.idle[fresh].idle) >= u.maxIdle {
+				fresh++
+			}
+			stale = append(stale, b.idle[:fresh]...)
+			b.idle = append([]*conn(nil), b.idle[fresh:]...)
+		}
+		u.open -= len(stale)
+		u.mu.Unlock()
+		closeAll(stale)
+	}
+}
+
+var (
+	errUnknown = errors.New("server is not up in the list")
+	errBudget  = errors.New("no descriptor left for a connection")
+)
+
+// take returns a connection to the server: the idle one used last, if it still
+// lives, or a new one.
+func (u *upstream) take(ctx context.Context, server string) (*conn, error) {
+	for {
+		u.mu.Lock()
+		b := u.backends[server]
+		if b == nil || !b.up {
+			u.mu.Unlock()
+			return nil, errUnknown
+		}
+		if n := len(b.idle); n > 0 {
+			c := b.idle[n-1]
+			b.idle = b.idle[:n-1]
+			u.mu.Unlock()
+			if time.Since(c.idle) < u.maxIdle && c.quiet() {
+				return c, nil
+			}
+			u.discard(c)
+			continue
+		}
+		var spare *conn
+		if u.open >= u.most {
+			if spare = u.longestIdle(); spare == nil {
+				u.mu.Unlock()
+				return nil, errBudget
+			}
+			u.open--
+		}
+		u.open++
+		u.mu.Unlock()
+		if spare != nil {
+			spare.Close()
+		}
+		return u.dial(ctx, b)
+	}
+}
+
+// longestIdle takes the connection that has been idle for longest out of its pool,
+// or returns nil. Called under the mutex.
+func (u *upstream) longestIdle() *conn {
+	var of *backend
+	for _, b := range u.backends {
+		if len(b.idle) > 0 && (of == nil || b.idle[0].idle.Before(of.idle[0].idle)) {
+			of = b
+		}
+	}
+	if of == nil {
+		return nil
+	}
+	c := of.idle[0]
+	of.idle = of.idle[1:]
+	return c
+}
+
+// dial makes a connection, which is already counted.
+func (u *upstream) dial(ctx context.Context, b *backend) (*conn, error) {
+	nc, err := u.dialer.DialContext(ctx, "tcp", b.addr.String())
+	if err != nil {
+		u.uncount()
+		return nil, err
+	}
+	c := &conn{Conn: nc, br: bufio.NewReader(nc), of: b}
+	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
+		u.discard(c)
+		return nil, err
+	}
+	u.mu.Lock()
+	up := b.up
+	u.mu.Unlock()
+	if !up {
+		// The list changed while the connection came up: nothing new may go there.
+		u.discard(c)
+		return nil, errUnknown
+	}
+	return c, nil
+}
+
+func (u *upstream) uncount() {
+	u.mu.Lock()
+	u.open--
+	u.mu.Unlock()
+}
+
+func (u *upstream) discard(c *conn) {
+	c.Close()
+	u.uncount()
+}
+
+// giveBack returns a connection whose exchange is over to its pool.
+func (u *upstream) giveBack(c *conn) {
+	u.mu.Lock()
+	if c.of.up {
+		c.idle = time.Now()
+		c.of.idle = append(c.of.idle, c)
+		u.mu.Unlock()
+		return
+	}
+	u.mu.Unlock()
+	u.discard(c)
+}
+
+// quiet tells whether an idle connection is as it was left: open, with nothing to
+// read. One that the server has closed, or on which something came unasked, would
+// end a request written to it as a reset, which may not be repeated freely.
+func (c *conn) quiet() bool {
+	var b [1]byte
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes the message to the server, once at most, and reads the whole
+// answer. It gives up when ctx ends, by closing the connection before it returns.
+func (u *upstream) exchange(ctx context.Context, server string, m *message) (reply, choice.Result) {
+	c, err := u.take(ctx, server)
+	if err != nil {
+		return reply{}, neverSent(ctx)
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	req := m.request(ctx)
+	var out bytes.Buffer
+	if err = req.Write(&out); err == nil {
+		_, err = c.Write(out.Bytes())
+	}
+	if err != nil {
+		// A server begins a request when its last byte has come, and that was not written.
+		stop()
+		u.discard(c)
+		return reply{}, neverSent(ctx)
+	}
+	rep, result, reuse := c.read(req)
+	// stop is false once the deadline has been tampered with.
+	if stop() && reuse {
+		u.giveBack(c)
+	} else {
+		u.discard(c)
+	}
+	if result == choice.Reset && ctx.Err() != nil {
+		result = choice.TimedOut
+		if errors.Is(ctx.Err(), context.Canceled) {
+			result = choice.Cancelled
+		}
+	}
+	return rep, result
+}
+
+// neverSent is the result of an attempt whose last byte was not written.
+func neverSent(ctx context.Context) choice.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return choice.Cancelled
+	}
+	return choice.ConnectFailed
+}
+
+// request words the message. The target goes on as it came: as the opaque part of
+// an address it is not encoded anew.
+func (m *message) request(ctx context.Context) *http.Request {
+	path, query, force := strings.Cut(m.target, "?")
+	h := http.Header{"User-Agent": {""}} // none, rather than the library's own
+	if m.id != "" {
+		h["X-Trace-Id"] = []string{m.id}
+	}
+	if m.key != "" {
+		h["Idempotency-Key"] = []string{m.key}
+	}
+	if m.contentType != "" {
+		h["Content-Type"] = []string{m.contentType}
+	}
+	if until, ok := ctx.Deadline(); ok {
+		left := math.Max(time.Until(until).Seconds(), 0.001)
+		h["X-Expires-In"] = []string{strconv.FormatFloat(left, 'f', 3, 64)}
+	}
+	req := &http.Request{Method: m.method, Host: m.host, Header: h,
+		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: force}}
+	if req.Host == "" {
+		req.Host = "app.svc"
+	}
+	if len(m.body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
+	}
+	return req
+}
+
+// read reads the whole answer and tells whether the connection can be used again.
+func (c *conn) read(req *http.Request) (rep reply, result choice.Result, reuse bool) {
+	resp, err := http.ReadResponse(c.br, req)
+	for n := 0; err == nil && resp.StatusCode < 200 && n < maxInterim; n++ {
+		resp, err = http.ReadResponse(c.br, req)
+	}
+	if err != nil {
+		return reply{}, choice.Reset, false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	if err != nil {
+		return reply{}, choice.Reset, false
+	}
+	if len(body) > maxReply {
+		return reply{}, choice.ErrorAnswer, false
+	}
+	rep = reply{body: body, contentType: resp.Header.Get("Content-Type")}
+	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" {
+		rep.load = parseLoad(text)
+	}
+	reuse = !resp.Close && c.br.Buffered() == 0
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return rep, choice.OK, reuse
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Never-Ran") == "1":
+		return rep, choice.Full, reuse
+	}
+	return rep, choice.ErrorAnswer, reuse
+}
+
+// parseLoad parses a load report such as "TEXT inflight=7, queue=2, util=0.61".
+// Unknown names are skipped; nil means that there is no report in the text.
+func parseLoad(text string) *choice.Load {
+	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT")
+	if !ok {
+		return nil
+	}
+	l := choice.Load{InFlight: -1, Queue: -1, Util: -1}
+	for _, pair := range strings.Split(text, ",") {
+		name, val, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		x, err := strconv.ParseFloat(val, 64)
+		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			return nil
+		}
+		switch name {
+		case "inflight", "outstanding":
+			l.InFlight = x
+		case "queue", "backlog":
+			l.Queue = x
+		case "util", "utilization":
+			l.Util = x
+		}
+	}
+	return &l
+}
+
+// shut closes all idle connections.
+func (u *upstream) shut() {
+	stale := u.update(nil, true)
+	closeAll(stale)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -441,7 +441,7 @@
 	PolicyLimits struct {
 		Cancel, ParallelTries, Peers, Probes, RetryAfter bool
 		MostTries                                        int
-		MaxRetryAfter                                    float64
+		MaxRetryAfter, ConnIdle, ConnectTimeout          float64
 	}
 	Rules struct {
 		AnswerSlack, AskWithin, ColdFrom, DrainGrace, FallMultiple, OverloadFor, RampTime float64
@@ -462,11 +462,7 @@
 	if f.err != nil {
 		return nil, fmt.Errorf("LAUNCH: %w", f.err)
 	}
-	var in info
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return nil, fmt.Errorf("LAUNCH: info: %w", err)
-	}
-	s, err := in.settings()
+	s, _, err := ParseSettings([]byte(text))
 	if err != nil {
 		return nil, fmt.Errorf("LAUNCH: info: %w", err)
 	}
@@ -474,6 +470,25 @@
 	return e, nil
 }
 
+// Transport is the part of the settings that concerns connections: the host's
+// business, not the module's.
+type Transport struct {
+	ConnIdle       time.Duration // a server closes a connection that has stood idle this long
+	ConnectTimeout time.Duration // a connection that is not made within this has failed
+}
+
+// ParseSettings parses the settings object, in the form in which both the
+// simulator and a real edge node's configuration give it.
+func ParseSettings(text []byte) (choice.Settings, Transport, error) {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return choice.Settings{}, Transport{}, err
+	}
+	s, err := in.settings()
+	l := &in.PolicyLimits
+	return s, Transport{ConnIdle: seconds(l.ConnIdle), ConnectTimeout: seconds(l.ConnectTimeout)}, err
+}
+
 func (in *info) settings() (choice.Settings, error) {
 	l, r := &in.PolicyLimits, &in.Rules
 	s := choice.Settings{
