--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 // printer is a host that only prints what it is asked to do.
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"seamsail/choice"
-	"seamsail/internal/wire"
+	"mulleinmux/choice"
+	"mulleinmux/internal/wire"
 )
 
 func main() {
--- a/cmd/mulleinmux/main.go
+++ b/cmd/mulleinmux/main.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"seamsail/internal/node"
+	"mulleinmux/internal/node"
 )
 
 // The collector's pace. The heap is a few megabytes, so that letting it grow
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"seamsail/choice"
-	"seamsail/internal/wire"
+	"mulleinmux/choice"
+	"mulleinmux/internal/wire"
 )
 
 // Config is all that an edge node is told at its start.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 // Node hosts the gateway of one edge node. Its events come from many goroutines;
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/netip"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 // maxMessage is the longest datagram that may be sent to a peer.
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -12,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 // List is one message of discovery.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -17,8 +17,8 @@
 	"syscall"
 	"time"
 
-	"seamsail/choice"
-	"seamsail/internal/wire"
+	"mulleinmux/choice"
+	"mulleinmux/internal/wire"
 )
 
 const (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 // Events as they come off the wire, in order.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"seamsail/choice"
+	"mulleinmux/choice"
 )
 
 func all(text string) (events []any, err error) {
