Test the connections to app servers over loopback

Each trap has its test: no resend, LIFO, closed and aged idle connections, bounded dial, giving up closes, dropped servers, the descriptor budget.

--- /dev/null
+++ b/internal/node/harness_test.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/internal/wire"
+)
+
+// patience bounds every wait of a test; none is expected to come near it.
+const patience = 30 * time.Second
+
+// appServer is an app server on a loopback socket. serve answers one request that
+// has come whole; it returns false to have the connection closed.
+type appServer struct {
+	ln    net.Listener
+	serve func(c net.Conn, r *http.Request, body []byte) bool
+	conns chan net.Conn // every connection accepted
+
+	mu   sync.Mutex
+	seen []string // the first line and the body of each request
+}
+
+func newAppServer(t *testing.T, serve func(c net.Conn, r *http.Request, body []byte) bool) *appServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &appServer{ln: ln, serve: serve, conns: make(chan net.Conn, 100)}
+	t.Cleanup(func() {
+		ln.Close()
+		for len(s.conns) > 0 {
+			(<-s.conns).Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+			go s.loop(c)
+		}
+	}()
+	return s
+}
+
+func (s *appServer) loop(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.seen = append(s.seen, r.Method+" "+r.RequestURI+" "+string(body))
+		s.mu.Unlock()
+		if !s.serve(c, r, body) {
+			return
+		}
+	}
+}
+
+func (s *appServer) requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.seen...)
+}
+
+func (s *appServer) instance(id string) Instance {
+	return Instance{Server: choice.Server{ID: id, Weight: 1, Kind: "k", Zone: "z"}, Addr: addrOf(s.ln)}
+}
+
+func addrOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// say returns a serve function that writes the text and keeps the connection.
+func say(text string) func(net.Conn, *http.Request, []byte) bool {
+	return func(c net.Conn, _ *http.Request, _ []byte) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+
+// testConfig is a tier of one edge node, with a safe class, a keyed one and a plan
+// whose second request within seconds is beyond its quota.
+func testConfig(servers ...Instance) *Config {
+	return &Config{
+		Name: "n0", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: netip.MustParseAddrPort("127.0.0.1:1"),
+		Sockets: 256, Known: List{Generation: 7, Full: true, Servers: servers},
+		Transport: wire.Transport{ConnIdle: time.Minute, ConnectTimeout: 5 * time.Second},
+		Settings: choice.Settings{
+			Instances: 1, Zone: "z", MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+			Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond,
+			Classes: []choice.Class{
+				{Name: "check", Effect: choice.Safe, Aim: 20 * time.Second, Deadline: time.Second, Worth: 1},
+				{Name: "book", Effect: choice.Keyed, Group: choice.GroupZone, Window: 4 * time.Second,
+					Aim: 20 * time.Second, Deadline: time.Second, Worth: 1},
+			},
+			Plans: []choice.Plan{{Name: "wide", Rate: 1e6, Burst: 1e6, Price: 1}, {Name: "tight", Rate: 0.1, Burst: 1, Price: 1}},
+		},
+	}
+}
+
+// running is a node that runs in this process.
+type running struct {
+	addr string
+	stop context.CancelFunc // a planned restart's SIGTERM
+	done chan error
+	logs *syncBuffer
+}
+
+func run(t *testing.T, cfg *Config) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}}
+	go func() { r.done <- runOn(ctx, cfg, log.New(r.logs, "", 0), ln) }()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-r.done:
+			if err != nil {
+				t.Errorf("run: %v", err)
+			}
+		case <-time.After(patience):
+			t.Error("the node does not end")
+		}
+	})
+	return r
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	br *bufio.Reader
+	t  *testing.T
+}
+
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{Conn: c, br: bufio.NewReader(c), t: t}
+}
+
+// answered is an answer as a client reads it.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	close  bool
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *client) read() answered {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		c.t.Fatalf("reading the answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatalf("reading the answer's body: %v", err)
+	}
+	return answered{resp.StatusCode, resp.Header, string(body), resp.Close}
+}
+
+func (c *client) ask(text string) answered {
+	c.t.Helper()
+	c.send(text)
+	return c.read()
+}
+
+// request is the text of a good request, some of whose lines may be replaced: "" as
+// the value of a header leaves it out, "" as its name replaces the first line.
+func request(class, id string, replace ...string) string {
+	lines := map[string]string{"Host": "app.svc", "X-Trace-Id": id, "X-Qos": class, "X-Contract": "wide",
+		"X-Expires-In": "20", "X-Metering": "units=1,spread=1,first=0"}
+	first, body := "GET /"+class+"/a%2fb?customer=00000000b4d65521&x=%41+ HTTP/1.1", ""
+	if class == "book" {
+		first, body = strings.Replace(first, "GET", "POST", 1), "slot"
+		lines["Idempotency-Key"], lines["Content-Length"] = "key-"+id, "4"
+	}
+	for i := 0; i < len(replace); i += 2 {
+		switch {
+		case replace[i] == "":
+			first = replace[i+1]
+		case replace[i] == "body":
+			body = replace[i+1]
+		case replace[i+1] == "":
+			delete(lines, replace[i])
+		default:
+			lines[replace[i]] = replace[i+1]
+		}
+	}
+	text := first + "\r\n"
+	for name, val := range lines {
+		text += name + ": " + val + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func listJSON(generation int, full bool, servers ...Instance) string {
+	type entry map[string]any
+	list := []entry{}
+	words := map[choice.ServerState]string{choice.Up: "up", choice.Draining: "draining", choice.Removed: "removed"}
+	for _, s := range servers {
+		list = append(list, entry{"instanceId": s.ID, "hostPort": s.Addr.String(), "zone": s.Zone, "machineType": s.Kind,
+			"cell": s.Cell, "lifecycle": words[s.State], "weight": s.Weight, "startedAtMs": s.Boot.Milliseconds()})
+	}
+	b, err := json.Marshal(map[string]any{"generation": generation, "reset": full, "instances": list})
+	if err != nil {
+		panic(fmt.Sprint("test list: ", err))
+	}
+	return string(b)
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,17 +10,22 @@
 
 // Run runs an edge node until ctx ends, then drains it.
 func Run(ctx context.Context, cfg *Config, logger *log.Logger) error {
+	ln, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return runOn(ctx, cfg, logger, ln)
+}
+
+// runOn is Run on a listener that is open.
+func runOn(ctx context.Context, cfg *Config, logger *log.Logger, ln net.Listener) error {
+	defer ln.Close()
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
 	n, err := newNode(life, cfg, logger)
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen.String())
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	defer ln.Close()
 	var side sync.WaitGroup
 	defer side.Wait()
 	if cfg.PeerListen.IsValid() {
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,364 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/internal/wire"
+)
+
+func testUpstream(servers ...Instance) *upstream {
+	u := newUpstream(wire.Transport{ConnIdle: time.Minute, ConnectTimeout: 5 * time.Second}, 100)
+	u.update(servers, true)
+	return u
+}
+
+var get = message{method: "GET", target: "/check?customer=1", id: "t1"}
+
+func exchange(t *testing.T, u *upstream, server string) (reply, choice.Result) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return u.exchange(ctx, server, &get)
+}
+
+func wantResult(t *testing.T, got, want choice.Result) {
+	t.Helper()
+	if got != want {
+		t.Errorf("result %d, want %d", got, want)
+	}
+}
+
+// wantClosed waits until the peer has closed its end.
+func wantClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	eventually(t, "connection closed by the node", func() bool {
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			return true
+		}
+		closed := false
+		err = raw.Control(func(fd uintptr) {
+			var b [1]byte
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			closed = err == nil && n == 0 || err == syscall.ECONNRESET
+		})
+		return err != nil || closed
+	})
+}
+
+func TestResultsOfAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       choice.Result
+		reused     bool
+	}{
+		{"served", okAnswer, choice.OK, true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", choice.OK, true},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer, choice.OK, true},
+		{"last on its connection", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody", choice.OK, false},
+		{"more than asked for", okAnswer + okAnswer, choice.OK, false},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", choice.ErrorAnswer, true},
+		{"turned away, 503", "HTTP/1.1 503 F\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", choice.Full, true},
+		{"turned away, 504", "HTTP/1.1 504 F\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", choice.Full, true},
+		{"503 that may have run", "HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n", choice.ErrorAnswer, true},
+		{"never ran, in other words", "HTTP/1.1 503 F\r\nX-Never-Ran: 0\r\nContent-Length: 0\r\n\r\n", choice.ErrorAnswer, true},
+		{"500 that claims it never ran", "HTTP/1.1 500 F\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", choice.ErrorAnswer, true},
+		{"unexpected", "HTTP/1.1 204 N\r\n\r\n", choice.ErrorAnswer, true},
+		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), choice.ErrorAnswer, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newAppServer(t, say(c.text))
+			u := testUpstream(s.instance("a"))
+			rep, res := exchange(t, u, "a")
+			wantResult(t, res, c.want)
+			if res == choice.OK && string(rep.body) != "body" {
+				t.Errorf("body %q", rep.body)
+			}
+			if got := len(u.backends["a"].idle) == 1; got != c.reused {
+				t.Errorf("kept: %v, want %v", got, c.reused)
+			}
+		})
+	}
+}
+
+// A break is a reset, whichever part of the answer it cuts: passed on in part, it
+// could not be tried elsewhere.
+func TestBrokenAnswerIsReset(t *testing.T) {
+	for _, text := range []string{"", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "no HTTP at all\r\n\r\n"} {
+		s := newAppServer(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+			io.WriteString(c, text)
+			return false
+		})
+		u := testUpstream(s.instance("a"))
+		_, res := exchange(t, u, "a")
+		wantResult(t, res, choice.Reset)
+	}
+}
+
+// A kept connection that breaks under a request ends it as a reset. A client that
+// resends by itself would make a second copy.
+func TestNothingIsResent(t *testing.T) {
+	first := true
+	s := newAppServer(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		if first {
+			first = false
+			io.WriteString(c, okAnswer)
+			return true
+		}
+		return false
+	})
+	u := testUpstream(s.instance("a"))
+	_, res := exchange(t, u, "a")
+	wantResult(t, res, choice.OK)
+	_, res = exchange(t, u, "a")
+	wantResult(t, res, choice.Reset)
+	if n := len(s.requests()); n != 2 {
+		t.Errorf("%d copies arrived of 2 requests", n)
+	}
+}
+
+// The connection used last is used next, so that a quiet spell lets the others go.
+func TestPoolIsLIFO(t *testing.T) {
+	hold := make(chan struct{})
+	s := newAppServer(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		<-hold
+		return say(okAnswer)(c, nil, nil)
+	})
+	u := testUpstream(s.instance("a"))
+	done := make(chan choice.Result, 2)
+	for range 2 {
+		go func() {
+			_, res := u.exchange(context.Background(), "a", &get)
+			done <- res
+		}()
+	}
+	eventually(t, "two requests out", func() bool { return len(s.requests()) == 2 })
+	close(hold)
+	wantResult(t, <-done, choice.OK)
+	wantResult(t, <-done, choice.OK)
+	idle := u.backends["a"].idle
+	if len(idle) != 2 {
+		t.Fatalf("%d idle connections for two requests at once", len(idle))
+	}
+	older, last := idle[0], idle[1]
+	exchange(t, u, "a")
+	if idle = u.backends["a"].idle; len(idle) != 2 || idle[0] != older || idle[1] != last {
+		t.Error("another connection was used than the last")
+	}
+}
+
+// One that the server has closed meanwhile is noticed: a request written to it
+// would end as a reset, which a keyed request may not freely repeat.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	u := testUpstream(s.instance("a"))
+	exchange(t, u, "a")
+	(<-s.conns).Close()
+	c := u.backends["a"].idle[0]
+	eventually(t, "close arrived", func() bool { return !c.quiet() })
+	_, res := exchange(t, u, "a")
+	wantResult(t, res, choice.OK)
+	if u.open != 1 {
+		t.Errorf("%d connections counted, 1 open", u.open)
+	}
+}
+
+// A connection near the age at which servers close is retired, in use and at rest.
+func TestIdleConnectionsRetire(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	u := testUpstream(s.instance("a"))
+	exchange(t, u, "a")
+	u.backends["a"].idle[0].idle = time.Now().Add(-u.maxIdle)
+	exchange(t, u, "a")
+	wantClosed(t, <-s.conns)
+	u.backends["a"].idle[0].idle = time.Now().Add(-u.maxIdle)
+	u.maxIdle = 50 * time.Millisecond // sets the reaper's pace
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go u.reap(ctx)
+	wantClosed(t, <-s.conns)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open != 0 {
+		t.Errorf("%d connections counted, none open", u.open)
+	}
+}
+
+// A server whose machine is gone says nothing: the dial has a bound of its own, and
+// what it ends has never run.
+func TestDialIsBounded(t *testing.T) {
+	// A listener whose backlog is full drops what comes.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for range 3 { // fill it
+		if c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond); err == nil {
+			defer c.Close()
+		}
+	}
+	u := newUpstream(wire.Transport{ConnIdle: time.Minute, ConnectTimeout: 50 * time.Millisecond}, 100)
+	u.update([]Instance{{Server: choice.Server{ID: "a"}, Addr: addrOf(ln)}}, true)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, res := u.exchange(ctx, "a", &get)
+	wantResult(t, res, choice.ConnectFailed)
+	if ctx.Err() != nil || u.open != 0 {
+		t.Errorf("context %v, %d connections counted", ctx.Err(), u.open)
+	}
+}
+
+// Giving up closes the connection before the outcome is known, or the next attempt
+// would be a second copy.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	for _, c := range []struct {
+		want   choice.Result
+		giveUp func() (context.Context, context.CancelFunc)
+	}{
+		{choice.TimedOut, func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 100*time.Millisecond)
+		}},
+		{choice.Cancelled, func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(100*time.Millisecond, cancel)
+			return ctx, cancel
+		}},
+	} {
+		s := newAppServer(t, func(net.Conn, *http.Request, []byte) bool { select {} })
+		u := testUpstream(s.instance("a"))
+		ctx, cancel := c.giveUp()
+		_, res := u.exchange(ctx, "a", &get)
+		cancel()
+		wantResult(t, res, c.want)
+		wantClosed(t, <-s.conns)
+		if u.open != 0 {
+			t.Errorf("%d connections counted, none open", u.open)
+		}
+	}
+}
+
+// A server that moved, restarted, drains or is gone keeps no connection, neither an
+// idle one nor one that was busy when the list changed.
+func TestListDropsConnections(t *testing.T) {
+	for name, change := range map[string]func(Instance) ([]Instance, bool){
+		"moved": func(i Instance) ([]Instance, bool) {
+			i.Addr = netip.MustParseAddrPort("127.0.0.1:1")
+			return []Instance{i}, false
+		},
+		"restarted": func(i Instance) ([]Instance, bool) { i.Boot = time.Hour; return []Instance{i}, false },
+		"draining":  func(i Instance) ([]Instance, bool) { i.State = choice.Draining; return []Instance{i}, false },
+		"removed":   func(i Instance) ([]Instance, bool) { i.State = choice.Removed; return []Instance{i}, false },
+		"vanished":  func(Instance) ([]Instance, bool) { return nil, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			hold := make(chan struct{})
+			first := true
+			s := newAppServer(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+				if !first {
+					<-hold
+				}
+				first = false
+				return say(okAnswer)(c, nil, nil)
+			})
+			u := testUpstream(s.instance("a"))
+			exchange(t, u, "a") // leaves one idle
+			busy, err := u.take(context.Background(), "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			u.giveBack(busy)
+			done := make(chan choice.Result)
+			go func() {
+				_, res := u.exchange(context.Background(), "a", &get)
+				done <- res
+			}()
+			eventually(t, "second request out", func() bool { return len(s.requests()) == 2 })
+			closeAll(u.update(change(s.instance("a"))))
+			close(hold)
+			wantResult(t, <-done, choice.OK)
+			wantClosed(t, <-s.conns)
+			if u.open != 0 {
+				t.Errorf("%d connections counted, none open", u.open)
+			}
+		})
+	}
+}
+
+// Nothing new goes to a server that came to drain while the connection was made.
+func TestDrainDuringDial(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	u := testUpstream(s.instance("a"))
+	b := u.backends["a"]
+	drains := s.instance("a")
+	drains.State = choice.Draining
+	u.update([]Instance{drains}, false)
+	u.open++
+	if _, err := u.dial(context.Background(), b); err != errUnknown {
+		t.Errorf("error %v, want %v", err, errUnknown)
+	}
+	_, res := exchange(t, u, "a")
+	wantResult(t, res, choice.ConnectFailed)
+	if len(s.requests()) != 0 || u.open != 0 {
+		t.Errorf("requests %q, %d connections counted", s.requests(), u.open)
+	}
+}
+
+// At the limit on descriptors an idle connection gives way; with none idle the
+// attempt fails as one that never ran.
+func TestDescriptorsAreBudgeted(t *testing.T) {
+	a, b := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
+	u := testUpstream(a.instance("a"), b.instance("b"))
+	u.most = 1
+	exchange(t, u, "a")
+	_, res := exchange(t, u, "b")
+	wantResult(t, res, choice.OK)
+	wantClosed(t, <-a.conns)
+	busy, err := u.take(context.Background(), "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, res = exchange(t, u, "a")
+	wantResult(t, res, choice.ConnectFailed)
+	u.giveBack(busy)
+	if u.open != 1 {
+		t.Errorf("%d connections counted, 1 open", u.open)
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	for text, want := range map[string]*choice.Load{
+		"TEXT inflight=7, queue=2, util=0.61":     {InFlight: 7, Queue: 2, Util: 0.61},
+		"TEXT backlog=2,utilization=0.5,novel=1 ": {InFlight: -1, Queue: 2, Util: 0.5},
+		"": nil, "JSON {}": nil, "TEXT util=x": nil, "TEXT util=NaN": nil,
+	} {
+		got := parseLoad(text)
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
