--- /dev/null
+++ b/internal/node/side_test.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+)
+
+// discovery is an agent that answers each watch with what script gives for it.
+func discovery(t *testing.T, script func(n int, from string, w io.Writer, ctx context.Context)) netip.AddrPort {
+	t.Helper()
+	calls := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		if r.URL.Path != "/registry/instances" || r.URL.Query().Get("watch") != "1" {
+			t.Errorf("call of %s", r.URL)
+		}
+		w.WriteHeader(200)
+		w.(http.Flusher).Flush()
+		script(calls, r.URL.Query().Get("from"), flushing{w}, r.Context())
+	}))
+	t.Cleanup(srv.Close)
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+type flushing struct{ http.ResponseWriter }
+
+func (f flushing) Write(p []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(p)
+	f.ResponseWriter.(http.Flusher).Flush()
+	return n, err
+}
+
+// follow runs a registry against the script and gives the lists and starting versions.
+func follow(t *testing.T, silent time.Duration, script func(n int, w io.Writer, ctx context.Context)) (lists chan List, froms chan string) {
+	lists, froms = make(chan List, 10), make(chan string, 100)
+	addr := discovery(t, func(n int, from string, w io.Writer, ctx context.Context) {
+		froms <- from
+		script(n, w, ctx)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	r := &registry{addr: addr, silent: silent, last: 7, apply: func(l List) { lists <- l }, logf: t.Logf}
+	go func() {
+		r.run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return lists, froms
+}
+
+// A watch goes on from the version held, on the same and on a new connection.
+func TestWatchResumes(t *testing.T) {
+	a := Instance{Server: choice.Server{ID: "a", Zone: "z", Kind: "k", Cell: 3, Weight: 1.5, Boot: 5 * time.Second,
+		State: choice.Draining}, Addr: netip.MustParseAddrPort("127.0.0.1:9")}
+	lists, froms := follow(t, patience, func(n int, w io.Writer, ctx context.Context) {
+		if n > 1 {
+			<-ctx.Done()
+			return
+		}
+		fmt.Fprintf(w, "\n%s\n\n", listJSON(8, true, a))
+		fmt.Fprintf(w, "%s\n", listJSON(9, false))
+	})
+	if l := <-lists; !l.Full || len(l.Servers) != 1 || l.Servers[0] != a {
+		t.Errorf("list %+v, want %+v", l, a)
+	}
+	if l := <-lists; l.Full || l.Generation != 9 {
+		t.Errorf("second list %+v", l)
+	}
+	if first, second := <-froms, <-froms; first != "7" || second != "9" {
+		t.Errorf("watches from %s and %s, want 7 and 9", first, second)
+	}
+}
+
+// A watch can die without a word, with its connection open: silence well past the
+// heartbeat is taken for that.
+func TestSilentWatchIsReopened(t *testing.T) {
+	_, froms := follow(t, 100*time.Millisecond, func(n int, w io.Writer, ctx context.Context) { <-ctx.Done() })
+	<-froms
+	<-froms
+}
+
+// What a malformed line said is lost: the whole list is asked for.
+func TestMalformedListIsAskedForAnew(t *testing.T) {
+	_, froms := follow(t, patience, func(n int, w io.Writer, ctx context.Context) {
+		if n == 1 {
+			io.WriteString(w, `{"generation":8,"instances":[{"instanceId":"a","lifecycle":"odd"}]}`+"\n")
+			return
+		}
+		<-ctx.Done()
+	})
+	if first, second := <-froms, <-froms; first != "7" || second != "0" {
+		t.Errorf("watches from %s and %s, want 7 and 0", first, second)
+	}
+}
+
+// What discovery tells reaches the choice of a server.
+func TestWatchMovesTraffic(t *testing.T) {
+	old, young := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
+	cfg := testConfig(old.instance("a"))
+	cfg.Discovery = discovery(t, func(n int, _ string, w io.Writer, ctx context.Context) {
+		fmt.Fprintf(w, "%s\n", listJSON(8, true, young.instance("b")))
+		<-ctx.Done()
+	})
+	n := run(t, cfg)
+	c := dial(t, n.addr)
+	i := 0
+	eventually(t, "new server used", func() bool {
+		i++
+		c.ask(request("check", fmt.Sprint("t", i)))
+		return len(young.requests()) > 0
+	})
+	before := len(old.requests())
+	c.ask(request("check", "last"))
+	if len(old.requests()) != before {
+		t.Error("a server that is gone is still used")
+	}
+}
+
+// Only whole datagrams of known peers are heard, under the sender's number.
+func TestPeers(t *testing.T) {
+	socket := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	addr := func(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+	other, stranger, all := socket(), socket(), socket()
+	cfg := &Config{PeerListen: netip.MustParseAddrPort("127.0.0.1:0"), PeersAll: addr(all),
+		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), addr(other)}}
+	p, err := listenPeers(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.conn.Close() })
+	heard := make(chan string, 10)
+	go p.receive(func(from int, message []byte) { heard <- fmt.Sprintf("%d %s", from, message) })
+	for _, d := range []struct {
+		c    *net.UDPConn
+		text []byte
+	}{{stranger, []byte("stranger")}, {other, make([]byte, maxMessage+1)}, {other, []byte("hi")}} {
+		if _, err := d.c.WriteToUDPAddrPort(d.text, addr(p.conn)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := <-heard; got != "1 hi" {
+		t.Errorf("heard %q, want the peer's message alone", got)
+	}
+
+	for peer, c := range map[int]*net.UDPConn{1: other, choice.AllPeers: all} {
+		if err := p.send(peer, []byte("hello")); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, maxMessage)
+		c.SetReadDeadline(time.Now().Add(patience))
+		n, from, err := c.ReadFromUDPAddrPort(buf)
+		if err != nil || string(buf[:n]) != "hello" || from != addr(p.conn) {
+			t.Errorf("to %d: %q from %v, error %v", peer, buf[:n], from, err)
+		}
+	}
+	if p.send(1, make([]byte, maxMessage+1)) == nil || p.send(2, []byte("hello")) == nil {
+		t.Error("a message too long or to nobody was sent")
+	}
+}
+
+// The clock is Unix time, so that a server's start converts to the gateway's.
+func TestClock(t *testing.T) {
+	f := idleFront(t, testConfig())
+	before := time.Duration(time.Now().UnixNano())
+	now := f.node.now()
+	if d := now - before; d < -time.Second || d > patience || f.node.now() < now {
+		t.Errorf("the clock reads %v past Unix time", d)
+	}
+}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -287,11 +287,6 @@
 			})
 			u := testUpstream(s.instance("a"))
 			exchange(t, u, "a") // leaves one idle
-			busy, err := u.take(context.Background(), "a")
-			if err != nil {
-				t.Fatal(err)
-			}
-			u.giveBack(busy)
 			done := make(chan choice.Result)
 			go func() {
 				_, res := u.exchange(context.Background(), "a", &get)
