--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -34,7 +34,7 @@
 	seen []string // the first line and the body of each request
 }
 
-func newAppServer(t *testing.T, serve func(c net.Conn, r *http.Request, body []byte) bool) *appServer {
+func newAppServer(t testing.TB, serve func(c net.Conn, r *http.Request, body []byte) bool) *appServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -131,7 +131,7 @@
 	logs *syncBuffer
 }
 
-func run(t *testing.T, cfg *Config) *running {
+func run(t testing.TB, cfg *Config) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -175,10 +175,10 @@
 type client struct {
 	net.Conn
 	br *bufio.Reader
-	t  *testing.T
+	t  testing.TB
 }
 
-func dial(t *testing.T, addr string) *client {
+func dial(t testing.TB, addr string) *client {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -78,9 +78,9 @@
 
 // Pace of the watch.
 const (
-	watchSilent  = 5 * time.Second        // a line comes every 2 s: silence past this is a dead watch
+	watchSilent  = 3 * time.Second        // a line comes every 2 s, and what is told counts as known 6 s later at the latest
 	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
-	backoffMost  = 2 * time.Second
+	backoffMost  = time.Second
 )
 
 // registry follows the changes of the list of app servers.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -317,9 +317,25 @@
 			result = choice.Cancelled
 		}
 	}
+	if result == choice.TimedOut {
+		u.distrust(c.of)
+	}
 	return rep, result
 }
 
+// distrust closes a backend's idle connections after silence on one. A machine that
+// vanished or is cut off leaves all of them open and silent; a request written to one
+// more would time out as well and might have run, while a new connection that does
+// not come up proves that it has not.
+func (u *upstream) distrust(b *backend) {
+	u.mu.Lock()
+	stale := b.idle
+	b.idle = nil
+	u.open -= len(stale)
+	u.mu.Unlock()
+	closeAll(stale)
+}
+
 // neverSent is the result of an attempt whose last byte was not written.
 func neverSent(ctx context.Context) choice.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -262,6 +262,33 @@
 	}
 }
 
+// After silence on one connection the others of that server are not used again: where
+// its machine is gone they are silent too, and each would cost a request its time.
+func TestSilenceDropsIdleConnections(t *testing.T) {
+	s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("X-Trace-Id") == "silent" {
+			select {}
+		}
+		return say(okAnswer)(c, r, body)
+	})
+	u := testUpstream(s.instance("a"))
+	c, err := u.take(context.Background(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, u, "a")
+	u.giveBack(c)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, res := u.exchange(ctx, "a", &message{method: "GET", target: "/check", id: "silent"})
+	wantResult(t, res, choice.TimedOut)
+	wantClosed(t, <-s.conns)
+	wantClosed(t, <-s.conns)
+	if u.open != 0 {
+		t.Errorf("%d connections counted, none open", u.open)
+	}
+}
+
 // A server that moved, restarted, drains or is gone keeps no connection, neither an
 // idle one nor one that was busy when the list changed.
 func TestListDropsConnections(t *testing.T) {
