--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -83,7 +83,7 @@
 func (f *front) drain() {
 	f.ready.Store(false)
 	f.draining.Store(true)
-	time.Sleep(drainFor)
+	<-time.After(drainFor)
 	longest := time.Duration(0)
 	for _, c := range f.node.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
@@ -118,7 +118,9 @@
 	}
 	if err != nil {
 		bad := &badRequest{status: http.StatusBadRequest}
-		errors.As(err, &bad)
+		if errors.As(err, &bad); bad.allow != "" {
+			w.Header().Set("Allow", bad.allow)
+		}
 		plain(w, bad.status, err.Error())
 		return
 	}
@@ -187,12 +189,13 @@
 type badRequest struct {
 	status int
 	text   string
+	allow  string // the method that the class wants
 }
 
 func (e *badRequest) Error() string { return e.text }
 
 func bad(format string, args ...any) error {
-	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	return &badRequest{status: http.StatusBadRequest, text: fmt.Sprintf(format, args...)}
 }
 
 // parse reads a request's head.
@@ -241,7 +244,7 @@
 		m.method = http.MethodGet
 	}
 	if r.Method != m.method {
-		return q, m, &badRequest{http.StatusMethodNotAllowed, "method: the class wants " + m.method}
+		return q, m, &badRequest{http.StatusMethodNotAllowed, "method: the class wants " + m.method, m.method}
 	}
 	if effect == choice.Safe && r.ContentLength != 0 {
 		return q, m, bad("body: the class has none")
@@ -321,7 +324,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	tooLarge := &badRequest{http.StatusRequestEntityTooLarge, "body: over 64 KiB"}
+	tooLarge := &badRequest{status: http.StatusRequestEntityTooLarge, text: "body: over 64 KiB"}
 	if r.ContentLength > maxBody {
 		w.Header().Set("Connection", "close")
 		return nil, tooLarge
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -90,6 +90,8 @@
 		client := dial(t, n.addr)
 		if a := client.ask(request(c.class, "t1", c.replace...)); a.status != c.status {
 			t.Errorf("%s: status %d, want %d: %s", c.name, a.status, c.status, a.body)
+		} else if c.status == 405 && a.header.Get("Allow") != "GET" {
+			t.Errorf("%s: Allow %q", c.name, a.header.Get("Allow"))
 		} else if len(s.requests()) != 0 {
 			t.Fatalf("%s: %q went on", c.name, s.requests())
 		} else if a := client.ask("GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"); a.status != 200 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	gw      *choice.Gateway
 	flights map[string]*flight
 	after   []func() // what the event under way leaves to do without the mutex
+	closed  bool     // no more events
 	work    sync.WaitGroup
 }
 
@@ -88,7 +89,7 @@
 // that names its cause, and costs the one event.
 func (n *Node) event(f func(now time.Duration, out choice.Actions)) bool {
 	n.mu.Lock()
-	ok := n.guarded(f)
+	ok := !n.closed && n.guarded(f)
 	after := n.after
 	n.after = nil
 	n.mu.Unlock()
@@ -109,6 +110,16 @@
 	return true
 }
 
+// close ends the node's events, then waits for its attempts and probes, whose context
+// has ended.
+func (n *Node) close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	n.work.Wait()
+	n.up.shut()
+}
+
 // boot starts the gateway with the saved list.
 func (n *Node) boot() {
 	n.event(func(now time.Duration, out choice.Actions) { n.gw.Start(now, out) })
@@ -261,9 +272,7 @@
 func (a *actions) SetTimer(token uint64, after time.Duration) {
 	n := (*Node)(a)
 	time.AfterFunc(after, func() {
-		if n.ctx.Err() == nil {
-			n.event(func(now time.Duration, out choice.Actions) { n.gw.Timer(now, token, out) })
-		}
+		n.event(func(now time.Duration, out choice.Actions) { n.gw.Timer(now, token, out) })
 	})
 }
 
@@ -276,14 +285,9 @@
 func (a *actions) Tell(peer int, message []byte) {
 	n := (*Node)(a)
 	message = append([]byte(nil), message...)
-	n.after = append(n.after, func() {
-		if n.peers == nil {
-			return
-		}
-		if err := n.peers.send(peer, message); err != nil {
-			n.log.Printf("peers: %v", err)
-		}
-	})
+	if n.peers != nil {
+		n.after = append(n.after, func() { n.peers.tell(peer, message, n.log.Printf) })
+	}
 }
 
 // Watch has nothing to do: the list is always watched.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"mulleinmux/choice"
 )
@@ -18,6 +19,7 @@
 	addrs []netip.AddrPort
 	all   netip.AddrPort
 	from  map[netip.AddrPort]int
+	mute  atomic.Bool // the latest message could not be sent
 }
 
 // listenPeers opens the socket.
@@ -35,8 +37,17 @@
 	return p, nil
 }
 
-// send sends a message. A lost one is part of the contract, and so is one that
-// the kernel has no room for.
+// tell sends a message. A lost one is part of the contract; that messages can't be
+// sent is logged once, and so is that they can again.
+func (p *peers) tell(peer int, message []byte, logf func(format string, args ...any)) {
+	err := p.send(peer, message)
+	if was := p.mute.Swap(err != nil); err != nil && !was {
+		logf("peers: %v", err)
+	} else if err == nil && was {
+		logf("peers: sending again")
+	}
+}
+
 func (p *peers) send(peer int, message []byte) error {
 	to := p.all
 	if peer != choice.AllPeers {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -88,6 +88,7 @@
 	addr   netip.AddrPort
 	silent time.Duration // watchSilent but in tests
 	last   uint64        // the version that is held
+	down   bool          // the latest watch ended and nothing has been heard since
 	apply  func(List)
 	logf   func(format string, args ...any)
 }
@@ -108,7 +109,10 @@
 		if heard {
 			pause = backoffLeast
 		}
-		r.logf("discovery: watch ended, again in %v: %v", pause, err)
+		if !r.down { // one line for an outage, however often the watch is tried
+			r.down = true
+			r.logf("discovery: watch ended: %v", err)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -148,6 +152,10 @@
 	for lines.Scan() {
 		silence.Reset(r.silent)
 		heard = true
+		if r.down {
+			r.down = false
+			r.logf("discovery: watching again")
+		}
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -56,8 +56,7 @@
 	logger.Printf("%s: draining", cfg.Name)
 	f.drain()
 	stop()
-	n.work.Wait()
-	n.up.shut()
+	n.close()
 	logger.Printf("%s: drained", cfg.Name)
 	return nil
 }
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -41,6 +41,7 @@
 
 // follow runs a registry against the script and gives the lists and starting versions.
 func follow(t *testing.T, silent time.Duration, script func(n int, w io.Writer, ctx context.Context)) (lists chan List, froms chan string) {
+	t.Helper()
 	lists, froms = make(chan List, 10), make(chan string, 100)
 	addr := discovery(t, func(n int, from string, w io.Writer, ctx context.Context) {
 		froms <- from
@@ -172,6 +173,14 @@
 			t.Errorf("to %d: %q from %v, error %v", peer, buf[:n], from, err)
 		}
 	}
+	var lines []string
+	logf := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	for _, peer := range []int{2, 2, 1, 1} {
+		p.tell(peer, []byte("hello"), logf)
+	}
+	if len(lines) != 2 { // one for each change of state
+		t.Errorf("logged %q", lines)
+	}
 	if p.send(1, make([]byte, maxMessage+1)) == nil || p.send(2, []byte("hello")) == nil {
 		t.Error("a message too long or to nobody was sent")
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -289,6 +289,9 @@
 // answer. It gives up when ctx ends, by closing the connection before it returns.
 func (u *upstream) exchange(ctx context.Context, server string, m *message) (reply, choice.Result) {
 	c, err := u.take(ctx, server)
+	if errors.Is(err, errBudget) {
+		return reply{}, choice.Moot // no fault of the server's
+	}
 	if err != nil {
 		return reply{}, neverSent(ctx)
 	}
