Tests: hold the slots' book-keeping and the one final answer to account

Checked by taking each guard out in turn: two were not missed by any test, the idle connections' book and the flight's done mark. Both are now.

--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -180,7 +180,9 @@
 	if len(front.node.flights) != 0 {
 		t.Error("the flight is still held")
 	}
-	front.node.abandon(fl) // a second final answer would block here
+	if front.node.abandon(fl); len(fl.answer) != 0 {
+		t.Error("a second final answer")
+	}
 }
 
 // A client that goes away ends its request: the attempt is given up, the books cleared.
@@ -327,9 +329,9 @@
 // Client connections have a limit: the one idle for longest gives way, and beyond
 // three quarters of it answers close their connections.
 func TestClientSlots(t *testing.T) {
-	f := idleFront(t, testConfig())
-	f.slots = newSlots(4)
-	f.srv.ConnState = f.slots.state
+	cfg := testConfig()
+	cfg.Sockets = otherFiles + 8 // four of these for clients
+	f := idleFront(t, cfg)
 	f.ready.Store(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
