--- /dev/null
+++ b/cmd/mulleinmux/main_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("MULLEINMUX_TEST_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program is the program with a configuration; it is ended with the test.
+func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), "MULLEINMUX_TEST_PROGRAM=1", "PROXY_CONFIG="+path)
+	logs := &bytes.Buffer{}
+	cmd.Stderr = logs
+	return cmd, logs
+}
+
+// A configuration that can't be ends the program with a code and the field's name.
+func TestBadConfigExits(t *testing.T) {
+	cmd, logs := program(t, `{"name":"n0","listen":"nowhere"}`)
+	if err := cmd.Run(); cmd.ProcessState.ExitCode() != 1 || !strings.Contains(logs.String(), "listen") {
+		t.Errorf("%v, logged %q", err, logs)
+	}
+}
+
+// A planned restart's SIGTERM ends the program with 0.
+func TestTerminate(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // finds a free port
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	cmd, logs := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1",
+		"limits":{"memory_mb":192,"sockets":1024},
+		"settings":{"instances":1,"lanes":[{"name":"c","idempotency":"retryable","onTime":0.4,"deadline":2}]}}`, addr))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ready := false
+	for end := time.Now().Add(30 * time.Second); !ready && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/health/ready")
+		if err == nil {
+			ready = resp.StatusCode == http.StatusOK
+			resp.Body.Close()
+		}
+	}
+	if !ready {
+		t.Error("never ready")
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v, logged %q", err, logs)
+	}
+}
