Tests: no verdict hangs on the pace of the machine

A drain of 0.5 s could end before a slow machine had made three requests; the drain's length is the tests' to set now (drainTime stays 500 ms).

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,6 +30,8 @@
 	Known     List // the app servers as this node last had them
 	Settings  choice.Settings
 	Transport wire.Transport
+
+	drainFor time.Duration // drainTime but in tests
 }
 
 // defaultSockets is the descriptor budget where no limit is told.
@@ -82,7 +84,7 @@
 			*field = v
 		}
 	}
-	c := &Config{Name: raw.Name}
+	c := &Config{Name: raw.Name, drainFor: drainTime}
 	if c.Name == "" {
 		return nil, errors.New("name: is empty")
 	}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -27,7 +27,7 @@
 	readLimit  = 5 * time.Second        // for a request's header, and for its body
 	writeLimit = 10 * time.Second       // from a request's header to the end of its answer
 	idleLimit  = 90 * time.Second       // for a connection between requests
-	drainFor   = 500 * time.Millisecond // connections still come for 0.4 s after a planned restart begins
+	drainTime  = 500 * time.Millisecond // connections still come for 0.4 s after a planned restart begins
 	otherFiles = 48                     // descriptors that are neither a client's nor an app server's
 )
 
@@ -83,7 +83,7 @@
 func (f *front) drain() {
 	f.ready.Store(false)
 	f.draining.Store(true)
-	<-time.After(drainFor)
+	<-time.After(f.node.cfg.drainFor)
 	longest := time.Duration(0)
 	for _, c := range f.node.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
