Serve SIGHUP: read the configuration again and move the watch

Cause: cmd/mulleinmux/main.go handles SIGTERM alone, so the signal's default ends the program. Checked: PROXY_DISCOVERY outranks the file (config.go), so reading again would still have given the old address; on a reload the file's counts. The new agent is asked for the whole list, since its versions are its own.

Tests: TestReloadMovesTheWatch, TestReloadTakesTheFilesDiscovery, TestSignals.

--- a/cmd/mulleinmux/main.go
+++ b/cmd/mulleinmux/main.go
@@ -23,6 +23,10 @@
 
 func main() {
 	logger := log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds)
+	// From the first moment: SIGHUP ends a program that does not handle it. One that comes
+	// while another is being served is kept, and the file is read once more.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		logger.Fatalf("configuration: %v", err)
@@ -34,7 +38,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := node.Run(ctx, cfg, logger); err != nil {
+	if err := node.Run(ctx, cfg, reload, logger); err != nil {
 		logger.Fatal(err)
 	}
 }
--- a/cmd/mulleinmux/main_test.go
+++ b/cmd/mulleinmux/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,8 +22,9 @@
 	os.Exit(m.Run())
 }
 
-// program is the program with a configuration; it is ended with the test.
-func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+// program is the program with a configuration, and what it has logged so far; it is
+// ended with the test.
+func program(t *testing.T, config string) (*exec.Cmd, func() string) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -32,21 +32,32 @@
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
 	cmd.Env = append(os.Environ(), "MULLEINMUX_TEST_PROGRAM=1", "PROXY_CONFIG="+path)
-	logs := &bytes.Buffer{}
+	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { logs.Close() })
 	cmd.Stderr = logs
-	return cmd, logs
+	return cmd, func() string {
+		text, err := os.ReadFile(logs.Name())
+		if err != nil {
+			t.Error(err)
+		}
+		return string(text)
+	}
 }
 
 // A configuration that can't be ends the program with a code and the field's name.
 func TestBadConfigExits(t *testing.T) {
 	cmd, logs := program(t, `{"name":"n0","listen":"nowhere"}`)
-	if err := cmd.Run(); cmd.ProcessState.ExitCode() != 1 || !strings.Contains(logs.String(), "listen") {
-		t.Errorf("%v, logged %q", err, logs)
+	if err := cmd.Run(); cmd.ProcessState.ExitCode() != 1 || !strings.Contains(logs(), "listen") {
+		t.Errorf("%v, logged %q", err, logs())
 	}
 }
 
-// A planned restart's SIGTERM ends the program with 0.
-func TestTerminate(t *testing.T) {
+// SIGHUP reads the configuration again and ends nothing; a planned restart's SIGTERM ends
+// the program with 0.
+func TestSignals(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // finds a free port
 	if err != nil {
 		t.Fatal(err)
@@ -70,10 +81,18 @@
 	if !ready {
 		t.Error("never ready")
 	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(30 * time.Second); !strings.Contains(logs(), "reload:"); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("SIGHUP was not heeded, logged %q", logs())
+		}
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	if err := cmd.Wait(); err != nil {
-		t.Errorf("%v, logged %q", err, logs)
+		t.Errorf("%v, logged %q", err, logs())
 	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -31,7 +31,8 @@
 	Settings  choice.Settings
 	Transport wire.Transport
 
-	drainFor time.Duration // drainTime but in tests
+	reread   func() (*Config, error) // reads the configuration again, for a reload
+	drainFor time.Duration           // drainTime but in tests
 }
 
 // defaultSockets is the descriptor budget where no limit is told.
@@ -54,11 +55,27 @@
 	if path == "" {
 		return nil, errors.New("PROXY_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	load := func(getenv func(string) string) (*Config, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		}
+		return parseConfig(text, getenv)
+	}
+	c, err := load(getenv)
 	if err != nil {
-		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		return nil, err
 	}
-	return parseConfig(text, getenv)
+	c.reread = func() (*Config, error) {
+		// The environment is that of the start: it would hide the address in a file replaced since.
+		return load(func(name string) string {
+			if name == "PROXY_DISCOVERY" {
+				return ""
+			}
+			return getenv(name)
+		})
+	}
+	return c, nil
 }
 
 // parseConfig validates the configuration; an error names the field at fault.
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -127,6 +128,7 @@
 type running struct {
 	addr string
 	stop context.CancelFunc // a planned restart's SIGTERM
+	hup  chan os.Signal     // takes SIGHUP
 	done chan error
 	logs *syncBuffer
 }
@@ -138,8 +140,8 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}}
-	go func() { r.done <- runOn(ctx, cfg, log.New(r.logs, "", 0), ln) }()
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}, hup: make(chan os.Signal, 1)}
+	go func() { r.done <- runOn(ctx, cfg, r.hup, log.New(r.logs, "", 0), ln) }()
 	t.Cleanup(func() {
 		stop()
 		select {
--- a/internal/node/side_test.go
+++ b/internal/node/side_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,6 +134,83 @@
 	}
 }
 
+// A reload moves the watch at once and asks the new agent for the whole list: its versions
+// are its own. A configuration that can't be changes nothing.
+func TestReloadMovesTheWatch(t *testing.T) {
+	old, young := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
+	left := make(chan struct{})
+	first := discovery(t, func(_ int, _ string, w io.Writer, ctx context.Context) {
+		fmt.Fprintf(w, "%s\n", listJSON(900, true, old.instance("a")))
+		<-ctx.Done()
+		close(left)
+	})
+	froms := make(chan string, 1)
+	second := discovery(t, func(_ int, from string, w io.Writer, ctx context.Context) {
+		froms <- from
+		fmt.Fprintf(w, "%s\n", listJSON(3, true, young.instance("b")))
+		<-ctx.Done()
+	})
+	cfg := testConfig(old.instance("a"))
+	cfg.Discovery = first
+	next := make(chan error, 1)
+	cfg.reread = func() (*Config, error) {
+		moved := *cfg
+		moved.Discovery = second
+		return &moved, <-next
+	}
+	n := run(t, cfg)
+	next <- errors.New("discovery: no port")
+	n.hup <- syscall.SIGHUP
+	eventually(t, "bad configuration logged", func() bool { return strings.Contains(n.logs.String(), "discovery: no port") })
+	select {
+	case <-left:
+		t.Fatal("the watch was left for a configuration that can't be")
+	default:
+	}
+	next <- nil
+	n.hup <- syscall.SIGHUP
+	<-left
+	if from := <-froms; from != "0" {
+		t.Errorf("the new agent is watched from version %s of the old one's", from)
+	}
+	c := dial(t, n.addr)
+	i := 0
+	eventually(t, "new agent's server used", func() bool {
+		i++
+		c.ask(request("check", fmt.Sprint("t", i)))
+		return len(young.requests()) > 0
+	})
+}
+
+// The environment's address is that of the start: on a reload the file's counts, or no
+// reload could ever move the watch.
+func TestReloadTakesTheFilesDiscovery(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","discovery":%q,"seed":"1",
+			"settings":{"instances":1,"lanes":[{"name":"c","idempotency":"retryable","onTime":0.4,"deadline":2}]}}`, discovery)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	env := map[string]string{"PROXY_CONFIG": path, "PROXY_NAME": "n1", "PROXY_DISCOVERY": "127.0.0.1:2"}
+	write("127.0.0.1:2")
+	cfg, err := LoadConfig(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("127.0.0.1:3")
+	again, err := cfg.reread()
+	if err != nil || again.Discovery != netip.MustParseAddrPort("127.0.0.1:3") || again.Name != "n1" {
+		t.Errorf("read again: %+v, %v", again, err)
+	}
+	write("nowhere")
+	if _, err := cfg.reread(); err == nil || !strings.Contains(err.Error(), "discovery") {
+		t.Errorf("error %v does not name the field", err)
+	}
+}
+
 // Only whole datagrams of known peers are heard, under the sender's number.
 func TestPeers(t *testing.T) {
 	socket := func() *net.UDPConn {
