Tell a spoilt answer from a broken connection and from silence

A head that did not end was read for 1.3 MB and then waited out (0.4 to 1.2 s), 16 MB of a 3 GB body were read by the deferred Body.Close after the limit had been passed. Checked and ruled out: lengths that don't fit all stand in the head as two lengths, which the parser turns down; no good answer was lost for what stood behind it.

Now: an answer that came and can't be read is an error that may have run; only a broken connection is a reset. Head, 1xx answers and body are bounded by bytes, the rest of a begun answer by 250 ms, Content-Length is looked at first and the connection closed rather than read out; an answer without a length is not passed on. Half an answer is no silence: no overload sample, no idle connections dropped. A figure of a load report that can't be is no figure, and outcomes carry reports only where the settings say so. An attempt whose own time ends before it is written, or that finds no descriptor, is not held against its server.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -763,7 +763,9 @@
 
 // learn keeps a server's health.
 func (g *Gateway) learn(r *request, s *server, o Outcome) {
-	g.report(s, o.Load)
+	if g.set.Report == ReportAnswers { // elsewhere an answer has none to give
+		g.report(s, o.Load)
+	}
 	bad := 1.0
 	switch o.Result {
 	case OK:
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,7 +27,8 @@
 	probeTimeout = 500 * time.Millisecond // a probe that takes longer tells nothing of the present
 	idleShare    = 0.8                    // of connIdle after which an idle connection is not used again
 	maxReply     = 64 << 10               // bytes that the body of an answer may hold
-	maxInterim   = 4                      // 1xx answers before the one that counts
+	maxAnswer    = maxReply + 32<<10      // bytes of a whole answer, with heads, chunk sizes and 1xx answers ahead
+	restLimit    = 250 * time.Millisecond // from an answer's first bytes to its end: servers write it in one piece
 )
 
 // message is what goes on to an app server.
@@ -72,11 +74,58 @@
 type conn struct {
 	net.Conn
 	raw  syscall.RawConn
-	br   *bufio.Reader
-	of   *backend // to which it may return; connections of a moved or restarted server belong to none
+	in   *inlet
+	br   *bufio.Reader // over in
+	of   *backend      // to which it may return; connections of a moved or restarted server belong to none
 	idle time.Time
 }
 
+// inlet is what comes in on a connection, bounded for each answer: by bytes against
+// heads and bodies without end, and by time against half an answer.
+type inlet struct {
+	conn    net.Conn
+	ctx     context.Context // of the exchange
+	left    int             // bytes that the answer may still take
+	begun   bool            // some of the answer has come
+	hurried bool            // the rest has a deadline of its own
+	err     error           // how the connection failed
+}
+
+var errTooLong = errors.New("answer too long")
+
+// expect prepares for an answer.
+func (in *inlet) expect(ctx context.Context) {
+	in.ctx, in.left, in.begun = ctx, maxAnswer, false
+}
+
+func (in *inlet) Read(p []byte) (int, error) {
+	if in.left <= 0 {
+		return 0, errTooLong
+	}
+	if in.begun && !in.hurried { // most answers come whole in the first read
+		in.hurried = true
+		in.conn.SetReadDeadline(time.Now().Add(restLimit))
+		if in.ctx.Err() != nil { // the end of ctx set a deadline that this one has replaced
+			in.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	n, err := in.conn.Read(p[:min(len(p), in.left)])
+	in.left -= n
+	in.begun = in.begun || n > 0
+	if err != nil {
+		in.err = err
+	}
+	return n, err
+}
+
+// settle takes the deadline of a rest off.
+func (in *inlet) settle() {
+	if in.hurried {
+		in.hurried = false
+		in.conn.SetReadDeadline(time.Time{})
+	}
+}
+
 func newUpstream(t wire.Transport, most int) *upstream {
 	return &upstream{
 		dialer:   net.Dialer{Timeout: t.ConnectTimeout, KeepAlive: -1},
@@ -231,7 +280,8 @@
 		u.uncount()
 		return nil, err
 	}
-	c := &conn{Conn: nc, br: bufio.NewReader(nc), of: b}
+	in := &inlet{conn: nc}
+	c := &conn{Conn: nc, in: in, br: bufio.NewReader(in), of: b}
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		u.discard(c)
 		return nil, err
@@ -289,12 +339,13 @@
 // answer. It gives up when ctx ends, by closing the connection before it returns.
 func (u *upstream) exchange(ctx context.Context, server string, m *message) (reply, choice.Result) {
 	c, err := u.take(ctx, server)
-	if errors.Is(err, errBudget) {
+	if errors.Is(err, errBudget) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 		return reply{}, choice.Moot // no fault of the server's
 	}
 	if err != nil {
 		return reply{}, neverSent(ctx)
 	}
+	c.in.expect(ctx)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	req := m.request(ctx)
 	var out bytes.Buffer
@@ -315,9 +366,13 @@
 		u.discard(c)
 	}
 	if result == choice.Reset && ctx.Err() != nil {
-		result = choice.TimedOut
-		if errors.Is(ctx.Err(), context.Canceled) {
+		switch {
+		case errors.Is(ctx.Err(), context.Canceled):
 			result = choice.Cancelled
+		case c.in.begun: // half an answer is no silence
+			result = choice.ErrorAnswer
+		default:
+			result = choice.TimedOut
 		}
 	}
 	if result == choice.TimedOut {
@@ -339,10 +394,14 @@
 	closeAll(stale)
 }
 
-// neverSent is the result of an attempt whose last byte was not written.
+// neverSent is the result of an attempt whose last byte was not written. Where its
+// own time ended first, that says nothing of the server.
 func neverSent(ctx context.Context) choice.Result {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
 		return choice.Cancelled
+	case ctx.Err() != nil:
+		return choice.Moot
 	}
 	return choice.ConnectFailed
 }
@@ -377,18 +436,39 @@
 }
 
 // read reads the whole answer and tells whether the connection can be used again.
+// An answer that came and can't be read is an error: only a connection that broke is
+// a reset, which hints at a server that has restarted. Nothing of a spoilt answer is
+// read to its end: the connection is closed instead.
 func (c *conn) read(req *http.Request) (rep reply, result choice.Result, reuse bool) {
+	failure := func() (reply, choice.Result, bool) {
+		if c.in.err == nil || c.in.hurried && errors.Is(c.in.err, os.ErrDeadlineExceeded) {
+			return reply{}, choice.ErrorAnswer, false
+		}
+		return reply{}, choice.Reset, false
+	}
 	resp, err := http.ReadResponse(c.br, req)
-	for n := 0; err == nil && resp.StatusCode < 200 && n < maxInterim; n++ {
+	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		c.in.settle()
+		c.in.begun = c.br.Buffered() > 0 // the answer that counts may come later
 		resp, err = http.ReadResponse(c.br, req)
 	}
 	if err != nil {
-		return reply{}, choice.Reset, false
+		return failure()
+	}
+	chunked := len(resp.TransferEncoding) > 0
+	if resp.ContentLength > maxReply || resp.ContentLength < 0 && !chunked {
+		// One without a length ends with its connection: whether it is whole can't be told.
+		return reply{}, choice.ErrorAnswer, false
+	}
+	var body []byte
+	if chunked {
+		body, err = io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	} else {
+		body = make([]byte, resp.ContentLength)
+		_, err = io.ReadFull(resp.Body, body)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	if err != nil {
-		return reply{}, choice.Reset, false
+		return failure()
 	}
 	if len(body) > maxReply {
 		return reply{}, choice.ErrorAnswer, false
@@ -397,6 +477,8 @@
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" {
 		rep.load = parseLoad(text)
 	}
+	c.in.settle()
+	// What stands behind the answer belongs to no request: the next one would take it for its own.
 	reuse = !resp.Close && c.br.Buffered() == 0
 	switch {
 	case resp.StatusCode == http.StatusOK:
@@ -408,8 +490,16 @@
 	return rep, choice.ErrorAnswer, reuse
 }
 
+// Most that a figure of a load report can be: reports are noisy, but a core can't be
+// busy several times over, nor can a server hold more than it has connections.
+const (
+	mostUtil  = 2
+	mostCount = 1e5
+)
+
 // parseLoad parses a load report such as "TEXT inflight=7, queue=2, util=0.61".
-// Unknown names are skipped; nil means that there is no report in the text.
+// Unknown names and figures that can't be are skipped; nil means that there is no
+// report in the text.
 func parseLoad(text string) *choice.Load {
 	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT")
 	if !ok {
@@ -418,22 +508,32 @@
 	l := choice.Load{InFlight: -1, Queue: -1, Util: -1}
 	for _, pair := range strings.Split(text, ",") {
 		name, val, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		x, err := strconv.ParseFloat(val, 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			return nil
+		x, ok := decimal(val)
+		if !ok {
+			continue
 		}
-		switch name {
-		case "inflight", "outstanding":
+		switch {
+		case x > mostCount:
+		case name == "inflight" || name == "outstanding":
 			l.InFlight = x
-		case "queue", "backlog":
+		case name == "queue" || name == "backlog":
 			l.Queue = x
-		case "util", "utilization":
+		case (name == "util" || name == "utilization") && x <= mostUtil:
 			l.Util = x
 		}
 	}
 	return &l
 }
 
+// decimal parses a plain decimal number from 0: no sign, exponent, hex or infinity.
+func decimal(text string) (float64, bool) {
+	if text == "" || len(text) > 20 || strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	return x, err == nil
+}
+
 // shut closes all idle connections.
 func (u *upstream) shut() {
 	stale := u.update(nil, true)
