Bad clients: accept first and spare the silent, one framing, checked metering

A bad request with half a body got its answer but its connection stayed open for ever: the library reads the rest of a body with no deadline (found by TestBadRequests).

Now: a connection is accepted first; for one too many the silent ones go first, then what has been idle for 2 s, then half heads; never one with a request open, nor one on which something has come unread. Closing after answers at three quarters is gone. A Transfer-Encoding is turned down (411), and so is what is not HTTP/1.1. Head 1.5 s, body 1 s, rest of a useless body 0.25 s. Units, spread and first are plain decimals, at most what a request can count, and name a set that this node is in; a wait is at most its class's deadline.

Tests: slots_test.go, TestBadRequests, TestEndlessHead, TestHalfSentRequestsEnd, TestWaitIsThatOfTheClass.

--- a/choice/api.go
+++ b/choice/api.go
@@ -100,6 +100,7 @@
 	AskWithin time.Duration // with AskList: how often an unsubscribed gateway must ask
 	InboxPerS float64       // peer messages per second that a gateway takes in
 	PostPaid  bool          // units are a guess until the first good answer
+	MostUnits float64       // of one request; 0: not told
 	Tick      time.Duration // the shortest time between events
 
 	PriceCross float64 // points per attempt to another zone, as a share of requests
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -12,7 +12,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,14 +20,16 @@
 
 const (
 	readyPath  = "/health/ready"
-	maxBody    = 64 << 10               // bytes that the body of a request may hold
-	transit    = 10 * time.Millisecond  // taken off a client's wait, which counts from its send
-	maxWait    = time.Hour              // the longest wait that a client can ask for
-	readLimit  = 5 * time.Second        // for a request's header, and for its body
-	writeLimit = 10 * time.Second       // from a request's header to the end of its answer
-	idleLimit  = 90 * time.Second       // for a connection between requests
-	drainTime  = 500 * time.Millisecond // connections still come for 0.4 s after a planned restart begins
-	otherFiles = 48                     // descriptors that are neither a client's nor an app server's
+	maxBody    = 64 << 10                // bytes that the body of a request may hold
+	transit    = 10 * time.Millisecond   // taken off a client's wait, which counts from its send
+	mostUnits  = 1e6                     // of one request, where the settings don't tell
+	headLimit  = 1500 * time.Millisecond // for a request's header, from the connection's start or the first byte
+	restWait   = 250 * time.Millisecond  // for the rest of a body that is of no use
+	bodyLimit  = time.Second             // for its body
+	writeLimit = 10 * time.Second        // from a request's header to the end of its answer
+	idleLimit  = 30 * time.Second        // for a connection between requests
+	drainTime  = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
+	otherFiles = 48                      // descriptors that are neither a client's nor an app server's
 )
 
 // serverSockets and clientSockets share out the descriptors. A request has one
@@ -44,26 +45,26 @@
 	slots    *slots
 	ready    atomic.Bool
 	draining atomic.Bool
-	classes  map[string]choice.Effect
+	classes  map[string]choice.Class
 	plans    map[string]bool
 }
 
 func newFront(n *Node) *front {
 	f := &front{node: n, slots: newSlots(clientSockets(n.cfg.Sockets)),
-		classes: map[string]choice.Effect{}, plans: map[string]bool{}}
+		classes: map[string]choice.Class{}, plans: map[string]bool{}}
 	for _, c := range n.cfg.Settings.Classes {
-		f.classes[c.Name] = c.Effect
+		f.classes[c.Name] = c
 	}
 	for _, p := range n.cfg.Settings.Plans {
 		f.plans[p.Name] = true
 	}
 	f.srv = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: readLimit,
+		ReadHeaderTimeout: headLimit,
 		WriteTimeout:      writeLimit,
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    16 << 10,
-		ConnState:         f.slots.state,
+		ConnContext:       withSlot,
 		ErrorLog:          n.log,
 	}
 	return f
@@ -104,10 +105,16 @@
 			plain(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
-	if f.draining.Load() || f.slots.crowded() {
+	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == readyPath {
+	slot := slotOf(r)
+	defer slot.become(idle)
+	if err := framing(r); err != nil {
+		f.turnDown(w, r, err)
+		return
+	}
+	if r.URL.Path == readyPath && r.ContentLength == 0 {
 		f.health(w)
 		return
 	}
@@ -117,13 +124,12 @@
 		m.body, err = readBody(w, r)
 	}
 	if err != nil {
-		bad := &badRequest{status: http.StatusBadRequest}
-		if errors.As(err, &bad); bad.allow != "" {
-			w.Header().Set("Allow", bad.allow)
-		}
-		plain(w, bad.status, err.Error())
+		f.turnDown(w, r, err)
 		return
 	}
+	if !slot.become(open) {
+		return // closed for another: nothing was sent on
+	}
 	q.Grace -= time.Since(began)
 	deadline := time.Now().Add(q.Grace + f.node.cfg.Settings.AnswerSlack)
 	fl := f.node.begin(q, m, deadline)
@@ -146,6 +152,36 @@
 	f.reply(w, <-fl.answer)
 }
 
+// turnDown answers a request that is the client's mistake. A body that was not read is
+// not waited for: what is left of it would be read as the next request.
+func (f *front) turnDown(w http.ResponseWriter, r *http.Request, err error) {
+	bad := &badRequest{status: http.StatusBadRequest}
+	if errors.As(err, &bad); bad.allow != "" {
+		w.Header().Set("Allow", bad.allow)
+	}
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		// The library reads a short rest before it closes, or the client could miss the answer.
+		// Half a body would keep it reading for ever.
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(restWait))
+	}
+	plain(w, bad.status, err.Error())
+}
+
+// framing turns down what does not tell its length in the one way that clients use. A
+// request with a Transfer-Encoding as well as a Content-Length can hide another one in
+// its body; the library lets the first win and hides the second, and ignores the first
+// below HTTP/1.1.
+func framing(r *http.Request) error {
+	if r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		return &badRequest{status: http.StatusHTTPVersionNotSupported, text: "HTTP/1.1 is spoken here"}
+	}
+	if len(r.TransferEncoding) > 0 {
+		return &badRequest{status: http.StatusLengthRequired, text: "Content-Length is wanted, not Transfer-Encoding"}
+	}
+	return nil
+}
+
 func (f *front) health(w http.ResponseWriter) {
 	if f.ready.Load() {
 		plain(w, http.StatusOK, "ready")
@@ -215,7 +251,7 @@
 	if err != nil {
 		return q, m, err
 	}
-	effect, known := f.classes[q.Class]
+	class, known := f.classes[q.Class]
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case !validID(q.ID):
@@ -227,10 +263,12 @@
 	case !f.plans[q.Plan]:
 		return q, m, bad("X-Contract: unknown plan")
 	}
-	seconds, err := strconv.ParseFloat(expires, 64)
-	if err != nil || !(seconds > 0 && seconds <= maxWait.Seconds()) {
+	seconds, ok := decimal(expires)
+	if !ok || seconds <= 0 {
 		return q, m, bad("X-Expires-In: malformed")
 	}
+	// Nobody waits for longer than the class's clients do: requests must not pile up.
+	seconds = math.Min(seconds, class.Deadline.Seconds())
 	q.Grace = time.Duration(seconds*float64(time.Second)) - transit
 	if q.Customer, err = customer(r.URL.RawQuery); err != nil {
 		return q, m, err
@@ -240,16 +278,16 @@
 	}
 	m = message{target: r.RequestURI, host: r.Host, id: q.ID, contentType: r.Header.Get("Content-Type")}
 	m.method = http.MethodPost
-	if effect == choice.Safe {
+	if class.Effect == choice.Safe {
 		m.method = http.MethodGet
 	}
 	if r.Method != m.method {
 		return q, m, &badRequest{http.StatusMethodNotAllowed, "method: the class wants " + m.method, m.method}
 	}
-	if effect == choice.Safe && r.ContentLength != 0 {
+	if class.Effect == choice.Safe && r.ContentLength != 0 {
 		return q, m, bad("body: the class has none")
 	}
-	if effect == choice.Keyed {
+	if class.Effect == choice.Keyed {
 		m.key = header("Idempotency-Key")
 	} else {
 		m.key = r.Header.Get("Idempotency-Key")
@@ -282,8 +320,18 @@
 	return x, nil
 }
 
-// metering takes units, spread and first from X-Metering.
+// metering takes units, spread and first from X-Metering. What can't be of a usual client
+// must not reach the module: it would mark the customer's store in everybody's name.
 func (f *front) metering(text string, q *choice.Request) error {
+	set := &f.node.cfg.Settings
+	number := func(val string, least, most int) (int, bool) {
+		x, ok := decimal(val)
+		return int(x), ok && x == math.Trunc(x) && x >= float64(least) && x <= float64(most)
+	}
+	most := set.MostUnits
+	if most <= 0 {
+		most = mostUnits
+	}
 	seen := map[string]bool{}
 	for _, pair := range strings.Split(text, ",") {
 		name, val, _ := strings.Cut(strings.TrimSpace(pair), "=")
@@ -291,30 +339,26 @@
 			return bad("X-Metering: %q stands twice", name)
 		}
 		seen[name] = true
-		var err error
-		n := f.node.cfg.Settings.Instances
+		ok := true
 		switch name {
 		case "units":
-			q.Units, err = strconv.ParseFloat(val, 64)
-			if !(q.Units >= 0) || math.IsInf(q.Units, 0) {
-				return bad("X-Metering: units out of range")
-			}
+			q.Units, ok = decimal(val)
+			ok = ok && q.Units > 0 && q.Units <= most
 		case "spread":
-			if q.Spread, err = strconv.Atoi(val); err == nil && (q.Spread < 1 || q.Spread > n) {
-				return bad("X-Metering: spread out of range")
-			}
+			q.Spread, ok = number(val, 1, set.Instances)
 		case "first":
-			if q.First, err = strconv.Atoi(val); err == nil && (q.First < 0 || q.First >= n) {
-				return bad("X-Metering: first out of range")
-			}
+			q.First, ok = number(val, 0, set.Instances-1)
 		}
-		if err != nil {
-			return bad("X-Metering: malformed")
+		if !ok {
+			return bad("X-Metering: %s is malformed or out of range", name)
 		}
 	}
 	if !seen["units"] || !seen["spread"] || !seen["first"] {
 		return bad("X-Metering: units, spread or first is missing")
 	}
+	if (set.Me-q.First+set.Instances)%set.Instances >= q.Spread {
+		return bad("X-Metering: the customer does not come through this node")
+	}
 	return nil
 }
 
@@ -326,19 +370,14 @@
 	}
 	tooLarge := &badRequest{status: http.StatusRequestEntityTooLarge, text: "body: over 64 KiB"}
 	if r.ContentLength > maxBody {
-		w.Header().Set("Connection", "close")
 		return nil, tooLarge
 	}
 	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(time.Now().Add(readLimit)); err != nil {
+	if err := rc.SetReadDeadline(time.Now().Add(bodyLimit)); err != nil {
 		return nil, fmt.Errorf("body: %w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		if _, over := errors.AsType[*http.MaxBytesError](err); over {
-			return nil, tooLarge
-		}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, bad("body: incomplete")
 	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
@@ -346,79 +385,3 @@
 	}
 	return body, nil
 }
-
-// slots bounds the connections of clients, so that descriptors never run out. When
-// three quarters are taken, answers close their connections; when all are, the
-// connection that has been idle for longest gives way to the new one.
-type slots struct {
-	taken chan struct{}
-	mu    sync.Mutex
-	idle  map[net.Conn]time.Time
-}
-
-func newSlots(n int) *slots {
-	return &slots{taken: make(chan struct{}, n), idle: map[net.Conn]time.Time{}}
-}
-
-func (s *slots) crowded() bool { return len(s.taken)*4 >= cap(s.taken)*3 }
-
-// state follows the connections of the server.
-func (s *slots) state(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idle[c] = time.Now()
-	} else {
-		delete(s.idle, c)
-	}
-}
-
-// evict closes the connection that has been idle for longest.
-func (s *slots) evict() {
-	s.mu.Lock()
-	var longest net.Conn
-	for c, since := range s.idle {
-		if longest == nil || since.Before(s.idle[longest]) {
-			longest = c
-		}
-	}
-	delete(s.idle, longest)
-	s.mu.Unlock()
-	if longest != nil {
-		longest.Close()
-	}
-}
-
-// slotListener accepts a connection when there is a slot for it.
-type slotListener struct {
-	net.Listener
-	slots *slots
-}
-
-func (l *slotListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots.taken <- struct{}{}:
-	default:
-		l.slots.evict()
-		l.slots.taken <- struct{}{}
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots.taken
-		return nil, err
-	}
-	return &slotConn{Conn: c, slots: l.slots}, nil
-}
-
-// slotConn gives its slot back when it is closed.
-type slotConn struct {
-	net.Conn
-	slots *slots
-	once  sync.Once
-}
-
-func (c *slotConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(func() { <-c.slots.taken })
-	return err
-}
--- /dev/null
+++ b/internal/node/slots.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// slots bounds the connections of clients, so that descriptors never run out. A new
+// connection is accepted first; if it is one too many, the one that can best be spared
+// is closed, and never one on which a request is open.
+type slots struct {
+	most int
+
+	mu    sync.Mutex
+	conns map[*slotConn]struct{}
+}
+
+// slotState is what a client's connection is at.
+type slotState int
+
+const (
+	silent  slotState = iota // new: nothing has come on it
+	reading                  // something has come, but no whole head
+	open                     // a request is open
+	idle                     // between requests, or closing after the last
+	ended                    // closed
+)
+
+// Ages past which a connection is spared more easily.
+const (
+	silentFor  = 100 * time.Millisecond // clients that mean to ask do so as soon as they have connected
+	idleFor    = 2 * time.Second        // a client's due
+	readingFor = 500 * time.Millisecond // a head comes in one piece
+	writtenFor = 100 * time.Millisecond // after it an answer is on its way
+)
+
+func newSlots(n int) *slots {
+	return &slots{most: n, conns: map[*slotConn]struct{}{}}
+}
+
+// add takes in a new connection and returns the one to be closed for it, if any,
+// which is the new one where no other can be spared.
+func (s *slots) add(c *slotConn) (spare *slotConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c.since = now
+	for spare == nil && len(s.conns) >= s.most {
+		best := 0
+		for o := range s.conns {
+			if r := o.rank(now); r > best || r == best && r > 0 && o.since.Before(spare.since) {
+				best, spare = r, o
+			}
+		}
+		switch {
+		case spare == nil:
+			c.state = ended
+			return c
+		case spare.state != reading && spare.waiting():
+			// A request has come that was not read yet: one client more that means to ask.
+			spare.state, spare.since, spare = reading, now, nil
+		default:
+			spare.state = ended
+			delete(s.conns, spare)
+		}
+	}
+	s.conns[c] = struct{}{}
+	return spare
+}
+
+// rank tells how easily a connection is spared; 0 is never. Those that came by hundreds
+// and say nothing go first, then what has been idle for its due or is slow to send, and
+// only then the rest. Called under the mutex.
+func (c *slotConn) rank(now time.Time) int {
+	age := now.Sub(c.since)
+	switch {
+	case c.state == silent && age >= silentFor:
+		return 5
+	case c.state == idle && age >= idleFor:
+		return 4
+	case c.state == reading && age >= readingFor:
+		return 3
+	case c.state == silent:
+		return 2
+	case c.state == idle && age >= writtenFor:
+		return 1
+	}
+	return 0
+}
+
+// waiting tells whether something has come that was not read. It does not wait for the
+// goroutine that reads.
+func (c *slotConn) waiting() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	var b [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
+// slotListener counts what it accepts.
+type slotListener struct {
+	net.Listener
+	slots *slots
+}
+
+func (l *slotListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &slotConn{Conn: nc, slots: l.slots}
+		spare := l.slots.add(c)
+		if spare != nil {
+			spare.Conn.Close()
+		}
+		if spare != c {
+			return c, nil
+		}
+	}
+}
+
+// slotConn is a connection that counts until it is closed.
+type slotConn struct {
+	net.Conn
+	slots *slots
+	state slotState // under slots.mu
+	since time.Time // of the state, under slots.mu
+}
+
+// Read notes that something has come. What comes after the connection was given up is
+// not taken in: the client can tell that it was not read.
+func (c *slotConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.become(reading) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// become changes the state; it is false once the connection has ended. What comes while
+// a request is open, or while a head is being read, changes nothing.
+func (c *slotConn) become(state slotState) bool {
+	c.slots.mu.Lock()
+	defer c.slots.mu.Unlock()
+	if c.state == ended {
+		return false
+	}
+	if state != reading || c.state == silent || c.state == idle {
+		c.state, c.since = state, time.Now()
+	}
+	return true
+}
+
+func (c *slotConn) Close() error {
+	c.slots.mu.Lock()
+	c.state = ended
+	delete(c.slots.conns, c)
+	c.slots.mu.Unlock()
+	return c.Conn.Close()
+}
+
+type slotKey struct{}
+
+// withSlot lets a request find its connection.
+func withSlot(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, slotKey{}, c)
+}
+
+// slotOf returns the connection of a request.
+func slotOf(r *http.Request) *slotConn {
+	return r.Context().Value(slotKey{}).(*slotConn)
+}
--- /dev/null
+++ b/internal/node/slots_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// slotFront serves clients with room for most connections.
+func slotFront(t *testing.T, most int, servers ...Instance) (*front, string) {
+	t.Helper()
+	f := idleFront(t, testConfig(servers...))
+	f.slots.most = most
+	f.ready.Store(true)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go f.serve(ln)
+	t.Cleanup(func() { f.srv.Close() })
+	return f, ln.Addr().String()
+}
+
+// age makes all connections in a state older and returns their number.
+func (s *slots) age(state slotState, by time.Duration) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == state {
+			c.since = c.since.Add(-by)
+			n++
+		}
+	}
+	return n
+}
+
+const readyRequest = "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"
+
+func wantEOF(t *testing.T, what string, c *client) {
+	t.Helper()
+	if _, err := c.br.ReadByte(); err == nil {
+		t.Errorf("%s: something came, want a close", what)
+	} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Errorf("%s: still open", what)
+	}
+}
+
+// Clients that connect by hundreds and say nothing shut nobody out, and cost no one a
+// connection that is in use.
+func TestSilentClientsGiveWay(t *testing.T) {
+	s := newAppServer(t, say(okAnswer))
+	f, addr := slotFront(t, 8, s.instance("a"))
+	kept := dial(t, addr)
+	if a := kept.ask(readyRequest); a.status != 200 {
+		t.Errorf("before: %+v", a)
+	}
+	var silents []*client
+	for i := range 40 {
+		silents = append(silents, dial(t, addr))
+		if i%10 == 0 {
+			if a := dial(t, addr).ask(request("check", fmt.Sprint("t", i))); a.status != 200 || a.close {
+				t.Errorf("between %d silent ones: %+v", i, a)
+			}
+		}
+	}
+	for i := range 20 {
+		wantEOF(t, fmt.Sprint("silent ", i), silents[i])
+	}
+	if a := kept.ask(request("check", "kept")); a.status != 200 {
+		t.Errorf("on the connection kept: %+v", a)
+	}
+	f.slots.mu.Lock()
+	defer f.slots.mu.Unlock()
+	if n := len(f.slots.conns); n > 8 {
+		t.Errorf("%d connections for 8 slots", n)
+	}
+}
+
+// Without silent ones the connection that has been idle for longest gives way, then one
+// that does not finish its head; never one whose request is open. With only those, the
+// newcomer is closed: it may have waited in vain for a slot otherwise.
+func TestWhoGivesWay(t *testing.T) {
+	hold := make(chan struct{})
+	s := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-hold
+		return say(okAnswer)(c, r, body)
+	})
+	f, addr := slotFront(t, 3, s.instance("a"), s.instance("b"))
+	busy, half, rested := dial(t, addr), dial(t, addr), dial(t, addr)
+	busy.send(request("check", "t1"))
+	eventually(t, "request out", func() bool { return len(s.requests()) == 1 })
+	half.send("GET /check")
+	eventually(t, "head begun", func() bool { return f.slots.age(reading, readingFor) == 1 })
+	if a := rested.ask(readyRequest); a.status != 200 {
+		t.Errorf("%+v", a)
+	}
+	eventually(t, "idle", func() bool { return f.slots.age(idle, idleFor) == 1 })
+	second := dial(t, addr)
+	second.send(request("check", "t2"))
+	wantEOF(t, "the idle one", rested)
+	third := dial(t, addr)
+	third.send(request("check", "t3"))
+	wantEOF(t, "the one with half a head", half)
+	eventually(t, "requests out", func() bool { return len(s.requests()) == 3 })
+	wantEOF(t, "a newcomer with all busy", dial(t, addr))
+	close(hold)
+	for i, c := range []*client{busy, second, third} {
+		if a := c.read(); a.status != 200 {
+			t.Errorf("request %d: %+v", i, a)
+		}
+	}
+}
+
+// A connection on which a request has come that was not read yet is not taken for a
+// silent one: its goroutine may not have had its turn.
+func TestUnreadRequestIsNoSilence(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := newSlots(2)
+	accept := func() (*client, *slotConn) {
+		c := dial(t, ln.Addr().String())
+		nc, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		return c, &slotConn{Conn: nc, slots: s}
+	}
+	asks, first := accept()
+	_, second := accept()
+	_, third := accept()
+	s.add(first)
+	s.add(second)
+	asks.send(readyRequest)
+	eventually(t, "request arrived", first.waiting)
+	if spare := s.add(third); spare != second {
+		t.Errorf("the one with a request gave way, or none: %v", spare)
+	}
+	// What was given up takes nothing in.
+	if second.become(open) {
+		t.Error("a request was opened on a connection that was given up")
+	}
+	buf := make([]byte, 10)
+	if _, err := io.ReadFull(first, buf); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -427,8 +427,8 @@
 	Tick          float64
 	RegistryMode  string
 	FamilyInfo    struct {
-		InboxPerS float64
-		PostPaid  bool
+		InboxPerS, UnitsTop float64
+		PostPaid            bool
 	}
 	Feedback struct{ How string }
 	Lanes    []struct {
@@ -499,7 +499,7 @@
 		MaxAttempts: l.MostTries, Parallel: l.ParallelTries, Cancel: l.Cancel, Peers: l.Peers, Probes: l.Probes,
 		RetryAfter: l.RetryAfter, MaxRetryAfter: seconds(l.MaxRetryAfter),
 		AskList: in.RegistryMode == "subscribe", AskWithin: seconds(r.AskWithin),
-		InboxPerS: in.FamilyInfo.InboxPerS, PostPaid: in.FamilyInfo.PostPaid, Tick: seconds(in.Tick),
+		InboxPerS: in.FamilyInfo.InboxPerS, PostPaid: in.FamilyInfo.PostPaid, MostUnits: in.FamilyInfo.UnitsTop, Tick: seconds(in.Tick),
 		PriceCross: in.Penalties.CrossZone, PricePeer: in.Penalties.Peer,
 		PriceProbe: in.Penalties.Probe, PriceWaste: in.Penalties.Waste,
 	}
