--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -32,6 +32,7 @@
 	Transport wire.Transport
 
 	reread   func() (*Config, error) // reads the configuration again, for a reload
+	left     []error                 // entries of Known that can't be
 	drainFor time.Duration           // drainTime but in tests
 }
 
@@ -156,7 +157,7 @@
 		}
 	}
 	if len(raw.Known) > 0 && string(raw.Known) != "null" {
-		if c.Known, err = parseList(raw.Known); err != nil {
+		if c.Known, c.left, err = parseList(raw.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,10 +6,14 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"mulleinmux/choice"
 )
 
+// errorPause is waited after an error of the socket.
+const errorPause = time.Millisecond
+
 // maxMessage is the longest datagram that may be sent to a peer.
 const maxMessage = 256
 
@@ -73,7 +77,9 @@
 			return
 		}
 		if err != nil {
-			// A peer that is down may answer a datagram with an ICMP error, which ends up here.
+			// A peer that is down may answer a datagram with an ICMP error, which ends up here. The
+			// pause keeps an error that stays from taking the core.
+			time.Sleep(errorPause)
 			continue
 		}
 		from, known := p.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -37,6 +37,9 @@
 		}
 		defer n.peers.conn.Close()
 	}
+	if len(cfg.left) > 0 {
+		logger.Printf("known: %d entries left out, the first: %v", len(cfg.left), cfg.left[0])
+	}
 	n.boot()
 	if n.peers != nil {
 		side.Go(func() { n.peers.receive(n.whisper) })
