Tries known to be late give way to those that can still be answered in time

A probe of the front (clients' waits and answers) shows why: 312 of 2060 keyed requests were served at a second or later try, a quarter of them over 0.54 s after their first, with units of the quota that fresh tries were refused for at the same moment. Ruled out before: the moment at which the refused are told to come back; units lost by the split of the store (a heavy customer's use is its rate to 1%). Cause: choice.go Request treats all tries alike. Every first try of a class comes with the same wait; a later one of the same client has less left. Where the store is crowded or the back end pressed, a try whose client has waited for the aim already is refused. Where there is room it is served as before.

Tests: TestLateTriesGiveWay, TestOneLongWaitMakesNobodyLate.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,8 @@
 	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
 	jamFloor     = 2.0                    // attempts out per server, over all gateways, that the bound leaves
 	jamAge       = 0.5                    // share of its aim until which an attempt out counts
+	freshParts   = 20                     // parts of an aim in a step of the wait that fresh tries have
+	freshDown    = 10                     // times that a step down is smaller: the longest tenth counts
 	comeBack     = 4                      // parts of an aim after which a throttled client should try again
 	passShare    = 0.1                    // share of a new ask in the share that a holder grants
 	samplesLeast = 10                     // samples of its own that a gateway goes by alone
@@ -128,7 +130,9 @@
 	st := g.storeFor(q.Customer, pi, q.Spread, q.First)
 	g.nextNum++
 	r := &request{Request: q, num: g.nextNum, class: ci, store: st, ends: now + q.Grace - 2*g.set.Tick}
-	if l := &g.lat[ci]; g.jammed(ci) || l.n >= batchLeast && q.Grace.Seconds() < l.mean { // too short
+	late, l := g.late(ci, q.Grace), &g.lat[ci]
+	tooShort := l.n >= batchLeast && q.Grace.Seconds() < l.mean
+	if g.jammed(ci) || late && g.aro.rho >= pressed || tooShort {
 		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
 		return
 	}
@@ -143,12 +147,30 @@
 		return
 	}
 	in, wait := g.quota(st, q.Units)
-	if in {
+	if in = in && !(late && now < st.crowded); in {
 		g.take(st, q.Units)
 	}
 	g.admit(r, in, wait)
 }
 
+// late tells whether a try is known to come too late for its aim. Each try of a class begins with the same
+// wait, of which a later try of the same client has less left. Where its answer would be worth little, it
+// gives way to those that can still be answered in time. Clients that give each try a wait of its own
+// look younger than they are: those are not held back.
+func (g *Gateway) late(class int, grace time.Duration) bool {
+	c, l := &g.set.Classes[class], &g.lat[class]
+	if l.fresh == 0 {
+		l.fresh = grace
+	}
+	// A high quantile, not the most: single clients must not make all others look late.
+	if step := c.Aim / freshParts; grace > l.fresh {
+		l.fresh += min(step, grace-l.fresh)
+	} else {
+		l.fresh -= min(step/freshDown, l.fresh-grace)
+	}
+	return (l.fresh-grace).Seconds()+l.mean > c.Aim.Seconds()
+}
+
 // admit goes on with a request once it is known whether it is inside the quota, which its units have left.
 func (g *Gateway) admit(r *request, in bool, wait time.Duration) {
 	st, p, ci := r.store, &g.set.Plans[r.store.plan], r.class
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -974,3 +974,55 @@
 		t.Errorf("%v", r.acts)
 	}
 }
+
+// A try whose client has waited for longer than its class's aim gives way where the customer
+// asks for more than its quota, and only there: a store's units go to those that can still be
+// answered in time.
+func TestLateTriesGiveWay(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(9)...)
+	aim := g.set.Classes[g.class["safe"]].Aim
+	old := newRequest(0, "safe", "rate", 1)
+	old.Grace -= aim + aim/10
+	send := func(n int, q Request, at time.Duration) bool {
+		q.ID = fmt.Sprint("t", n)
+		r.acts = nil
+		g.Request(at, q, r)
+		sent := r.count("send") == 1
+		if sent {
+			g.Outcome(at+ms, Outcome{ID: q.ID, Result: OK, Closed: true}, r)
+		}
+		return sent
+	}
+	fresh := newRequest(0, "safe", "rate", 1)
+	n, at := 0, t0
+	if send(n, fresh, at); !send(n+1, old, at+ms) {
+		t.Error("a late try was refused with room for all")
+	}
+	for n = 2; send(n, fresh, at+2*ms); n++ { // until the store is empty
+	}
+	p := g.set.Plans[g.plan["rate"]]
+	for refill := time.Duration(2.5 / p.Rate * float64(time.Second)); n < 100; n += 4 {
+		send(n, fresh, at+2*ms) // refused
+		at = g.now + refill
+		g.stores[1].crowded = at + time.Second
+		if send(n+1, old, at) {
+			t.Fatal("a late try took the units of a crowded store")
+		}
+		if !send(n+2, fresh, at+ms) {
+			t.Fatal("a fresh try was refused in its place")
+		}
+		send(n+3, fresh, at+2*ms)
+	}
+}
+
+// What is held for a fresh try's wait follows what most tell, not the most that one tells.
+func TestOneLongWaitMakesNobodyLate(t *testing.T) {
+	g, _ := newGate(t, testSettings())
+	for range 1000 {
+		g.late(0, time.Second)
+	}
+	g.late(0, time.Hour)
+	if g.late(0, time.Second) {
+		t.Error("all others count as late after one long wait")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,6 +58,7 @@
 	mean, dev float64 // seconds
 	n         int
 	kinds     []kindLatency
+	fresh     time.Duration // wait that a client's first try has left
 }
 
 // kindLatency finds the lowest mean latency of a class on one kind of server.
