Crowded slots: answers close their connections again

Probe of the slots: of 168 up to 166 were idle, most for less than 2 s, and newcomers came by 700 a second; about 1,000 idle connections a node were closed within 2 s of their last answer. Each cost its client the next request and made a new connection, for which another was closed.

Tests: TestCrowdedAnswersClose.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -105,7 +105,7 @@
 			plain(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
-	if f.draining.Load() {
+	if f.draining.Load() || f.slots.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	slot := slotOf(r)
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -15,8 +15,19 @@
 type slots struct {
 	most int
 
-	mu    sync.Mutex
-	conns map[*slotConn]struct{}
+	mu     sync.Mutex
+	conns  map[*slotConn]struct{}
+	silent int // of them, those on which nothing has come
+}
+
+// crowded tells whether answers should close their connections. To close one that has
+// been idle for a moment costs its client the next request, and a new connection, for
+// which another would be closed; one that is told of the close with its answer loses
+// nothing. Silent connections don't count: they give way at no cost.
+func (s *slots) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return (len(s.conns)-s.silent)*4 >= s.most*3
 }
 
 // slotState is what a client's connection is at.
@@ -62,16 +73,26 @@
 			return c
 		case spare.state != reading && spare.waiting():
 			// A request has come that was not read yet: one client more that means to ask.
-			spare.state, spare.since, spare = reading, now, nil
+			s.leave(spare, reading)
+			spare.since, spare = now, nil
 		default:
-			spare.state = ended
+			s.leave(spare, ended)
 			delete(s.conns, spare)
 		}
 	}
 	s.conns[c] = struct{}{}
+	s.silent++
 	return spare
 }
 
+// leave changes the state of a connection that counts. Called under the mutex.
+func (s *slots) leave(c *slotConn, to slotState) {
+	if c.state == silent {
+		s.silent--
+	}
+	c.state = to
+}
+
 // rank tells how easily a connection is spared; 0 is never. Those that came by hundreds
 // and say nothing go first, then what has been idle for its due or is slow to send, and
 // only then the rest. Called under the mutex.
@@ -162,15 +183,18 @@
 		return false
 	}
 	if state != reading || c.state == silent || c.state == idle {
-		c.state, c.since = state, time.Now()
+		c.slots.leave(c, state)
+		c.since = time.Now()
 	}
 	return true
 }
 
 func (c *slotConn) Close() error {
 	c.slots.mu.Lock()
-	c.state = ended
-	delete(c.slots.conns, c)
+	if c.state != ended {
+		c.slots.leave(c, ended)
+		delete(c.slots.conns, c)
+	}
 	c.slots.mu.Unlock()
 	return c.Conn.Close()
 }
