Servers silent to all are out until a probe answers; the others are looked at in full

Late answers (9%) spend their time at one crowded server of five while others idle. Attempts at the silent ones fill the jam bound (9.4 out, of which 5.5 young). At fault in choice.go: pick counted ejected servers among the few it looks at, so with half of them out the choice was all but blind; tick walked a list that pick shuffles, so some servers went unprobed for 7 s, and Probed threw failures away; learn knew only time as the end of an ejection; jammed took all attempts out. Now: a probe or attempt that comes to nothing, with nothing heard since it was sent, puts the server aside until it is heard; ejected ones take no look; the oldest probe comes first; attempts at silent servers are left out of the bound.

Tests: TestSilentServerGetsNoRequest (loopback, fails without), TestSilentServerIsOutUntilItAnswers, TestProbesReachAllInTurn, TestOutServersTakeNoLook, TestSilentServersAreNoJam.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -102,7 +102,7 @@
 		}
 		if s.Boot != e.Boot {
 			// A restarted server is another one: nothing learned of it holds.
-			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit = 0, 0, 0, 1, -1, -1
+			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit, s.lost = 0, 0, 0, 1, -1, -1, false
 		}
 		s.Server, s.listed = e, e.State != Removed
 		if _, ok := g.kinds[e.Kind]; !ok {
@@ -517,9 +517,9 @@
 	if bound < samplesLeast && g.inboxRate > 1 {
 		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
 		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
-		return float64(g.held) >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
+		return g.waiting() >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
 	}
-	return float64(g.held) >= math.Max(bound, floor)
+	return g.waiting() >= math.Max(bound, floor)
 }
 
 // observe learns from one answered attempt.
@@ -568,7 +568,7 @@
 	// Gateways that all took the best of all servers would crowd it. Each looks at a random part.
 	looks := max(len(g.servers)/g.set.Instances+1, 2)
 	for i := range g.servers {
-		if best != nil && looks == 0 && g.now >= best.ejected {
+		if best != nil && looks == 0 && !best.aside(g.now) {
 			break
 		}
 		j := i + g.rng.IntN(len(g.servers)-i)
@@ -578,9 +578,14 @@
 			continue
 		}
 		cost := g.cost(s)
-		if g.rng.Float64()*g.topWeight > g.share(s) {
+		switch {
+		case s.lost && len(r.attempts) > 0:
+			continue // a further attempt there would only cost the client time
+		case s.aside(g.now):
+			cost += 1e6 // only if no other is left; no look, or those in service would be taken blindly
+		case g.rng.Float64()*g.topWeight > g.share(s):
 			cost += 1e3 // candidates are drawn by their size
-		} else {
+		default:
 			looks = max(looks-1, 0)
 		}
 		for _, a := range r.attempts {
@@ -588,9 +593,6 @@
 				cost *= triedWeight
 			}
 		}
-		if g.now < s.ejected {
-			cost += 1e6 // only if no other is left
-		}
 		if cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -790,6 +792,12 @@
 	}
 	bad := 1.0
 	switch o.Result {
+	case OK, Full, ErrorAnswer:
+		g.alive(s)
+	case TimedOut, ConnectFailed:
+		g.silent(s, g.now-o.Took)
+	}
+	switch o.Result {
 	case OK:
 		bad = 0
 		s.seen, s.strikes = g.now, 0
@@ -829,6 +837,28 @@
 	}
 }
 
+// silent takes in that something sent to the server at a time came to nothing. If all else sent since did as
+// well, the machine has died, vanished or is cut off, long before the list says so. It gets no request until
+// it is heard again: probes find that out, where an ejection's end would risk a request, or several at once,
+// each time. It covers lost halls, single machines and cut links; it harms where servers answer nothing at
+// all for as long as a probe waits and then go on: for a round of probes the others carry their load.
+func (g *Gateway) silent(s *server, sent time.Duration) {
+	if !g.set.Probes || g.set.Report == ReportNone || s.heard >= sent || s.lost {
+		return
+	}
+	s.lost = true
+	g.log("server %s is silent: out until it answers a probe", s.ID)
+}
+
+// alive takes in an answer of any kind.
+func (g *Gateway) alive(s *server) {
+	if s.lost {
+		s.lost, s.ejected, s.strikes = false, 0, 0
+		g.log("server %s answers again", s.ID)
+	}
+	s.heard = g.now
+}
+
 // Gone tells that a request is over without an answer of the gateway.
 func (g *Gateway) Gone(now time.Duration, id string, out Actions) {
 	g.now, g.out = now, out
@@ -845,8 +875,21 @@
 // Probed brings the result of a probe.
 func (g *Gateway) Probed(now time.Duration, id string, res Result, l *Load, out Actions) {
 	g.now, g.out = now, out
-	if s := g.byID[id]; s != nil && res == OK {
+	s := g.byID[id]
+	if s == nil {
+		return
+	}
+	switch res {
+	case OK:
 		g.report(s, l)
+		fallthrough
+	case Full, ErrorAnswer:
+		g.alive(s)
+	case ConnectFailed:
+		s.broke = g.now
+		fallthrough
+	case TimedOut:
+		g.silent(s, s.probed)
 	}
 }
 
@@ -912,9 +955,15 @@
 	g.probeDue = math.Min(g.probeDue+g.aro.pool[poolSent]/2, 1)
 	if g.set.Probes && g.set.Report != ReportNone && len(g.servers) > 0 && g.probeDue >= 1 {
 		g.probeDue = 0
-		g.probeAt = (g.probeAt + 1) % len(g.servers)
-		if s := g.servers[g.probeAt]; s.takes() {
-			g.out.Probe(s.ID)
+		var next *server // the one whose last probe is longest ago; pick shuffles the servers
+		for _, s := range g.servers {
+			if s.takes() && (next == nil || s.probed < next.probed) {
+				next = s
+			}
+		}
+		if next != nil {
+			next.probed = g.now
+			g.out.Probe(next.ID)
 		}
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1032,3 +1032,104 @@
 		t.Error("all others count as late after one long wait")
 	}
 }
+
+func probing() Settings {
+	s := testSettings()
+	s.Probes, s.Report = true, ReportProbes
+	return s
+}
+
+// A server that is silent to a probe and to all else since gets no request until it answers
+// one; an answer that came meanwhile tells that it lives.
+func TestSilentServerIsOutUntilItAnswers(t *testing.T) {
+	g, r := newGate(t, probing(), fleet(2)...)
+	s, now := g.byID["s0"], t0
+	sentTo := func(id string) (n int) {
+		for i := range 30 {
+			now += 50 * ms
+			r.acts = nil
+			g.Request(now, newRequest(int(now/ms), "safe", "rate", uint64(i)), r)
+			n += r.count(fmt.Sprintf("send r%d %s", now/ms, id))
+			answer(g, r, now, ms, OK)
+		}
+		return n
+	}
+	s.probed = now
+	g.Probed(now+ms, "s0", TimedOut, nil, r)
+	if n := sentTo("s0"); n != 0 {
+		t.Errorf("%d requests sent to a server that is silent to probes", n)
+	}
+	g.Probed(now, "s0", OK, nil, r)
+	if n := sentTo("s0"); n == 0 {
+		t.Error("no request sent to a server that answers again")
+	}
+	g.Request(now+ms, newRequest(1, "safe", "rate", 9), r)
+	s.probed, s.heard = now, now+ms
+	g.Probed(now+2*ms, "s0", TimedOut, nil, r)
+	if s.lost {
+		t.Error("a server that has answered since the probe counts as silent")
+	}
+	// Nor does one that was restarted.
+	s.lost = true
+	g.List(now, ListChanges, []Server{{ID: "s0", Kind: "k", Zone: "a", Boot: now}}, r)
+	if s.lost {
+		t.Error("a restarted server counts as silent")
+	}
+}
+
+// Probes reach all servers in turn, though the choice of a server shuffles them.
+func TestProbesReachAllInTurn(t *testing.T) {
+	g, r := newGate(t, probing(), fleet(10)...)
+	probes := map[string]int{}
+	for i := range 200 {
+		now := t0 + time.Duration(i)*5*ms
+		g.Request(now, newRequest(i, "safe", "rate", uint64(i)), r)
+		answer(g, r, now, ms, OK)
+		if i%10 == 9 {
+			g.aro.pool[poolSent] = 2
+			g.Timer(now, timerProbe, r)
+			for id := range g.byID {
+				probes[id] += r.count("probe " + id)
+			}
+			r.acts = nil
+		}
+	}
+	for id := range g.byID {
+		if probes[id] != 2 {
+			t.Errorf("%d probes of %s, want 2 of each in 20", probes[id], id)
+		}
+	}
+}
+
+// Servers that are out must not use up the looks: the choice among the others would be blind.
+func TestOutServersTakeNoLook(t *testing.T) {
+	g, r := newGate(t, testSettings(), fleet(12)...)
+	g.set.Instances = 6
+	for i := range 9 {
+		g.byID[fmt.Sprintf("s%d", i)].ejected = t0 + time.Hour
+	}
+	g.byID["s9"].out, g.byID["s10"].out = 9, 9
+	blind := 0
+	for i := range 100 {
+		g.out, g.now = r, t0
+		if s := g.pick(&request{num: uint64(i)}); s.ID != "s11" {
+			blind++
+		}
+	}
+	if blind > 5 {
+		t.Errorf("%d of 100 went past the idle server of three", blind)
+	}
+}
+
+// Attempts at silent servers wait for nothing that the others do.
+func TestSilentServersAreNoJam(t *testing.T) {
+	g, _ := newGate(t, probing(), fleet(2)...)
+	g.byID["s0"].out, g.held = 9, 9
+	if !g.jammed(0) {
+		t.Fatal("9 attempts out at two servers are no jam")
+	}
+	g.byID["s0"].lost = true
+	if g.jammed(0) {
+		t.Error("attempts at a silent server read as a jam of all")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,6 +24,9 @@
 	listed   bool
 	reported time.Duration
 	broke    time.Duration // last connection that did not come up
+	heard    time.Duration // last sign of life: an answer of any kind
+	probed   time.Duration // last probe
+	lost     bool          // silent to all that was sent of late: out until it is heard
 }
 
 type attempt struct {
@@ -157,7 +160,6 @@
 	okWarm           float64 // work answered by warm servers since the last probe
 	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
 	probeDue         float64 // probes earned by sends
-	probeAt          int
 	up               int     // servers that take work
 	topWeight        float64 // the largest of their weights
 	sized            bool    // their weights differ
@@ -309,6 +311,9 @@
 	}
 }
 
+// aside tells whether the server is kept for when no other is left.
+func (s *server) aside(now time.Duration) bool { return s.lost || now < s.ejected }
+
 // takes tells whether the server is in the list and not draining.
 func (s *server) takes() bool { return s.listed && s.State == Up }
 
@@ -397,6 +402,17 @@
 	g.mark(st)
 }
 
+// waiting counts the attempts out at servers that are held to be alive.
+func (g *Gateway) waiting() float64 {
+	n := g.held
+	for _, s := range g.servers {
+		if s.lost {
+			n -= s.out
+		}
+	}
+	return float64(n)
+}
+
 // report takes in a load report.
 func (g *Gateway) report(s *server, l *Load) {
 	if l == nil {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -552,3 +554,58 @@
 		}
 	}
 }
+
+// A machine that has vanished leaves its connections open and silent, and the list says so
+// late. The probe that finds it must keep clients' requests away until it answers again.
+func TestSilentServerGetsNoRequest(t *testing.T) {
+	const stats = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nTEXT util=0.1,queue="
+	var gone atomic.Bool
+	var met atomic.Int32 // requests of clients that the silent server has read
+	answers := func(name string, silent *atomic.Bool) func(net.Conn, *http.Request, []byte) bool {
+		return func(c net.Conn, r *http.Request, _ []byte) bool {
+			text := okAnswer
+			switch {
+			case r.RequestURI == loadPath:
+				text = stats
+			case name == "quick":
+				met.Add(1)
+			default:
+				time.Sleep(5 * time.Millisecond) // the slower of the two: the other one is preferred
+			}
+			if silent != nil && silent.Load() {
+				return true
+			}
+			_, err := io.WriteString(c, text)
+			return err == nil
+		}
+	}
+	quick, slow := newAppServer(t, answers("quick", &gone)), newAppServer(t, answers("slow", nil))
+	cfg := testConfig(quick.instance("quick"), slow.instance("slow"))
+	cfg.Settings.Probes, cfg.Settings.Report = true, choice.ReportProbes
+	r := run(t, cfg)
+	c, n := dial(t, r.addr), 0
+	ask := func() {
+		n++
+		if a := c.ask(request("check", fmt.Sprint("q", n))); a.status != http.StatusOK {
+			t.Fatalf("request %d: %d", n, a.status)
+		}
+	}
+	for n < 300 || met.Load() < 100 {
+		ask()
+	}
+	gone.Store(true)
+	eventually(t, "a probe finds the silent server", func() bool { return strings.Contains(r.logs.String(), "silent") })
+	before := met.Load()
+	for range 30 {
+		ask()
+	}
+	if got := met.Load() - before; got != 0 {
+		t.Errorf("%d requests went to a silent server", got)
+	}
+	gone.Store(false)
+	for end := time.Now().Add(patience); met.Load() == before; ask() {
+		if time.Now().After(end) {
+			t.Fatal("the server answers again and gets no request")
+		}
+	}
+}
