--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1108,7 +1108,9 @@
 	for i := range 9 {
 		g.byID[fmt.Sprintf("s%d", i)].ejected = t0 + time.Hour
 	}
-	g.byID["s9"].out, g.byID["s10"].out = 9, 9
+	for _, id := range []string{"s9", "s10"} {
+		g.byID[id].out, g.byID[id].seen = 9, t0
+	}
 	blind := 0
 	for i := range 100 {
 		g.out, g.now = r, t0
