What a jam leaves out at least follows the servers alive, each as warm as it is

At fault in choice.go: jammed's floor went by g.up, the list's view. Now the floor counts servers not known as silent, each with its warmth.

Test: TestLeastWorkOutFollowsServersAlive.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -513,13 +513,14 @@
 		rank = (1 + c.Worth/g.work(class)/best) / 2
 	}
 	bound := g.okRate * jamShare * rank * c.Aim.Seconds()
-	floor := jamFloor * float64(g.up) / float64(g.set.Instances)
+	out, servers := g.inReach()
+	floor := jamFloor * servers / float64(g.set.Instances)
 	if bound < samplesLeast && g.inboxRate > 1 {
 		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
 		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
-		return g.waiting() >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
+		return out >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
 	}
-	return g.waiting() >= math.Max(bound, floor)
+	return out >= math.Max(bound, floor)
 }
 
 // observe learns from one answered attempt.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1135,3 +1135,34 @@
 		t.Error("attempts at a silent server read as a jam of all")
 	}
 }
+
+// What a jam may leave out at least follows the servers that are alive, each as warm as it
+// is, not the list, which tells of a lost hall seconds late.
+func TestLeastWorkOutFollowsServersAlive(t *testing.T) {
+	const n = 12
+	g, _ := newGate(t, probing(), fleet(n)...)
+	most := func() (out int) {
+		for g.held = 0; !g.jammed(0); g.held++ {
+		}
+		return g.held
+	}
+	if got := most(); got != jamFloor*n {
+		t.Errorf("%d out with all servers up, want %v", got, jamFloor*n)
+	}
+	for i := range n / 2 {
+		g.byID[fmt.Sprintf("s%d", i)].lost = true
+	}
+	if got := most(); got != jamFloor*n/2 {
+		t.Errorf("%d out with half of the servers silent, want %v", got, jamFloor*n/2)
+	}
+	g.now = t0
+	for _, s := range g.servers {
+		s.lost = false
+		if s.ID < "s5" {
+			s.broke = t0
+		}
+	}
+	if got := most(); got >= jamFloor*n {
+		t.Errorf("%d out with some servers cold, as many as with all warm", got)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -160,7 +160,6 @@
 	okWarm           float64 // work answered by warm servers since the last probe
 	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
 	probeDue         float64 // probes earned by sends
-	up               int     // servers that take work
 	topWeight        float64 // the largest of their weights
 	sized            bool    // their weights differ
 	kindLat          []*kindMean
@@ -340,7 +339,7 @@
 // recount drops servers that are gone and holds what the list says of all that are up.
 func (g *Gateway) recount() {
 	kept := g.servers[:0]
-	g.up, g.topWeight, g.sized = 0, 0, false
+	g.topWeight, g.sized = 0, false
 	for _, s := range g.servers {
 		if !s.listed && s.out == 0 {
 			delete(g.byID, s.ID)
@@ -348,7 +347,6 @@
 		}
 		kept = append(kept, s)
 		if s.takes() {
-			g.up++
 			g.sized = g.sized || g.topWeight > 0 && g.weight(s) != g.topWeight
 			g.topWeight = math.Max(g.topWeight, g.weight(s))
 		}
@@ -402,15 +400,18 @@
 	g.mark(st)
 }
 
-// waiting counts the attempts out at servers that are held to be alive.
-func (g *Gateway) waiting() float64 {
-	n := g.held
+// inReach counts the attempts out at servers that are held to be alive, and these servers, a cold one as the
+// part of one that it is.
+func (g *Gateway) inReach() (out, servers float64) {
+	out = float64(g.held)
 	for _, s := range g.servers {
 		if s.lost {
-			n -= s.out
+			out -= float64(s.out)
+		} else if s.takes() {
+			servers += g.warmth(s)
 		}
 	}
-	return float64(n)
+	return out, servers
 }
 
 // report takes in a load report.
