A failed connection is checked before it counts as a restart

Trace: 3 to 7 connections a second fail at servers that live, each makes its server cold for the ramp at that node; from 15 s nine of ten count as cold, the jam floor falls to a third, 400 to 700 slot tries a second are refused while a node has 4 out. Probe of the sockets: dials refused (92) or reset (60), new connections reset at the write (42). Ruled out: the throttle (f 1), quotas, kept connections (none broke at the write). At fault: learn in choice.go took any ConnectFailed for a restart. Now the module asks for a probe at once; its answer, or any on a connection made before the failure (upstream.go tells when, Outcome.Since), takes the failure back. It covers full tables of connections, resets on the way and flapping links; it would hurt with a process that starts within a round trip, which the list then tells of.

Tests: TestRefusedConnectionAtALiveServer (loopback), TestFailedConnectionIsChecked; both fail without.

--- a/choice/api.go
+++ b/choice/api.go
@@ -182,6 +182,7 @@
 	Took    time.Duration // since the attempt was sent
 	Units   float64       // with PostPaid: the true units, on the first OK; else 0
 	Load    *Load         // nil: no report came
+	Since   time.Duration // when the connection that brought an answer was made; 0: not told
 }
 
 // AllPeers as the peer of a [Actions.Tell] means every other gateway.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -795,6 +795,9 @@
 	switch o.Result {
 	case OK, Full, ErrorAnswer:
 		g.alive(s)
+		if o.Since > 0 {
+			s.upSince(o.Since)
+		}
 	case TimedOut, ConnectFailed:
 		g.silent(s, g.now-o.Took)
 	}
@@ -827,7 +830,13 @@
 		// The process may have restarted and be cold, long before the list says so. Also covers one
 		// that comes back after a cut. A reset alone is no sign: where connections break one by one,
 		// all servers would count as cold, and one that dies refuses new connections as well.
-		s.broke = g.now
+		// Single connections fail at servers that live too: an answer on one made before takes it back, or
+		// that to a probe sent at once, before any process could have started.
+		s.doubt(g.now)
+		if g.set.Probes && g.set.Report != ReportNone && s.check == 0 && s.takes() {
+			s.check, s.probed = g.now, g.now
+			g.out.Probe(s.ID)
+		}
 	}
 	s.errs += errorShare * (bad - s.errs)
 	if (s.errs > ejectAt || o.Result == ConnectFailed) && g.now >= s.ejected {
@@ -886,12 +895,16 @@
 		fallthrough
 	case Full, ErrorAnswer:
 		g.alive(s)
+		if s.check > 0 {
+			s.upSince(s.check)
+		}
 	case ConnectFailed:
-		s.broke = g.now
+		s.doubt(g.now)
 		fallthrough
 	case TimedOut:
 		g.silent(s, s.probed)
 	}
+	s.check = 0
 }
 
 // Timer is the firing of a timer.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1166,3 +1166,47 @@
 		t.Errorf("%d out with some servers cold, as many as with all warm", got)
 	}
 }
+
+// A connection that failed is no restart where an answer on an older one, or to a probe sent
+// at once, shows the process up. What failed before that is still in doubt.
+func TestFailedConnectionIsChecked(t *testing.T) {
+	fail := func(g *Gateway, r *recorder, n int, at time.Duration) {
+		r.acts = nil
+		g.Request(at, newRequest(n, "unsafe", "rate", uint64(n)), r)
+		g.Outcome(at, Outcome{ID: fmt.Sprint("r", n), Result: ConnectFailed, Server: "s0"}, r)
+	}
+	g, r := newGate(t, probing(), fleet(1)...)
+	s := g.servers[0]
+	fail(g, r, 1, t0)
+	if r.count("probe s0") != 1 || g.warmth(s) == 1 {
+		t.Errorf("%d probes sent, warmth %v after a failed connection", r.count("probe s0"), g.warmth(s))
+	}
+	if g.Probed(t0+5*ms, "s0", OK, nil, r); g.warmth(s) != 1 {
+		t.Error("cold though a probe sent at once was answered")
+	}
+	if fail(g, r, 2, t0+time.Second); r.count("probe s0") != 1 {
+		t.Errorf("%d probes sent", r.count("probe s0"))
+	}
+	if g.Probed(t0+time.Second, "s0", ConnectFailed, nil, r); g.warmth(s) == 1 {
+		t.Error("warm though the probe failed as well")
+	}
+	if g.Probed(t0+2*time.Second, "s0", OK, nil, r); g.warmth(s) == 1 {
+		t.Error("warm after a later probe's answer: the process may have started since")
+	}
+
+	g, r = newGate(t, testSettings(), fleet(1)...)
+	s = g.servers[0]
+	for i := range 2 * breaksKept {
+		s.doubt(t0 + time.Duration(i+1)*ms)
+	}
+	g.now, g.out = t0+time.Second, r
+	g.observe(0, s, ms) // its class is known
+	q := &request{}
+	g.learn(q, s, Outcome{Result: OK, Took: ms, Since: t0 + 3*ms/2})
+	if s.broke != t0+ms {
+		t.Errorf("in doubt since %v, want the failure before the connection was made", s.broke-t0)
+	}
+	if g.learn(q, s, Outcome{Result: OK, Took: ms, Since: t0 + ms/2}); s.broke != 0 {
+		t.Error("cold after an answer on a connection older than all failures")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,10 +23,12 @@
 	credited time.Duration
 	listed   bool
 	reported time.Duration
-	broke    time.Duration // last connection that did not come up
-	heard    time.Duration // last sign of life: an answer of any kind
-	probed   time.Duration // last probe
-	lost     bool          // silent to all that was sent of late: out until it is heard
+	broke    time.Duration   // last connection that did not come up, and may tell of a restart
+	breaks   []time.Duration // all of these, oldest first
+	heard    time.Duration   // last sign of life: an answer of any kind
+	check    time.Duration   // a connection failed then, and a probe was sent at once to see why; 0: none is out
+	probed   time.Duration   // last probe
+	lost     bool            // silent to all that was sent of late: out until it is heard
 }
 
 type attempt struct {
@@ -310,6 +312,34 @@
 	}
 }
 
+// breaksKept is the most failed connections that are remembered of a server.
+const breaksKept = 8
+
+// doubt takes in a connection that did not come up: the process may have restarted.
+func (s *server) doubt(now time.Duration) {
+	if len(s.breaks) == breaksKept {
+		s.breaks = s.breaks[:breaksKept-1]
+	}
+	s.breaks = append(s.breaks, now)
+	s.broke = now
+}
+
+// upSince takes in that the process has been up since a time: connections that failed from then on were no
+// sign of a restart.
+func (s *server) upSince(at time.Duration) {
+	n := len(s.breaks)
+	for n > 0 && s.breaks[n-1] >= at {
+		n--
+	}
+	if n == len(s.breaks) {
+		return
+	}
+	s.breaks = s.breaks[:n]
+	if s.broke = 0; n > 0 {
+		s.broke = s.breaks[n-1]
+	}
+}
+
 // aside tells whether the server is kept for when no other is left.
 func (s *server) aside(now time.Duration) bool { return s.lost || now < s.ejected }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,11 +210,19 @@
 		}
 		fl.out--
 		n.gw.Outcome(now, choice.Outcome{ID: fl.id, Attempt: a.number, Closed: fl.done, Result: result,
-			Server: a.server, Took: now - a.sent, Load: rep.load}, out)
+			Server: a.server, Took: now - a.sent, Load: rep.load, Since: n.since(rep)}, out)
 		n.forget(fl)
 	})
 }
 
+// since is the clock's reading when the connection of an answer was made, 0 where there was none.
+func (n *Node) since(rep reply) time.Duration {
+	if rep.since.IsZero() {
+		return 0
+	}
+	return time.Duration(n.start.UnixNano()) + rep.since.Sub(n.start)
+}
+
 // probe asks a server for its load.
 func (n *Node) probe(server string) {
 	defer n.work.Done()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,6 +50,7 @@
 	body        []byte
 	contentType string
 	load        *choice.Load // nil: it carried no report
+	since       time.Time    // when the connection that it came on was made; zero: there was no answer
 }
 
 // upstream holds the connections to app servers. net/http's own client is not used:
@@ -84,6 +85,7 @@
 	br   *bufio.Reader // over in
 	of   *backend      // to which it may return; connections of a moved or restarted server belong to none
 	idle time.Time
+	made time.Time
 
 	rested time.Duration // how long it stood idle before the exchange under way; 0 for a new one
 }
@@ -290,7 +292,7 @@
 		return nil, err
 	}
 	in := &inlet{conn: nc}
-	c := &conn{Conn: nc, in: in, br: bufio.NewReader(in), of: b}
+	c := &conn{Conn: nc, in: in, br: bufio.NewReader(in), of: b, made: time.Now()}
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		u.discard(c)
 		return nil, err
@@ -388,8 +390,11 @@
 			result = choice.TimedOut
 		}
 	}
-	if result == choice.TimedOut {
+	switch result {
+	case choice.TimedOut:
 		u.distrust(c.of)
+	case choice.OK, choice.Full, choice.ErrorAnswer:
+		rep.since = c.made
 	}
 	return rep, result
 }
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -609,3 +609,40 @@
 		}
 	}
 }
+
+// A server that refuses a new connection and goes on answering on an old one has not
+// restarted: it must not count as cold, which would keep most requests from it.
+func TestRefusedConnectionAtALiveServer(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	s := newAppServer(t, func(c net.Conn, r *http.Request, _ []byte) bool {
+		if r.Header.Get("X-Trace-Id") == "held" {
+			close(held)
+			<-release
+		}
+		_, err := io.WriteString(c, okAnswer)
+		return err == nil
+	})
+	cfg := testConfig(s.instance("a"))
+	cfg.Settings.RampTime, cfg.Settings.ColdFrom = time.Hour, 0.01
+	cfg.Settings.FallMultiple, cfg.Settings.OverloadFor = 2, time.Second
+	r := run(t, cfg)
+	c, other := dial(t, r.addr), dial(t, r.addr)
+	if a := c.ask(request("check", "first")); a.status != http.StatusOK {
+		t.Fatalf("first request: %d", a.status)
+	}
+	c.send(request("check", "held"))
+	<-held
+	s.ln.Close()
+	if a := other.ask(request("check", "refused")); a.status != http.StatusTooManyRequests {
+		t.Fatalf("with no connection to be had: %d", a.status)
+	}
+	close(release)
+	if a := c.read(); a.status != http.StatusOK {
+		t.Fatalf("the request held: %d", a.status)
+	}
+	for i := range 20 {
+		if a := c.ask(request("check", fmt.Sprint("next", i))); a.status != http.StatusOK {
+			t.Fatalf("request %d after the old connection's answer: %d", i, a.status)
+		}
+	}
+}
