A burst that can't be chance is no longer let in whole where few attempts are out

Checked and ruled out: the bound itself and okRate, which follow what is answered; servers counted wrong (six of ten are known silent). At fault in choice.go: below samplesLeast jammed asks the slow mean of what is out as well, two seconds late; where no peer asks, that mean is the node's own past. Now three times the bound is refused at once, chance or not.

Test: TestBurstIsNotLetInWhole (module; no socket takes part), fails without.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,6 +21,7 @@
 	batchLeast   = 16                     // samples in a mean that may count as the lowest latency
 	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
 	jamFloor     = 2.0                    // attempts out per server, over all gateways, that the bound leaves
+	jamSure      = 3.0                    // times the bound that can't be out by chance
 	jamAge       = 0.5                    // share of its aim until which an attempt out counts
 	freshParts   = 20                     // parts of an aim in a step of the wait that fresh tries have
 	freshDown    = 10                     // times that a step down is smaller: the longest tenth counts
@@ -515,8 +516,9 @@
 	bound := g.okRate * jamShare * rank * c.Aim.Seconds()
 	out, servers := g.inReach()
 	floor := jamFloor * servers / float64(g.set.Instances)
-	if bound < samplesLeast && g.inboxRate > 1 {
+	if bound < samplesLeast && g.inboxRate > 1 && out < jamSure*math.Max(bound, floor) {
 		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
+		// That comes seconds late: what can't be chance doesn't wait for it, or a burst would come in whole.
 		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
 		return out >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1210,3 +1210,19 @@
 		t.Error("cold after an answer on a connection older than all failures")
 	}
 }
+
+// Where few attempts are out, the mean that tells chance from a jam comes seconds late: a
+// burst that can't be chance must not wait for it.
+func TestBurstIsNotLetInWhole(t *testing.T) {
+	const n = 4
+	g, r := newGate(t, testSettings(), fleet(n)...)
+	g.inboxRate = 10
+	for i := range 200 {
+		q := newRequest(i, "safe", "rate", uint64(i))
+		q.Spread = 1
+		g.Request(t0, q, r)
+	}
+	if got := r.count("send"); got <= jamFloor*n || got > jamSure*jamFloor*n {
+		t.Errorf("%d of a burst sent, want more than %v and at most %v", got, jamFloor*n, jamSure*jamFloor*n)
+	}
+}
