--- a/choice/state.go
+++ b/choice/state.go
@@ -514,3 +514,43 @@
 	}
 	return n
 }
+
+// SetClasses replaces the table of classes while the gateway runs. A class that has the name of one in force
+// goes on with what was learned of it and takes over the new figures. One that is no longer there takes no
+// new request; those under way keep its figures. Its place is used again once the last of them has ended.
+func (g *Gateway) SetClasses(classes []Class) error {
+	set := g.set
+	if set.Classes = classes; set.validate() != nil {
+		return fmt.Errorf("classes: %w", set.validate())
+	}
+	used := make([]bool, len(g.set.Classes))
+	for _, r := range g.reqs {
+		used[r.class] = true
+	}
+	old := g.class
+	g.class = make(map[string]int, len(classes))
+	for _, c := range classes {
+		if i, ok := old[c.Name]; ok {
+			g.class[c.Name], used[i], g.set.Classes[i] = i, true, c
+		}
+	}
+	for name, i := range old {
+		if _, ok := g.class[name]; !ok {
+			g.set.Classes[i].Worth = 0 // what is no longer asked for is not weighed against the others
+		}
+	}
+	free := 0
+	for _, c := range classes {
+		if _, ok := g.class[c.Name]; ok {
+			continue
+		}
+		for free < len(used) && used[free] {
+			free++
+		}
+		if free == len(g.set.Classes) {
+			g.set.Classes, g.lat, used = append(g.set.Classes, c), append(g.lat, classLatency{}), append(used, true)
+		}
+		g.class[c.Name], g.set.Classes[free], g.lat[free], used[free] = free, c, classLatency{}, true
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/mulleingate/main.go
@@ -0,0 +1,136 @@
+// Command mulleingate is the gateway between halls, and its operators' tool.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"mulleinmux/internal/lab"
+)
+
+// cli is the whole command line.
+type cli struct {
+	Lab labCmd `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
+}
+
+type labCmd struct {
+	Scenario string        `help:"Scenario to play; see --list." default:"calm"`
+	For      time.Duration `help:"How long clients send." default:"20s"`
+	Seed     uint64        `help:"Seed of clients and faults." default:"1"`
+	JSON     bool          `help:"Print the verdict as JSON."`
+	List     bool          `help:"List the scenarios."`
+	Logs     string        `help:"File for the instances' logs." type:"path"`
+}
+
+// env is what a command needs of the world.
+type env struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// errVerdict is a scenario that broke a rule: its verdict has been printed.
+var errVerdict = errors.New("a rule was broken")
+
+// usage is a mistake of the operator's: exit status 2.
+type usage struct{ error }
+
+func (c *labCmd) Run(e *env) error {
+	if c.List {
+		for _, s := range lab.Scenarios() {
+			fmt.Fprintf(e.stdout, "%-16s %s\n", s.Name, s.About)
+		}
+		return nil
+	}
+	if c.For < time.Second || c.For > time.Hour {
+		return usage{fmt.Errorf("--for: %v is outside 1s to 1h", c.For)}
+	}
+	opt := lab.Options{Scenario: c.Scenario, For: c.For, Seed: c.Seed,
+		Progress: func(line string) { fmt.Fprintln(e.stderr, line) }}
+	if !known(c.Scenario) {
+		return usage{fmt.Errorf("--scenario: %q is unknown: see mulleingate lab --list", c.Scenario)}
+	}
+	if c.Logs != "" {
+		f, err := os.Create(c.Logs)
+		if err != nil {
+			return usage{fmt.Errorf("--logs: %w", err)}
+		}
+		defer f.Close()
+		opt.Log = f
+	}
+	v, err := lab.Play(e.ctx, opt)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		enc := json.NewEncoder(e.stdout)
+		enc.SetIndent("", "  ")
+		err = enc.Encode(v)
+	} else {
+		err = v.Print(e.stdout)
+	}
+	if err != nil {
+		return err
+	}
+	if !v.OK {
+		return errVerdict
+	}
+	return nil
+}
+
+func known(name string) bool {
+	for _, s := range lab.Scenarios() {
+		if s.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries out a command line and returns the exit status: 0, 1 for a failure or a
+// broken rule, 2 for bad input.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var c cli
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("mulleingate"), kong.Description("A gateway between halls of booking servers, by an OpenAPI description."),
+		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exit = code }))
+	if err != nil {
+		fmt.Fprintln(stderr, "mulleingate:", err)
+		return 1
+	}
+	parsed, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit // help was asked for
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "mulleingate:", err)
+		return 2
+	}
+	err = parsed.Run(&env{ctx, stdout, stderr})
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errVerdict):
+		return 1
+	}
+	fmt.Fprintln(stderr, "mulleingate:", err)
+	if _, ok := errors.AsType[usage](err); ok {
+		return 2
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,100 @@
+// Package gateway is one instance of the gateway on sockets: it reads clients' requests,
+// finds their operation in the description in force, asks the decision module what is to
+// become of them, and carries that out. Routes and costs are decided in package contract,
+// admission, servers and repeats in package choice; here bytes are moved.
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+)
+
+// Hall is a site's servers, which a register of their own lists.
+type Hall struct {
+	Name     string         // the zone of its servers
+	Register netip.AddrPort // its agent: the protocol of package register
+}
+
+// Config is all that an instance is told at its start.
+type Config struct {
+	Name   string
+	Listen netip.AddrPort
+	Seed   uint64
+	Halls  []Hall
+
+	PeerListen netip.AddrPort   // invalid: instances don't message each other
+	Peers      []netip.AddrPort // by number, this instance's own among them
+
+	Settings choice.Settings // without Classes, which follow from the description
+	Classes  []contract.Class
+
+	Licensees map[string]Licensee // by name
+
+	MaxClients     int           // connections of clients
+	MaxServers     int           // connections to servers
+	ConnectTimeout time.Duration // for a connection to a server
+	ConnIdle       time.Duration // after which a server may close an idle connection
+	DrainFor       time.Duration // for which a draining instance still takes requests
+	FullValidation bool          // all parameters and bodies are checked against their schemas
+
+	// Observe is called with each final answer, if set; it must not block.
+	Observe func(Record)
+
+	listener net.Listener // open, in tests and the lab
+	peerConn *net.UDPConn
+}
+
+// Defaults of a [Config].
+const (
+	defaultClients = 4096
+	defaultServers = 2048
+	defaultConnect = 250 * time.Millisecond
+	defaultIdle    = 30 * time.Second
+	defaultDrain   = 500 * time.Millisecond
+)
+
+// Options are what a description is compiled with.
+func (c *Config) Options() contract.Options {
+	return contract.Options{Classes: c.Classes, MostUnits: int(c.Settings.MostUnits)}
+}
+
+// On has the instance serve on sockets that are open. conn is nil without peers.
+func (c *Config) On(ln net.Listener, conn *net.UDPConn) { c.listener, c.peerConn = ln, conn }
+
+func (c *Config) check() error {
+	switch {
+	case c.Name == "":
+		return errors.New("name: is empty")
+	case len(c.Halls) == 0:
+		return errors.New("halls: none")
+	case c.PeerListen.IsValid() && len(c.Peers) != c.Settings.Instances:
+		return fmt.Errorf("peers: %d addresses for %d instances", len(c.Peers), c.Settings.Instances)
+	case !c.PeerListen.IsValid() && c.peerConn == nil && c.Settings.Instances > 1:
+		return errors.New("peers: instances that share quotas must message each other")
+	}
+	for i, h := range c.Halls {
+		if slices.ContainsFunc(c.Halls[:i], func(o Hall) bool { return o.Name == h.Name }) {
+			return fmt.Errorf("halls: %q stands twice", h.Name)
+		}
+	}
+	c.MaxClients = orDefault(c.MaxClients, defaultClients)
+	c.MaxServers = orDefault(c.MaxServers, defaultServers)
+	c.ConnectTimeout = orDefault(c.ConnectTimeout, defaultConnect)
+	c.ConnIdle = orDefault(c.ConnIdle, defaultIdle)
+	c.DrainFor = orDefault(c.DrainFor, defaultDrain)
+	return nil
+}
+
+func orDefault[T int | time.Duration](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/internal/gateway/instance.go
@@ -0,0 +1,546 @@
+package gateway
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+	"mulleinmux/internal/httpwire"
+	"mulleinmux/internal/load"
+	"mulleinmux/internal/peers"
+	"mulleinmux/internal/register"
+)
+
+// Instance is one instance of the gateway. The module's events come from many
+// goroutines; one mutex makes them one sequence. The module's actions change the books
+// under the mutex; what does I/O runs after it is released.
+//
+// A request's own goroutine carries out its attempts, one after the other, so that no two
+// can be out at once: an action of the module only leaves word of what is to come next.
+type Instance struct {
+	cfg     *Config
+	log     *log.Logger
+	start   time.Time // the clock reads Unix time at the start plus the monotonic time since
+	ctx     context.Context
+	servers *servers
+	peers   *peers.Socket // nil: there are none
+	work    sync.WaitGroup
+
+	version atomic.Pointer[version] // in force
+	bad     atomic.Int64            // requests turned down before they were charged
+
+	mu       sync.Mutex
+	gw       *choice.Gateway
+	flights  map[string]*flight
+	after    []func() // what the event under way leaves to do without the mutex
+	closed   bool     // no more events
+	number   uint64   // of the last flight
+	timers   timers
+	alarm    *time.Timer // at the earliest of timers
+	alarmAt  time.Duration
+	known    map[string]map[string]bool // servers by hall
+	counters map[string]*Counters       // by operation, over all versions
+}
+
+// version is a description in force and the counters of its operations.
+type version struct {
+	table *contract.Table
+	ops   []*Counters // by Operation.Index
+	check Checker     // nil: only what the cost depends on is checked
+}
+
+// Counters count the requests of one operation.
+type Counters struct {
+	Served, Refused, Failed atomic.Int64 // final answers
+	Units                   atomic.Int64 // of requests of which an attempt was written whole
+	Sent                    atomic.Int64 // these requests
+	Attempts                atomic.Int64 // written whole
+}
+
+// Checker checks all that a description says of a request's parameters and body.
+type Checker interface {
+	// Check returns what is wrong with a request, or nil.
+	Check(op *contract.Operation, head *httpwire.Head, body []byte) error
+}
+
+// Record is what became of one request that was charged or refused.
+type Record struct {
+	Trace     string // X-Trace-Id
+	Operation string
+	Licensee  string
+	Version   int
+	Units     int
+	Sent      bool // an attempt was written whole: the units count
+	Attempts  int
+	Status    int    // of the final answer
+	Answer    string // "served", "refused" or "failed"
+}
+
+// flight is a request of a client until it has its final answer.
+type flight struct {
+	id       string // the module's
+	trace    string // X-Trace-Id
+	head     httpwire.Head
+	body     []byte
+	op       *contract.Operation
+	counters *Counters
+	licensee string
+	units    int
+	deadline time.Time
+	sent     bool // an attempt was written whole
+
+	// Under the instance's mutex:
+	done     bool // answer is final
+	answer   answerKind
+	wait     time.Duration // of a refusal
+	next     attempt       // asked for and not begun
+	pending  bool          // next is set
+	call     *call         // the attempt under way
+	attempts int
+	waiting  bool // its goroutine waits for wake
+	wake     chan struct{}
+	rep      reply // of the latest attempt
+}
+
+type attempt struct {
+	server string
+	until  time.Time
+}
+
+type answerKind int
+
+const (
+	served answerKind = iota
+	refused
+	failed
+)
+
+func (k answerKind) String() string { return [...]string{"served", "refused", "failed"}[k] }
+
+// newInstance makes an instance whose goroutines end with ctx.
+func newInstance(ctx context.Context, cfg *Config, table *contract.Table, check Checker, logger *log.Logger) (*Instance, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	set := cfg.Settings
+	set.Classes = table.Classes
+	gw, err := choice.New(set, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{cfg: cfg, log: logger, start: time.Now(), ctx: ctx, servers: newServers(cfg), gw: gw,
+		flights: map[string]*flight{}, known: map[string]map[string]bool{}, counters: map[string]*Counters{}}
+	in.alarm = time.AfterFunc(time.Hour, in.ring)
+	in.alarmAt = math.MaxInt64
+	in.version.Store(in.prepare(table, check))
+	return in, nil
+}
+
+// prepare makes a version of a table. Called under the mutex, or before any other has
+// the instance.
+func (in *Instance) prepare(table *contract.Table, check Checker) *version {
+	v := &version{table: table, check: check}
+	for _, op := range table.Operations {
+		c := in.counters[op.ID]
+		if c == nil {
+			c = &Counters{}
+			in.counters[op.ID] = c
+		}
+		v.ops = append(v.ops, c)
+	}
+	return v
+}
+
+// Install puts a compiled description in force at one moment: requests that are matched
+// from then on obey it; those matched before keep theirs to their final answer.
+func (in *Instance) Install(table *contract.Table, check Checker) error {
+	var err error
+	in.event(func(now time.Duration, out choice.Actions) {
+		if err = in.gw.SetClasses(table.Classes); err == nil {
+			in.version.Store(in.prepare(table, check))
+		}
+	})
+	return err
+}
+
+// Table is the description in force.
+func (in *Instance) Table() *contract.Table { return in.version.Load().table }
+
+// Count calls f with the counters of each operation that was ever in force.
+func (in *Instance) Count(f func(operation string, c *Counters)) {
+	in.mu.Lock()
+	all := make(map[string]*Counters, len(in.counters))
+	for id, c := range in.counters {
+		all[id] = c
+	}
+	in.mu.Unlock()
+	for id, c := range all {
+		f(id, c)
+	}
+}
+
+// Bad is the number of requests that were turned down before they were charged.
+func (in *Instance) Bad() int64 { return in.bad.Load() }
+
+// now reads the clock: Unix time, so that start times in lists convert, which never goes back.
+func (in *Instance) now() time.Duration {
+	return time.Duration(in.start.UnixNano()) + time.Since(in.start)
+}
+
+// event runs one event of the module, then what its actions left to do.
+func (in *Instance) event(f func(now time.Duration, out choice.Actions)) {
+	in.mu.Lock()
+	in.guarded(f)
+	after := in.after
+	in.after = nil
+	in.mu.Unlock()
+	for _, do := range after {
+		do()
+	}
+}
+
+// guarded runs an event. A panic of the module is logged, with the stack that names its
+// cause, and costs the one event.
+func (in *Instance) guarded(f func(now time.Duration, out choice.Actions)) {
+	if in.closed {
+		return
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			text := fmt.Sprintf("panic: %v\n%s", p, debug.Stack())
+			in.after = append(in.after, func() { in.log.Print(text) })
+		}
+	}()
+	f(in.now(), (*actions)(in))
+}
+
+// step runs an event of a flight's own and takes what comes next for it.
+func (in *Instance) step(fl *flight, f func(now time.Duration, out choice.Actions)) (next attempt, pending, done bool) {
+	in.mu.Lock()
+	in.guarded(f)
+	after := in.after
+	in.after = nil
+	if in.closed {
+		in.end(fl, failed, 0)
+	}
+	next, pending, done = fl.next, fl.pending, fl.done
+	if fl.pending = false; pending && !done {
+		fl.call = &call{}
+		fl.attempts++
+	}
+	fl.waiting = !pending && !done
+	in.mu.Unlock()
+	for _, do := range after {
+		do()
+	}
+	return next, pending, done
+}
+
+// carry takes a flight from its request to its final answer. gone tells whether the
+// client has left; it is asked before each further attempt.
+func (in *Instance) carry(fl *flight, q choice.Request, gone func() bool) {
+	at, pending, done := in.step(fl, func(now time.Duration, out choice.Actions) {
+		in.number++
+		var b [20]byte
+		fl.id = string(strconv.AppendUint(b[:0], in.number, 36))
+		q.ID = fl.id
+		in.flights[fl.id] = fl
+		in.gw.Request(now, q, out)
+	})
+	for !done {
+		if pending {
+			at, pending, done = in.try(fl, at, gone)
+			continue
+		}
+		late := time.NewTimer(time.Until(fl.deadline))
+		select {
+		case <-fl.wake:
+			at, pending, done = in.step(fl, func(time.Duration, choice.Actions) {})
+		case <-late.C:
+			at, pending, done = in.abandon(fl)
+		case <-in.ctx.Done():
+			at, pending, done = in.abandon(fl)
+		}
+		late.Stop()
+	}
+	in.event(func(time.Duration, choice.Actions) { delete(in.flights, fl.id) })
+}
+
+// abandon ends a flight whose client has gone or for which no answer was given in time.
+func (in *Instance) abandon(fl *flight) (attempt, bool, bool) {
+	return in.step(fl, func(now time.Duration, out choice.Actions) {
+		in.end(fl, failed, 0)
+		in.gw.Gone(now, fl.id, out)
+	})
+}
+
+// try carries out one attempt and brings its outcome to the module.
+func (in *Instance) try(fl *flight, at attempt, gone func() bool) (attempt, bool, bool) {
+	var result choice.Result
+	sent := in.now()
+	fl.rep.whole, fl.rep.since = false, time.Time{}
+	if fl.attempts > 1 && gone() {
+		result = choice.Moot
+		in.event(func(now time.Duration, out choice.Actions) { in.end(fl, failed, 0) })
+	} else {
+		result = in.servers.exchange(in.ctx, fl.call, at.server, at.until, fl.head.Method == "HEAD", &fl.rep,
+			func(b []byte) []byte { return fl.word(b, at.until) })
+	}
+	if fl.rep.whole {
+		fl.counters.Attempts.Add(1)
+		if !fl.sent {
+			fl.sent = true
+			fl.counters.Sent.Add(1)
+			fl.counters.Units.Add(int64(fl.units))
+		}
+	}
+	report := fl.rep.report()
+	return in.step(fl, func(now time.Duration, out choice.Actions) {
+		fl.call = nil
+		if result == choice.OK {
+			in.end(fl, served, 0)
+		}
+		o := choice.Outcome{ID: fl.id, Attempt: fl.attempts - 1, Closed: fl.done, Result: result, Server: at.server,
+			Took: now - sent, Load: report}
+		if !fl.rep.since.IsZero() {
+			o.Since = time.Duration(in.start.UnixNano()) + fl.rep.since.Sub(in.start)
+		}
+		in.gw.Outcome(now, o, out)
+	})
+}
+
+// end gives a flight its final answer unless it has one. Called under the mutex.
+func (in *Instance) end(fl *flight, k answerKind, wait time.Duration) {
+	if fl.done {
+		return
+	}
+	fl.done, fl.answer, fl.wait = true, k, wait
+	if k := fl.call; k != nil { // no answer of the attempt under way counts any more
+		in.after = append(in.after, k.giveUp)
+	}
+	in.wake(fl)
+}
+
+// wake has a flight's goroutine look at what is next. Called under the mutex.
+func (in *Instance) wake(fl *flight) {
+	if fl.waiting {
+		fl.waiting = false
+		fl.wake <- struct{}{} // there is room: it is told once for each wait
+	}
+}
+
+// list hands a hall's list on as changes: the lists of the other halls stay as they are.
+func (in *Instance) list(h Hall, l register.List) {
+	in.event(func(now time.Duration, out choice.Actions) {
+		known := in.known[h.Name]
+		if known == nil {
+			known = map[string]bool{}
+			in.known[h.Name] = known
+		}
+		entries := make([]register.Instance, 0, len(l.Servers))
+		listed := map[string]bool{}
+		for _, s := range l.Servers {
+			s.ID = h.Name + "/" + s.ID
+			s.Zone = h.Name
+			listed[s.ID] = true
+			if known[s.ID] = true; s.State == choice.Removed {
+				delete(known, s.ID)
+			}
+			entries = append(entries, s)
+		}
+		if l.Full {
+			for id := range known {
+				if !listed[id] {
+					delete(known, id)
+					entries = append(entries, register.Instance{Server: choice.Server{ID: id, State: choice.Removed, Zone: h.Name}})
+				}
+			}
+		}
+		stale := in.servers.update(entries)
+		in.after = append(in.after, func() { closeAll(stale) })
+		list := make([]choice.Server, len(entries))
+		for i, s := range entries {
+			list[i] = s.Server
+		}
+		in.gw.List(now, choice.ListChanges, list, out)
+	})
+}
+
+// whisper hands a message of a peer on.
+func (in *Instance) whisper(from int, message []byte) {
+	in.event(func(now time.Duration, out choice.Actions) { in.gw.Peer(now, from, message, out) })
+}
+
+// probe asks a server for its load.
+func (in *Instance) probe(id string) {
+	defer in.work.Done()
+	var rep reply
+	result := in.servers.exchange(in.ctx, &call{}, id, time.Now().Add(probeTimeout), false, &rep, func(b []byte) []byte {
+		return append(b, "GET "+loadPath+" HTTP/1.1\r\nHost: hall\r\n\r\n"...)
+	})
+	report := rep.report()
+	if report == nil && result == choice.OK {
+		report = load.Parse(string(rep.body))
+	}
+	in.event(func(now time.Duration, out choice.Actions) { in.gw.Probed(now, id, result, report, out) })
+}
+
+// close ends the instance's events, then waits for its probes, whose context has ended.
+func (in *Instance) close() {
+	in.mu.Lock()
+	in.closed = true
+	in.alarm.Stop()
+	in.mu.Unlock()
+	in.work.Wait()
+}
+
+// timers are the module's timers, the earliest first.
+type timers []timer
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// push is heap.Push without the allocation.
+func (t *timers) push(x timer) {
+	*t = append(*t, x)
+	heap.Fix(t, len(*t)-1)
+}
+
+// ring brings the module the timers that are due.
+func (in *Instance) ring() {
+	in.event(func(now time.Duration, out choice.Actions) {
+		for len(in.timers) > 0 && in.timers[0].at <= now {
+			token := in.timers[0].token
+			n := len(in.timers) - 1
+			in.timers[0] = in.timers[n]
+			if in.timers = in.timers[:n]; n > 0 {
+				heap.Fix(&in.timers, 0)
+			}
+			in.gw.Timer(now, token, out)
+		}
+		in.alarmAt = math.MaxInt64
+		in.setAlarm(now)
+	})
+}
+
+// setAlarm has ring called at the earliest timer. Called under the mutex.
+func (in *Instance) setAlarm(now time.Duration) {
+	if len(in.timers) > 0 && in.timers[0].at < in.alarmAt {
+		in.alarmAt = in.timers[0].at
+		in.alarm.Reset(max(in.alarmAt-now, 0))
+	}
+}
+
+// actions carries out what the module asks for. All are called under the mutex.
+type actions Instance
+
+// Send leaves word of the flight's next attempt, bounded by its timeout and by the
+// client's deadline. The flight's goroutine begins it once no other is out.
+func (a *actions) Send(id, server string, timeout time.Duration) {
+	in := (*Instance)(a)
+	fl := in.flights[id]
+	if fl == nil || fl.done || fl.pending {
+		in.logLater("module: send for %s, which is not open for one", id)
+		return
+	}
+	until := fl.deadline
+	if t := time.Now().Add(timeout); timeout != 0 && t.Before(until) {
+		until = t
+	}
+	fl.next, fl.pending = attempt{server, until}, true
+	in.wake(fl)
+}
+
+func (a *actions) Refuse(id string, retryAfter time.Duration) {
+	if fl := a.flights[id]; fl != nil {
+		(*Instance)(a).end(fl, refused, retryAfter)
+	}
+}
+
+func (a *actions) Fail(id string) {
+	if fl := a.flights[id]; fl != nil {
+		(*Instance)(a).end(fl, failed, 0)
+	}
+}
+
+func (a *actions) Cancel(id string, attempt int) {
+	if fl := a.flights[id]; fl != nil && fl.call != nil && attempt == fl.attempts-1 {
+		a.after = append(a.after, fl.call.giveUp)
+	}
+}
+
+func (a *actions) SetTimer(token uint64, after time.Duration) {
+	in := (*Instance)(a)
+	now := in.now()
+	in.timers.push(timer{now + after, token})
+	in.setAlarm(now)
+}
+
+func (a *actions) Probe(server string) {
+	in := (*Instance)(a)
+	in.work.Add(1)
+	go in.probe(server)
+}
+
+func (a *actions) Tell(peer int, message []byte) {
+	in := (*Instance)(a)
+	message = append([]byte(nil), message...)
+	if in.peers != nil {
+		in.after = append(in.after, func() { in.peers.Tell(peer, message, in.log.Printf) })
+	}
+}
+
+// Watch has nothing to do: the lists are always watched.
+func (a *actions) Watch(bool) {}
+
+func (a *actions) Log(text string) { (*Instance)(a).logLater("module: %s", text) }
+
+func (in *Instance) logLater(format string, args ...any) {
+	in.after = append(in.after, func() { in.log.Printf(format, args...) })
+}
+
+// AwaitServers waits until so many servers are known, over all halls.
+func (in *Instance) AwaitServers(ctx context.Context, n int, most time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		in.mu.Lock()
+		have := 0
+		for _, k := range in.known {
+			have += len(k)
+		}
+		in.mu.Unlock()
+		if have >= n {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %d servers known of %d: %w", in.cfg.Name, have, n, ctx.Err())
+		case <-tick.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,281 @@
+// Package lab plays scenarios: real instances of the gateway on loopback sockets, between
+// stand-in halls and licensees' clients. When one ends, it holds what the halls recorded
+// against what the instances counted, and tells which rules were kept.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+	"mulleinmux/deploy"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/standin"
+)
+
+// Options are an operator's choices.
+type Options struct {
+	Scenario string
+	For      time.Duration
+	Seed     uint64
+	Progress func(line string) // nil: none
+	Log      io.Writer         // of the instances; nil: dropped
+
+	breakRule func(*world) // a test breaks a rule on purpose
+}
+
+// Scenario is one that can be played.
+type Scenario struct {
+	Name, About string
+	mix         func() []standin.Ask
+	faults      standin.Faults
+	price       func(version int, operation string, units int) int
+	during      func(context.Context, *world) // runs beside the clients, until ctx ends
+}
+
+// Scenarios are all that can be played.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "calm", About: "two operations, no faults", mix: calmMix, price: sameUnits},
+		{Name: "mixed", About: "all operations of the booking API; servers err, turn away, reset and fall silent", mix: mixedMix,
+			price:  sameUnits,
+			faults: standin.Faults{Error: 0.01, ErrorIdle: 0.01, Reset: 0.01, Silent: 0.004, Refuse: 0.02}},
+		{Name: "contract-change", About: "the same while the description changes ten times, twice to a bad one", mix: mixedMix,
+			price: changingPrice, during: changeContract,
+			faults: standin.Faults{Error: 0.01, ErrorIdle: 0.01, Reset: 0.01, Silent: 0.004, Refuse: 0.02}},
+	}
+}
+
+// world is a scenario under way.
+type world struct {
+	opt       Options
+	scenario  Scenario
+	ledger    *standin.Ledger
+	halls     []*standin.Hall
+	instances []*gateway.Instance
+	addrs     []string
+	compile   contract.Options
+
+	mu      sync.Mutex
+	records []gateway.Record
+	refused []string // bad descriptions, each with whether it was refused
+	changes int
+	notes   []string // what a scenario found wrong
+}
+
+// Figures of the lab.
+const (
+	instances  = 3
+	perHall    = 5
+	startWait  = 10 * time.Second
+	defaultFor = 20 * time.Second
+)
+
+// classes and plans are those of the booking platform, with rates for a short run.
+func classes() []contract.Class {
+	return []contract.Class{
+		{Name: "slot-check", Worth: 3, Aim: 400 * time.Millisecond, Deadline: 2 * time.Second},
+		{Name: "visit-book", Worth: 9, Late: 0.2, Aim: 750 * time.Millisecond, Deadline: 2 * time.Second},
+	}
+}
+
+func settings(me int) choice.Settings {
+	return choice.Settings{
+		Me: me, Instances: instances, Zone: hallName(me % 2),
+		Plans: []choice.Plan{
+			{Name: "msingi", Rate: 6, Burst: 24, Price: 0.88, OverWorth: 0.3},
+			{Name: "kati", Rate: 24, Burst: 60, Price: 1.1, OverCost: 0.6},
+			{Name: "kubwa", Rate: 90, Burst: 150, CeilingRate: 180, CeilingBurst: 300, CeilingSlack: 30, Price: 1.6, OverCost: 1},
+		},
+		AnswerSlack: 8 * time.Millisecond, DrainGrace: 250 * time.Millisecond,
+		ColdFrom: 0.17, RampTime: 15 * time.Second, FallMultiple: 2.5, OverloadFor: 2 * time.Second,
+		MaxAttempts: 5, Cancel: true, Peers: true, Probes: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Report: choice.ReportProbes, InboxPerS: 40, MostUnits: 50, Tick: 2 * time.Millisecond,
+		PriceCross: 0.01, PricePeer: 0.03, PriceProbe: 0.01, PriceWaste: 0.05,
+	}
+}
+
+func hallName(i int) string { return [...]string{"hall-a", "hall-b"}[i] }
+
+func licensees() (ls []standin.Licensee) {
+	for i := range 12 {
+		ls = append(ls, standin.Licensee{Name: fmt.Sprintf("msingi-%d", i), Plan: "msingi", Rate: 2})
+	}
+	for i := range 6 {
+		ls = append(ls, standin.Licensee{Name: fmt.Sprintf("kati-%d", i), Plan: "kati", Rate: 8})
+	}
+	for i := range 3 {
+		ls = append(ls, standin.Licensee{Name: fmt.Sprintf("kubwa-%d", i), Plan: "kubwa", Rate: 25})
+	}
+	// One asks for several times its quota.
+	return append(ls, standin.Licensee{Name: "kubwa-greedy", Plan: "kubwa", Rate: 120})
+}
+
+// Play plays a scenario and judges it. An error means that it could not be played.
+func Play(ctx context.Context, opt Options) (*Verdict, error) {
+	i := slices.IndexFunc(Scenarios(), func(s Scenario) bool { return s.Name == opt.Scenario })
+	if i < 0 {
+		return nil, fmt.Errorf("scenario %q is unknown: see --list", opt.Scenario)
+	}
+	if opt.For <= 0 {
+		opt.For = defaultFor
+	}
+	if opt.Log == nil {
+		opt.Log = io.Discard
+	}
+	w := &world{opt: opt, scenario: Scenarios()[i], ledger: &standin.Ledger{}}
+	w.compile = contract.Options{Classes: classes(), MostUnits: 50}
+	return w.play(ctx)
+}
+
+func (w *world) play(ctx context.Context) (*Verdict, error) {
+	var halls []gateway.Hall
+	for i := range 2 {
+		h, err := standin.NewHall(hallName(i), routes(w.scenario.price), standin.Figures{Cores: 2, Queue: 60, Memory: 4 * time.Second,
+			ColdFrom: 0.17, Ramp: 15 * time.Second, FallMultiple: 2.5, FallWindow: 2 * time.Second,
+			Faults: w.scenario.faults, Seed: w.opt.Seed}, w.ledger)
+		if err != nil {
+			return nil, err
+		}
+		defer h.Close()
+		w.halls = append(w.halls, h)
+		for n := range perHall {
+			if _, err := h.Start(fmt.Sprintf("s%d", n), false); err != nil {
+				return nil, err
+			}
+		}
+		halls = append(halls, gateway.Hall{Name: h.Name, Register: h.Register.Addr()})
+	}
+	table, _, err := openapi.Compile("booking.yaml", deploy.Booking, w.compile)
+	if err != nil {
+		return nil, fmt.Errorf("the embedded description: %w", err)
+	}
+	table.Number = 1
+	life, stop := context.WithCancel(ctx)
+	defer stop()
+	ended, err := w.start(life, halls, table)
+	if err != nil {
+		return nil, err
+	}
+	clients := &standin.Clients{Instances: w.addrs, Licensees: licensees(), Mix: w.scenario.mix(), Tries: 3, Deadline: 2 * time.Second, Seed: w.opt.Seed}
+	playing, end := context.WithTimeout(ctx, w.opt.For)
+	defer end()
+	var beside sync.WaitGroup
+	if w.scenario.during != nil {
+		beside.Go(func() { w.scenario.during(playing, w) })
+	}
+	if w.opt.breakRule != nil {
+		beside.Go(func() { w.opt.breakRule(w) })
+	}
+	beside.Go(func() { w.progress(playing) })
+	began := time.Now()
+	tries := clients.Run(playing)
+	beside.Wait()
+	stop()
+	for range w.instances {
+		if err := <-ended; err != nil {
+			return nil, fmt.Errorf("instance: %w", err)
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return w.judge(tries, began), nil
+}
+
+// start starts the instances and returns once all are ready.
+func (w *world) start(ctx context.Context, halls []gateway.Hall, table *contract.Table) (ended chan error, err error) {
+	var lns []net.Listener
+	var conns []*net.UDPConn
+	var addrs []netip.AddrPort
+	for range instances {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, err
+		}
+		lns, conns = append(lns, ln), append(conns, conn)
+		w.addrs = append(w.addrs, ln.Addr().String())
+		addrs = append(addrs, conn.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	known := map[string]gateway.Licensee{}
+	for _, l := range licensees() {
+		known[l.Name] = gateway.Licensee{Plan: l.Plan, Customer: gateway.CustomerOf(l.Name)}
+	}
+	ended = make(chan error, instances)
+	ready := make(chan *gateway.Instance, instances)
+	for i := range instances {
+		cfg := &gateway.Config{Name: fmt.Sprintf("gate-%d", i), Seed: w.opt.Seed + uint64(i), Halls: halls, Peers: addrs,
+			Settings: settings(i), Classes: classes(), Licensees: known, Observe: w.observe, DrainFor: 50 * time.Millisecond}
+		cfg.On(lns[i], conns[i])
+		logger := log.New(w.opt.Log, cfg.Name+" ", log.LstdFlags|log.Lmicroseconds)
+		go func() {
+			ended <- gateway.Run(ctx, cfg, table, nil, logger, func(in *gateway.Instance) { ready <- in })
+		}()
+	}
+	for range instances {
+		select {
+		case in := <-ready:
+			w.instances = append(w.instances, in)
+		case err := <-ended:
+			return nil, errors.Join(errors.New("an instance ended at its start"), err)
+		case <-time.After(startWait):
+			return nil, errors.New("an instance does not become ready")
+		}
+	}
+	for _, in := range w.instances {
+		if err := in.AwaitServers(ctx, 2*perHall, startWait); err != nil {
+			return nil, err
+		}
+	}
+	return ended, nil
+}
+
+func (w *world) observe(r gateway.Record) {
+	w.mu.Lock()
+	w.records = append(w.records, r)
+	w.mu.Unlock()
+}
+
+// progress tells how far a scenario has come, once a second.
+func (w *world) progress(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if w.opt.Progress == nil {
+			continue
+		}
+		var served, refused, failed int64
+		for _, in := range w.instances {
+			in.Count(func(_ string, c *gateway.Counters) {
+				served, refused, failed = served+c.Served.Load(), refused+c.Refused.Load(), failed+c.Failed.Load()
+			})
+		}
+		w.mu.Lock()
+		changes := w.changes
+		w.mu.Unlock()
+		line := fmt.Sprintf("%s %ds of %v: %d served, %d refused, %d failed", w.scenario.Name, n, w.opt.For, served, refused, failed)
+		if changes > 0 {
+			line += fmt.Sprintf(", %d changes of the description", changes)
+		}
+		w.opt.Progress(line)
+	}
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,24 @@
+package lab
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// Each scenario keeps every rule, and the halls' account agrees with the instances' to
+// the unit.
+func TestScenarios(t *testing.T) {
+	for _, s := range Scenarios() {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			v, err := Play(context.Background(), Options{Scenario: s.Name, For: 4 * time.Second, Seed: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !v.OK || v.Served == 0 || v.UnitsCounted == 0 {
+				t.Errorf("%+v", v)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/verdict.go
@@ -0,0 +1,331 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/standin"
+)
+
+// Verdict is what came of a scenario. It is also its JSON.
+type Verdict struct {
+	Scenario      string             `json:"scenario"`
+	Seed          uint64             `json:"seed"`
+	OK            bool               `json:"ok"`
+	Rules         map[string]int     `json:"rules"` // violations
+	Requests      int                `json:"requests"`
+	Served        int                `json:"served"`
+	Refused       int                `json:"refused"`
+	Failed        int                `json:"failed"`
+	UnitsDeclared int                `json:"units_declared"` // by what the halls read of each request that reached them
+	UnitsCounted  int                `json:"units_counted"`  // by the instances
+	Duplicates    int                `json:"duplicates"`
+	Unanswered    int                `json:"unanswered"`
+	Figures       map[string]float64 `json:"figures"`
+	Examples      []string           `json:"examples,omitempty"` // of violations
+	Operations    []OperationFigures `json:"operations"`
+}
+
+// OperationFigures are those of one operation.
+type OperationFigures struct {
+	Operation string `json:"operation"`
+	Sent      int    `json:"sent"` // requests that reached a hall
+	Attempts  int    `json:"attempts"`
+	Declared  int    `json:"units_declared"`
+	Counted   int    `json:"units_counted"`
+}
+
+// Tolerances of the rules: what a record's time may be off.
+const (
+	inFlightSlack = 25 * time.Millisecond // until a hall sees that a connection has ended
+	drainGrace    = 250*time.Millisecond + 50*time.Millisecond
+	lateSlack     = 60 * time.Millisecond
+	windowSlack   = 50 * time.Millisecond
+	mostExamples  = 12
+)
+
+type judge struct {
+	v *Verdict
+}
+
+func (j *judge) broken(rule, format string, args ...any) {
+	j.v.Rules[rule]++
+	if len(j.v.Examples) < mostExamples {
+		j.v.Examples = append(j.v.Examples, rule+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+// judge holds the account of the halls and of the clients against the instances' own.
+func (w *world) judge(tries []standin.Try, began time.Time) *Verdict {
+	v := &Verdict{Scenario: w.scenario.Name, Seed: w.opt.Seed, Figures: map[string]float64{}, Rules: map[string]int{
+		"one_answer": 0, "no_effect_twice": 0, "drains": 0, "cold_servers": 0, "ceilings": 0,
+		"units": 0, "operations": 0, "versions": 0, "scenario": 0}}
+	j := &judge{v}
+	arrivals := w.ledger.Arrivals()
+	slices.SortStableFunc(arrivals, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
+	byTrace := map[string][]standin.Arrival{}
+	for _, a := range arrivals {
+		byTrace[a.Trace] = append(byTrace[a.Trace], a)
+	}
+	records := map[string]gateway.Record{}
+	for _, r := range w.records {
+		if _, twice := records[r.Trace]; twice {
+			j.broken("one_answer", "%s was answered twice by the instances", r.Trace)
+		}
+		records[r.Trace] = r
+	}
+	j.answers(tries)
+	j.effects(arrivals, byTrace)
+	j.costs(byTrace, records)
+	for _, s := range w.ledger.Strays() {
+		j.broken("operations", "the halls know no operation for %s", s)
+	}
+	for _, s := range w.ledger.Fallen() {
+		j.broken("cold_servers", "%s was pushed over", s)
+	}
+	j.ceilings(byTrace)
+	w.counters(j)
+	for _, n := range w.notes {
+		j.broken("scenario", "%s", n)
+	}
+	j.figures(tries, len(arrivals), time.Since(began))
+	v.OK = true
+	for _, n := range v.Rules {
+		v.OK = v.OK && n == 0
+	}
+	return v
+}
+
+// answers checks that each try of a client had one whole answer, its own and in time.
+func (j *judge) answers(tries []standin.Try) {
+	for _, t := range tries {
+		j.v.Requests++
+		switch {
+		case t.Served:
+			j.v.Served++
+		case t.Status == 429 || t.Status == 503:
+			j.v.Refused++
+		default:
+			j.v.Failed++
+		}
+		switch {
+		case t.Answers == 0:
+			j.v.Unanswered++
+			j.broken("one_answer", "%s (%s) had no answer", t.Trace, t.Operation)
+		case t.Answers > 1:
+			j.broken("one_answer", "%s (%s) had more than one answer", t.Trace, t.Operation)
+		case t.Wrong != "":
+			j.broken("one_answer", "%s: %s", t.Trace, t.Wrong)
+		case t.Ended.Sub(t.At) > 2*time.Second+lateSlack:
+			j.broken("one_answer", "%s was answered after %v", t.Trace, t.Ended.Sub(t.At))
+		}
+		if t.Status == 400 || t.Status == 404 || t.Status == 405 || t.Status == 403 {
+			j.broken("operations", "%s (%s) was turned down with %d", t.Trace, t.Operation, t.Status)
+		}
+	}
+}
+
+// effects checks what the attempts of each request did: no effect twice, repeats only
+// within their class, never two attempts at once, drains kept.
+func (j *judge) effects(arrivals []standin.Arrival, byTrace map[string][]standin.Arrival) {
+	done := map[string]string{}
+	for _, a := range arrivals {
+		if a.Draining > drainGrace {
+			j.broken("drains", "%s came to %s %v after it drained", a.Trace, a.Server, a.Draining)
+		}
+		if !a.Effected || a.Effect == "safe" {
+			continue
+		}
+		name := a.Trace
+		if a.Effect == "keyed" {
+			name = a.Key
+		}
+		if before, twice := done[name]; twice {
+			j.v.Duplicates++
+			j.broken("no_effect_twice", "%s (%s) had its effect at %s and at %s", name, a.Operation, before, a.Hall+"/"+a.Server)
+		}
+		done[name] = a.Hall + "/" + a.Server
+	}
+	for trace, as := range byTrace {
+		var ran *standin.Arrival // the first that may have run
+		for i := range as {
+			a := &as[i]
+			if i > 0 && a.At.Add(inFlightSlack).Before(as[i-1].Ended) {
+				j.broken("no_effect_twice", "%s had two attempts out for %v", trace, as[i-1].Ended.Sub(a.At))
+			}
+			if ran != nil {
+				switch {
+				case a.Effect == "unsafe":
+					j.broken("no_effect_twice", "%s (%s) is unsafe, may have run and was sent again", trace, a.Operation)
+				case a.Effect == "keyed" && a.Hall != ran.Hall:
+					j.broken("no_effect_twice", "%s (%s) may have run at %s and was sent to %s", trace, a.Operation, ran.Hall, a.Hall)
+				case a.Effect == "keyed" && a.At.Sub(ran.At) > 4*time.Second+windowSlack:
+					j.broken("no_effect_twice", "%s (%s) was sent again after %v", trace, a.Operation, a.At.Sub(ran.At))
+				}
+			}
+			if ran == nil && a.Ran {
+				ran = a
+			}
+		}
+	}
+}
+
+// costs checks that each request that reached a hall was charged once, as the operation
+// that the hall saw, at the price of one version.
+func (j *judge) costs(byTrace map[string][]standin.Arrival, records map[string]gateway.Record) {
+	ops := map[string]*OperationFigures{}
+	op := func(name string) *OperationFigures {
+		if ops[name] == nil {
+			ops[name] = &OperationFigures{Operation: name}
+		}
+		return ops[name]
+	}
+	for trace, as := range byTrace {
+		first := as[0]
+		f := op(first.Operation)
+		f.Sent++
+		f.Attempts += len(as)
+		f.Declared += first.Units
+		j.v.UnitsDeclared += first.Units
+		r, ok := records[trace]
+		if !ok || !r.Sent {
+			j.broken("units", "%s (%s) reached %s and was charged by no instance", trace, first.Operation, first.Hall)
+			continue
+		}
+		if r.Operation != first.Operation {
+			j.broken("operations", "%s was charged as %s and reached %s as %s", trace, r.Operation, first.Hall, first.Operation)
+		}
+		if r.Units != first.Units {
+			j.broken("units", "%s (%s, version %d) was charged %d units; %d were declared", trace, r.Operation, r.Version, r.Units, first.Units)
+		}
+		if r.Attempts < len(as) {
+			j.broken("units", "%s: the instance knows of %d attempts of %d", trace, r.Attempts, len(as))
+		}
+		for _, a := range as {
+			if a.Version != r.Version {
+				j.broken("versions", "%s was matched with version %d and sent on with %d", trace, r.Version, a.Version)
+			}
+		}
+	}
+	for trace, r := range records {
+		if r.Sent && byTrace[trace] == nil {
+			j.broken("units", "%s (%s) was charged and reached no hall", trace, r.Operation)
+		}
+	}
+	for _, f := range ops {
+		j.v.Operations = append(j.v.Operations, *f)
+	}
+	slices.SortFunc(j.v.Operations, func(a, b OperationFigures) int { return cmp.Compare(a.Operation, b.Operation) })
+}
+
+// ceilings plays the ceilings' stores over the halls' record. The slack is that of the
+// plan or a tenth, whichever is more, and what the rate gives in 150 ms.
+func (j *judge) ceilings(byTrace map[string][]standin.Arrival) {
+	plans := map[string]string{}
+	for _, l := range licensees() {
+		plans[l.Name] = l.Plan
+	}
+	firsts := map[string][]standin.Arrival{}
+	for _, as := range byTrace {
+		firsts[as[0].Licensee] = append(firsts[as[0].Licensee], as[0])
+	}
+	for name, as := range firsts {
+		for _, p := range settings(0).Plans {
+			if p.Name != plans[name] || p.CeilingRate <= 0 {
+				continue
+			}
+			slices.SortFunc(as, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
+			level, at := p.CeilingBurst, as[0].At
+			slack := math.Max(p.CeilingSlack, 0.1*p.CeilingBurst) + 0.15*p.CeilingRate
+			for _, a := range as {
+				level = math.Min(level+p.CeilingRate*a.At.Sub(at).Seconds(), p.CeilingBurst) - float64(a.Units)
+				if at = a.At; level < -slack {
+					j.broken("ceilings", "%s is %.0f units over its ceiling", name, -level)
+				}
+			}
+		}
+	}
+}
+
+// counters holds the instances' counters against the records and the halls.
+func (w *world) counters(j *judge) {
+	counted := map[string]int{}
+	answers := map[string]int{}
+	for _, in := range w.instances {
+		in.Count(func(op string, c *gateway.Counters) {
+			counted[op] += int(c.Units.Load())
+			j.v.UnitsCounted += int(c.Units.Load())
+			answers["served"] += int(c.Served.Load())
+			answers["refused"] += int(c.Refused.Load())
+			answers["failed"] += int(c.Failed.Load())
+		})
+	}
+	for i := range j.v.Operations {
+		f := &j.v.Operations[i]
+		if f.Counted = counted[f.Operation]; f.Counted != f.Declared {
+			j.broken("units", "%s: %d units counted, %d declared", f.Operation, f.Counted, f.Declared)
+		}
+	}
+	if j.v.UnitsCounted != j.v.UnitsDeclared {
+		j.broken("units", "%d units counted in all, %d declared", j.v.UnitsCounted, j.v.UnitsDeclared)
+	}
+	if answers["served"] != j.v.Served || answers["refused"] != j.v.Refused || answers["failed"] != j.v.Failed {
+		j.broken("one_answer", "the instances count %v; clients had %d served, %d refused, %d failed", answers, j.v.Served, j.v.Refused, j.v.Failed)
+	}
+}
+
+// figures tells how well clients were served.
+func (j *judge) figures(tries []standin.Try, attempts int, took time.Duration) {
+	var lat []float64
+	for _, t := range tries {
+		if t.Served {
+			lat = append(lat, t.Ended.Sub(t.At).Seconds()*1000)
+		}
+	}
+	slices.Sort(lat)
+	at := func(q float64) float64 {
+		if len(lat) == 0 {
+			return 0
+		}
+		return math.Round(lat[min(int(q*float64(len(lat))), len(lat)-1)]*10) / 10
+	}
+	f := j.v.Figures
+	f["seconds"] = math.Round(took.Seconds()*10) / 10
+	f["attempts"] = float64(attempts)
+	f["served_p50_ms"], f["served_p99_ms"] = at(0.5), at(0.99)
+	if j.v.Requests > 0 {
+		f["served_share"] = math.Round(float64(j.v.Served)/float64(j.v.Requests)*1000) / 1000
+	}
+}
+
+// Print writes a verdict for a person.
+func (v *Verdict) Print(w io.Writer) error {
+	word := "every rule was kept"
+	if !v.OK {
+		word = "RULES WERE BROKEN"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, seed %d: %s\n\n", v.Scenario, v.Seed, word)
+	fmt.Fprintf(&b, "requests %d: %d served, %d refused, %d failed, %d unanswered\n", v.Requests, v.Served, v.Refused, v.Failed, v.Unanswered)
+	fmt.Fprintf(&b, "units %d declared, %d counted; %d duplicates\n", v.UnitsDeclared, v.UnitsCounted, v.Duplicates)
+	fmt.Fprintf(&b, "served within %.1f ms (median), %.1f ms (99 in 100)\n\n", v.Figures["served_p50_ms"], v.Figures["served_p99_ms"])
+	for _, name := range slices.Sorted(maps.Keys(v.Rules)) {
+		fmt.Fprintf(&b, "%-18s %d violations\n", name, v.Rules[name])
+	}
+	fmt.Fprintf(&b, "\n%-20s %8s %8s %10s %10s\n", "operation", "sent", "attempts", "declared", "counted")
+	for _, o := range v.Operations {
+		fmt.Fprintf(&b, "%-20s %8d %8d %10d %10d\n", o.Operation, o.Sent, o.Attempts, o.Declared, o.Counted)
+	}
+	for _, e := range v.Examples {
+		fmt.Fprintf(&b, "\n%s", e)
+	}
+	_, err := io.WriteString(w, b.String()+"\n")
+	return err
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,53 @@
+// Package load reads the load reports of app servers.
+package load
+
+import (
+	"strconv"
+	"strings"
+
+	"mulleinmux/choice"
+)
+
+// Most that a figure of a load report can be: reports are noisy, but a core can't be
+// busy several times over, nor can a server hold more than it has connections.
+const (
+	mostUtil  = 2
+	mostCount = 1e5
+)
+
+// Parse parses a load report such as "TEXT inflight=7, queue=2, util=0.61".
+// Unknown names and figures that can't be are skipped; nil means that there is no
+// report in the text.
+func Parse(text string) *choice.Load {
+	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT")
+	if !ok {
+		return nil
+	}
+	l := choice.Load{InFlight: -1, Queue: -1, Util: -1}
+	for _, pair := range strings.Split(text, ",") {
+		name, val, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		x, ok := Decimal(val)
+		if !ok {
+			continue
+		}
+		switch {
+		case x > mostCount:
+		case name == "inflight" || name == "outstanding":
+			l.InFlight = x
+		case name == "queue" || name == "backlog":
+			l.Queue = x
+		case (name == "util" || name == "utilization") && x <= mostUtil:
+			l.Util = x
+		}
+	}
+	return &l
+}
+
+// Decimal parses a plain decimal number from 0: no sign, exponent, hex or infinity.
+func Decimal(text string) (float64, bool) {
+	if text == "" || len(text) > 20 || strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(text, 64)
+	return x, err == nil
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/register"
 	"mulleinmux/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 	Peers      []netip.AddrPort // by number, this node's own among them
 	PeersAll   netip.AddrPort   // every edge node of the tier
 
-	Known     List // the app servers as this node last had them
+	Known     register.List // the app servers as this node last had them
 	Settings  choice.Settings
 	Transport wire.Transport
 
@@ -107,10 +108,10 @@
 		return nil, errors.New("name: is empty")
 	}
 	var err error
-	if c.Listen, err = address("listen", raw.Listen); err != nil {
+	if c.Listen, err = register.Address("listen", raw.Listen); err != nil {
 		return nil, err
 	}
-	if c.Discovery, err = address("discovery", raw.Discovery); err != nil {
+	if c.Discovery, err = register.Address("discovery", raw.Discovery); err != nil {
 		return nil, err
 	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
@@ -139,35 +140,27 @@
 		c.Transport.ConnectTimeout = defaultConnectTimeout
 	}
 	if c.Settings.Peers && c.Settings.Instances > 1 {
-		if c.PeerListen, err = address("peer_listen", raw.PeerListen); err != nil {
+		if c.PeerListen, err = register.Address("peer_listen", raw.PeerListen); err != nil {
 			return nil, err
 		}
 		if len(raw.Peers) != c.Settings.Instances {
 			return nil, fmt.Errorf("peers: %d addresses for %d instances", len(raw.Peers), c.Settings.Instances)
 		}
 		for i, p := range raw.Peers {
-			a, err := address(fmt.Sprintf("peers[%d]", i), p)
+			a, err := register.Address(fmt.Sprintf("peers[%d]", i), p)
 			if err != nil {
 				return nil, err
 			}
 			c.Peers = append(c.Peers, a)
 		}
-		if c.PeersAll, err = address("peers_all", raw.PeersAll); err != nil {
+		if c.PeersAll, err = register.Address("peers_all", raw.PeersAll); err != nil {
 			return nil, err
 		}
 	}
 	if len(raw.Known) > 0 && string(raw.Known) != "null" {
-		if c.Known, c.left, err = parseList(raw.Known); err != nil {
+		if c.Known, c.left, err = register.ParseList(raw.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
 	return c, nil
 }
-
-func address(field, v string) (netip.AddrPort, error) {
-	a, err := netip.ParseAddrPort(v)
-	if err != nil {
-		return a, fmt.Errorf("%s: %w", field, err)
-	}
-	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()), nil
-}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/load"
 )
 
 const (
@@ -263,7 +264,7 @@
 	case !f.plans[q.Plan]:
 		return q, m, bad("X-Contract: unknown plan")
 	}
-	seconds, ok := decimal(expires)
+	seconds, ok := load.Decimal(expires)
 	if !ok || seconds <= 0 {
 		return q, m, bad("X-Expires-In: malformed")
 	}
@@ -325,7 +326,7 @@
 func (f *front) metering(text string, q *choice.Request) error {
 	set := &f.node.cfg.Settings
 	number := func(val string, least, most int) (int, bool) {
-		x, ok := decimal(val)
+		x, ok := load.Decimal(val)
 		return int(x), ok && x == math.Trunc(x) && x >= float64(least) && x <= float64(most)
 	}
 	most := set.MostUnits
@@ -342,7 +343,7 @@
 		ok := true
 		switch name {
 		case "units":
-			q.Units, ok = decimal(val)
+			q.Units, ok = load.Decimal(val)
 			ok = ok && q.Units > 0 && q.Units <= most
 		case "spread":
 			q.Spread, ok = number(val, 1, set.Instances)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -18,9 +18,15 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/register"
 	"mulleinmux/internal/wire"
 )
 
+type (
+	List     = register.List
+	Instance = register.Instance
+)
+
 // patience bounds every wait of a test; none is expected to come near it.
 const patience = 30 * time.Second
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/load"
+	"mulleinmux/internal/peers"
+	"mulleinmux/internal/register"
 )
 
 // Node hosts the gateway of one edge node. Its events come from many goroutines;
@@ -23,7 +26,7 @@
 	start time.Time // the clock reads Unix time at the start plus the monotonic time since
 	ctx   context.Context
 	up    *upstream
-	peers *peers // nil where edge nodes don't message each other
+	peers *peers.Socket // nil where edge nodes don't message each other
 
 	mu      sync.Mutex
 	gw      *choice.Gateway
@@ -127,7 +130,7 @@
 }
 
 // list hands a list to the connections and to the gateway, as one event.
-func (n *Node) list(l List, form choice.ListForm) {
+func (n *Node) list(l register.List, form choice.ListForm) {
 	servers := make([]choice.Server, len(l.Servers))
 	for i, s := range l.Servers {
 		servers[i] = s.Server
@@ -140,7 +143,7 @@
 }
 
 // heard hands a message of discovery on.
-func (n *Node) heard(l List) {
+func (n *Node) heard(l register.List) {
 	form := choice.ListChanges
 	if l.Full {
 		form = choice.ListFull
@@ -229,11 +232,11 @@
 	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 	defer cancel()
 	rep, result := n.up.exchange(ctx, server, &message{method: "GET", target: loadPath})
-	load := rep.load
-	if load == nil {
-		load = parseLoad(string(rep.body))
+	report := rep.load
+	if report == nil {
+		report = load.Parse(string(rep.body))
 	}
-	n.event(func(now time.Duration, out choice.Actions) { n.gw.Probed(now, server, result, load, out) })
+	n.event(func(now time.Duration, out choice.Actions) { n.gw.Probed(now, server, result, report, out) })
 }
 
 // actions carries out what the gateway asks for. All are called under the mutex.
@@ -294,7 +297,7 @@
 	n := (*Node)(a)
 	message = append([]byte(nil), message...)
 	if n.peers != nil {
-		n.after = append(n.after, func() { n.peers.tell(peer, message, n.log.Printf) })
+		n.after = append(n.after, func() { n.peers.Tell(peer, message, n.log.Printf) })
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,6 +8,9 @@
 	"net/netip"
 	"os"
 	"sync"
+
+	"mulleinmux/internal/peers"
+	"mulleinmux/internal/register"
 )
 
 // Run runs an edge node until ctx ends, then drains it. At each signal on reload it
@@ -32,17 +35,17 @@
 	var side sync.WaitGroup
 	defer side.Wait()
 	if cfg.PeerListen.IsValid() {
-		if n.peers, err = listenPeers(cfg); err != nil {
+		if n.peers, err = peers.Listen(cfg.PeerListen, cfg.Settings.Me, cfg.Peers, cfg.PeersAll); err != nil {
 			return err
 		}
-		defer n.peers.conn.Close()
+		defer n.peers.Close()
 	}
 	if len(cfg.left) > 0 {
 		logger.Printf("known: %d entries left out, the first: %v", len(cfg.left), cfg.left[0])
 	}
 	n.boot()
 	if n.peers != nil {
-		side.Go(func() { n.peers.receive(n.whisper) })
+		side.Go(func() { n.peers.Receive(n.whisper) })
 	}
 	watch := startWatch(life, n, cfg.Discovery, cfg.Known.Generation)
 	defer func() { watch.end() }()
@@ -84,10 +87,10 @@
 func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64) *watch {
 	ctx, stop := context.WithCancel(ctx)
 	w := &watch{addr: addr, stop: stop, done: make(chan struct{})}
-	reg := &registry{addr: addr, silent: watchSilent, last: from, apply: n.heard, logf: n.log.Printf}
+	reg := &register.Follower{Addr: addr, Silent: register.Silent, Last: from, Apply: n.heard, Logf: n.log.Printf}
 	go func() {
 		defer close(w.done)
-		reg.run(ctx)
+		reg.Run(ctx)
 	}()
 	return w
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/load"
+	"mulleinmux/internal/register"
 	"mulleinmux/internal/wire"
 )
 
@@ -148,7 +150,7 @@
 // update takes in entries of the list and returns the idle connections that are of
 // no more use, for the caller to close. A server that drains, moved, restarted or
 // vanished from the list keeps none.
-func (u *upstream) update(entries []Instance, full bool) (stale []*conn) {
+func (u *upstream) update(entries []register.Instance, full bool) (stale []*conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	listed := map[string]bool{}
@@ -519,7 +521,7 @@
 	}
 	rep = reply{body: body, contentType: resp.Header.Get("Content-Type")}
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" {
-		rep.load = parseLoad(text)
+		rep.load = load.Parse(text)
 	}
 	c.in.settle()
 	// What stands behind the answer belongs to no request: the next one would take it for its own.
@@ -534,50 +536,6 @@
 	return rep, choice.ErrorAnswer, reuse
 }
 
-// Most that a figure of a load report can be: reports are noisy, but a core can't be
-// busy several times over, nor can a server hold more than it has connections.
-const (
-	mostUtil  = 2
-	mostCount = 1e5
-)
-
-// parseLoad parses a load report such as "TEXT inflight=7, queue=2, util=0.61".
-// Unknown names and figures that can't be are skipped; nil means that there is no
-// report in the text.
-func parseLoad(text string) *choice.Load {
-	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT")
-	if !ok {
-		return nil
-	}
-	l := choice.Load{InFlight: -1, Queue: -1, Util: -1}
-	for _, pair := range strings.Split(text, ",") {
-		name, val, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		x, ok := decimal(val)
-		if !ok {
-			continue
-		}
-		switch {
-		case x > mostCount:
-		case name == "inflight" || name == "outstanding":
-			l.InFlight = x
-		case name == "queue" || name == "backlog":
-			l.Queue = x
-		case (name == "util" || name == "utilization") && x <= mostUtil:
-			l.Util = x
-		}
-	}
-	return &l
-}
-
-// decimal parses a plain decimal number from 0: no sign, exponent, hex or infinity.
-func decimal(text string) (float64, bool) {
-	if text == "" || len(text) > 20 || strings.Trim(text, "0123456789.") != "" {
-		return 0, false
-	}
-	x, err := strconv.ParseFloat(text, 64)
-	return x, err == nil
-}
-
 // shut closes all idle connections.
 func (u *upstream) shut() {
 	stale := u.update(nil, true)
--- a/internal/node/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,5 @@
-package node
+// Package peers is the datagram socket over which the nodes of a tier message one another.
+package peers
 
 import (
 	"errors"
@@ -17,8 +18,8 @@
 // maxMessage is the longest datagram that may be sent to a peer.
 const maxMessage = 256
 
-// peers is the datagram socket over which edge nodes message one another.
-type peers struct {
+// Socket sends and receives messages.
+type Socket struct {
 	conn  *net.UDPConn
 	addrs []netip.AddrPort
 	all   netip.AddrPort
@@ -26,24 +27,33 @@
 	mute  atomic.Bool // the latest message could not be sent
 }
 
-// listenPeers opens the socket.
-func listenPeers(c *Config) (*peers, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.PeerListen))
+// Listen opens the socket of node me. addrs has the address of each node by number; all
+// reaches every node at once, and may be invalid where there is no such address.
+func Listen(listen netip.AddrPort, me int, addrs []netip.AddrPort, all netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &peers{conn: conn, addrs: c.Peers, all: c.PeersAll, from: map[netip.AddrPort]int{}}
-	for i, a := range c.Peers {
-		if i != c.Settings.Me {
+	return On(conn, me, addrs, all), nil
+}
+
+// On is [Listen] on a socket that is open.
+func On(conn *net.UDPConn, me int, addrs []netip.AddrPort, all netip.AddrPort) *Socket {
+	p := &Socket{conn: conn, addrs: addrs, all: all, from: map[netip.AddrPort]int{}}
+	for i, a := range addrs {
+		if i != me {
 			p.from[a] = i
 		}
 	}
-	return p, nil
+	return p
 }
 
-// tell sends a message. A lost one is part of the contract; that messages can't be
+// Close closes the socket, which ends Receive.
+func (p *Socket) Close() error { return p.conn.Close() }
+
+// Tell sends a message. A lost one is part of the contract; that messages can't be
 // sent is logged once, and so is that they can again.
-func (p *peers) tell(peer int, message []byte, logf func(format string, args ...any)) {
+func (p *Socket) Tell(peer int, message []byte, logf func(format string, args ...any)) {
 	err := p.send(peer, message)
 	if was := p.mute.Swap(err != nil); err != nil && !was {
 		logf("peers: %v", err)
@@ -52,7 +62,7 @@
 	}
 }
 
-func (p *peers) send(peer int, message []byte) error {
+func (p *Socket) send(peer int, message []byte) error {
 	to := p.all
 	if peer != choice.AllPeers {
 		if peer < 0 || peer >= len(p.addrs) {
@@ -67,9 +77,9 @@
 	return err
 }
 
-// receive hands on what peers send until the socket is closed. A datagram from
+// Receive hands on what peers send until the socket is closed. A datagram from
 // an unknown address or over the limit is dropped; the module drops malformed ones.
-func (p *peers) receive(hear func(from int, message []byte)) {
+func (p *Socket) Receive(hear func(from int, message []byte)) {
 	buf := make([]byte, maxMessage+1)
 	for {
 		n, addr, err := p.conn.ReadFromUDPAddrPort(buf)
--- a/internal/node/registry.go
+++ b/internal/register/register.go
@@ -1,4 +1,6 @@
-package node
+// Package register follows a register of app servers: it reads the list and its changes
+// as the register's agent tells them (HTTP/1.1, one JSON object a line).
+package register
 
 import (
 	"bufio"
@@ -16,7 +18,7 @@
 	"mulleinmux/choice"
 )
 
-// List is one message of discovery.
+// List is one message of the register.
 type List struct {
 	Generation uint64
 	Full       bool // the complete list: a server missing from it is gone
@@ -32,9 +34,9 @@
 // maxList bounds one message of discovery.
 const maxList = 4 << 20
 
-// parseList parses one message of discovery. An entry that can't be is left out, or one
+// ParseList parses one message of discovery. An entry that can't be is left out, or one
 // would cost all others; the errors name each.
-func parseList(text []byte) (l List, left []error, err error) {
+func ParseList(text []byte) (l List, left []error, err error) {
 	var raw struct {
 		Generation uint64
 		Reset      bool
@@ -95,7 +97,7 @@
 		return Instance{}, fmt.Errorf("startedAtMs: %v is out of range", e.StartedAtMs)
 	}
 	var err error
-	if s.Addr, err = address("hostPort", e.HostPort); err != nil && s.State != choice.Removed {
+	if s.Addr, err = Address("hostPort", e.HostPort); err != nil && s.State != choice.Removed {
 		return Instance{}, err
 	}
 	return s, nil
@@ -103,26 +105,27 @@
 
 // Pace of the watch.
 const (
-	watchSilent  = 3 * time.Second        // a line comes every 2 s, and what is told counts as known 6 s later at the latest
+	Silent       = 3 * time.Second        // a watch that says nothing for so long is given up: a line comes every 2 s, and what is told counts as known 6 s later at the latest
 	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
 	backoffMost  = time.Second
 )
 
-// registry follows the changes of the list of app servers.
-type registry struct {
-	addr   netip.AddrPort
-	silent time.Duration // watchSilent but in tests
-	last   uint64        // the version that is held
-	down   bool          // the latest watch ended and nothing has been heard since
-	apply  func(List)
-	logf   func(format string, args ...any)
+// Follower follows the changes of the list of app servers. Its fields are set before Run.
+type Follower struct {
+	Addr   netip.AddrPort
+	Silent time.Duration // the constant Silent but in tests
+	Last   uint64        // the version that is held; 0: none
+	Apply  func(List)    // called by Run, one list at a time
+	Logf   func(format string, args ...any)
+
+	down bool // the latest watch ended and nothing has been heard since
 }
 
-// run watches until ctx ends. A watch that breaks, ends or falls silent is opened
+// Run watches until ctx ends. A watch that breaks, ends or falls silent is opened
 // again from the version held, after a pause that doubles while nothing comes.
-func (r *registry) run(ctx context.Context) {
+func (r *Follower) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: r.silent}).DialContext,
+		DialContext:       (&net.Dialer{Timeout: r.Silent}).DialContext,
 		DisableKeepAlives: true, // each watch is a connection of its own
 	}}
 	pause := backoffLeast
@@ -136,7 +139,7 @@
 		}
 		if !r.down { // one line for an outage, however often the watch is tried
 			r.down = true
-			r.logf("discovery: watch ended: %v", err)
+			r.Logf("discovery: watch ended: %v", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -149,17 +152,17 @@
 
 // watch follows one watch to its end, which always has a reason, and tells
 // whether anything was heard on it.
-func (r *registry) watch(ctx context.Context, client *http.Client) (heard bool, err error) {
+func (r *Follower) watch(ctx context.Context, client *http.Client) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(r.silent, func() { cancel(errors.New("silent for too long")) })
+	silence := time.AfterFunc(r.Silent, func() { cancel(errors.New("silent for too long")) })
 	defer silence.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 	}()
-	url := fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", r.addr, r.last)
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", r.Addr, r.Last)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
@@ -175,27 +178,27 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxList)
 	for lines.Scan() {
-		silence.Reset(r.silent)
+		silence.Reset(r.Silent)
 		if r.down {
 			r.down = false
-			r.logf("discovery: watching again")
+			r.Logf("discovery: watching again")
 		}
 		if len(lines.Bytes()) == 0 {
 			heard = true
 			continue
 		}
-		l, left, err := parseList(lines.Bytes())
+		l, left, err := ParseList(lines.Bytes())
 		if err != nil {
 			// What was said is lost with this line: only the whole list can make up for it. It
 			// may come malformed again, so that the pause must go on growing.
-			r.last = 0
+			r.Last = 0
 			return false, fmt.Errorf("malformed line: %w", err)
 		}
 		if len(left) > 0 { // one line for each list, however many entries
-			r.logf("discovery: %d entries left out, the first: %v", len(left), left[0])
+			r.Logf("discovery: %d entries left out, the first: %v", len(left), left[0])
 		}
-		r.last = l.Generation
-		r.apply(l)
+		r.Last = l.Generation
+		r.Apply(l)
 		heard = true
 	}
 	if err := lines.Err(); err != nil {
@@ -203,3 +206,12 @@
 	}
 	return heard, io.EOF
 }
+
+// Address parses an address with a port; an error names the field.
+func Address(field, v string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return a, fmt.Errorf("%s: %w", field, err)
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()), nil
+}
