Contract: tests, fuzzed matcher; gateway: configuration file, check, run and full validation

Need: the contract's hard cases had no tests, and an instance could be started by the lab alone. Change: contract tests with a slow reference matcher, httpwire tests against net/http, gatefile (TOML with lines), mulleingate check and run, Checker for validate = full, harness and tests of the gateway (one hangs and is being looked into).

--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -19,7 +19,9 @@
 
 // cli is the whole command line.
 type cli struct {
-	Lab labCmd `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
+	Lab   labCmd   `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
+	Check checkCmd `cmd:"" help:"Check descriptions (YAML, JSON) and configurations (TOML) without starting anything. Example: mulleingate check deploy/booking.yaml deploy/gateway.toml"`
+	Run   runCmd   `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
 }
 
 type labCmd struct {
--- a/contract/compile.go
+++ b/contract/compile.go
@@ -271,6 +271,11 @@
 		}
 	}
 	op.Units = d.units()
+	for _, name := range []string{"class", "units"} {
+		if f, ok := found[name]; ok && f.at == "x-mulleinmux."+name && cls.Effect != choice.Safe {
+			op.Inherited = append(op.Inherited, name)
+		}
+	}
 	op.Class = c.choiceClass(cls)
 }
 
@@ -420,10 +425,7 @@
 		d.bad(f, "one place is wanted, such as {header: Idempotency-Key}")
 		return Source{}
 	}
-	src, schema, err := d.source(f.Value.Fields[0])
-	if err == nil && src.In == InBody && schema == nil {
-		err = fmt.Errorf("no property %q is described in a JSON body", src.Name)
-	}
+	src, _, err := d.source(f.Value.Fields[0])
 	if err != nil {
 		d.bad(f, "%v", err)
 	}
@@ -454,7 +456,9 @@
 			if schema == nil || schema.Properties == nil {
 				return src, nil, fmt.Errorf("no property %q is described in a JSON body of this operation", src.Name)
 			}
-			schema = schema.Properties(name)
+			if schema = schema.Properties(name); schema == nil {
+				return src, nil, fmt.Errorf("no property %q is described in a JSON body of this operation", src.Name)
+			}
 		}
 		return src, schema, nil
 	default:
--- a/contract/table.go
+++ b/contract/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"sort"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 	Class    choice.Class
 	Key      Source // where a keyed operation's key stands
 	Units    Units
+	// Inherited names what an operation that changes something takes from the document's
+	// extension, which is easily forgotten when one is added: class, units.
+	Inherited []string
 
 	table *Table
 	path  string // template as written
@@ -353,3 +357,25 @@
 	}
 	return b.String()
 }
+
+// Path returns the path of the operation as its document writes it, and the values that
+// its parameters have, decoded, in a target that was matched to it.
+func (o *Operation) Path(target string) (template string, values map[string]string) {
+	path, _, _ := strings.Cut(target, "?")
+	values = map[string]string{}
+	segs, names, err := parseTemplate(o.Template)
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	if err != nil || len(parts) != len(segs) {
+		return o.path, values
+	}
+	for i, s := range segs {
+		if s.param && s.matches(parts[i]) {
+			v := parts[i][len(s.prefix) : len(parts[i])-len(s.suffix)]
+			if d, err := url.PathUnescape(v); err == nil {
+				v = d
+			}
+			values[names[0]], names = v, names[1:]
+		}
+	}
+	return o.path, values
+}
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -8,3 +8,8 @@
 //
 //go:embed booking.yaml
 var Booking []byte
+
+// Gateway is the example of an instance's file, gateway.toml.
+//
+//go:embed gateway.toml
+var Gateway []byte
--- /dev/null
+++ b/internal/gatefile/gatefile.go
@@ -0,0 +1,324 @@
+// Package gatefile reads the operators' file of a gateway instance (TOML). An error names
+// the file, the line and the field, and nothing of a file that has one is used.
+package gatefile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/register"
+)
+
+// File is a file that was read.
+type File struct {
+	Config      gateway.Config
+	Description string // file name of the description, as written
+}
+
+type duration time.Duration
+
+func (d *duration) UnmarshalText(text []byte) error {
+	t, err := time.ParseDuration(string(text))
+	if err != nil || t < 0 {
+		return fmt.Errorf("%q is no duration: write it with a unit, such as \"400ms\"", text)
+	}
+	*d = duration(t)
+	return nil
+}
+
+// raw is the form of the file.
+type raw struct {
+	Name        string   `toml:"name"`
+	Listen      string   `toml:"listen"`
+	Zone        string   `toml:"zone"`
+	Instance    int      `toml:"instance"`
+	PeerListen  string   `toml:"peer_listen"`
+	Peers       []string `toml:"peers"`
+	Description string   `toml:"description"`
+	Validate    string   `toml:"validate"`
+	Seed        uint64   `toml:"seed"`
+	Limits      struct {
+		Clients        int      `toml:"clients"`
+		Servers        int      `toml:"servers"`
+		ConnectTimeout duration `toml:"connect_timeout"`
+		ConnIdle       duration `toml:"conn_idle"`
+		DrainFor       duration `toml:"drain_for"`
+		MostUnits      int      `toml:"most_units"`
+		MaxAttempts    int      `toml:"max_attempts"`
+		InboxPerS      float64  `toml:"inbox_per_s"`
+		MaxRetryAfter  duration `toml:"max_retry_after"`
+		AnswerSlack    duration `toml:"answer_slack"`
+	} `toml:"limits"`
+	Servers struct {
+		DrainGrace   duration `toml:"drain_grace"`
+		ColdFrom     float64  `toml:"cold_from"`
+		RampTime     duration `toml:"ramp_time"`
+		FallMultiple float64  `toml:"fall_multiple"`
+		OverloadFor  duration `toml:"overload_for"`
+	} `toml:"servers"`
+	Halls []struct {
+		Name     string `toml:"name"`
+		Register string `toml:"register"`
+	} `toml:"hall"`
+	Classes []struct {
+		Name     string   `toml:"name"`
+		Worth    float64  `toml:"worth"`
+		Late     float64  `toml:"late"`
+		Aim      duration `toml:"aim"`
+		Deadline duration `toml:"deadline"`
+	} `toml:"class"`
+	Plans []struct {
+		Name         string  `toml:"name"`
+		Rate         float64 `toml:"rate"`
+		Burst        float64 `toml:"burst"`
+		CeilingRate  float64 `toml:"ceiling_rate"`
+		CeilingBurst float64 `toml:"ceiling_burst"`
+		CeilingSlack float64 `toml:"ceiling_slack"`
+		Open         int     `toml:"open"`
+		Price        float64 `toml:"price"`
+		OverWorth    float64 `toml:"over_worth"`
+		OverCost     float64 `toml:"over_cost"`
+	} `toml:"plan"`
+	Licensees []struct {
+		Name string `toml:"name"`
+		Plan string `toml:"plan"`
+	} `toml:"licensee"`
+}
+
+// reader collects what is wrong with a file.
+type reader struct {
+	file     string
+	text     []byte
+	problems contract.Problems
+}
+
+// Parse reads a file's text. The error is [contract.Problems].
+func Parse(file string, text []byte) (*File, error) {
+	r := &reader{file: file, text: text}
+	var in raw
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		r.decoding(err)
+		return nil, r.problems
+	}
+	out := r.convert(&in)
+	if len(r.problems) > 0 {
+		return nil, r.problems
+	}
+	return out, nil
+}
+
+// decoding takes over what the library found.
+func (r *reader) decoding(err error) {
+	if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok {
+		for _, e := range strict.Errors {
+			row, col := e.Position()
+			r.problems = append(r.problems, contract.Problem{File: r.file, Pos: contract.Pos{Line: row, Column: col},
+				Field: strings.Join(e.Key(), "."), Text: "is no field of this file"})
+		}
+		return
+	}
+	p := contract.Problem{File: r.file, Text: strings.TrimPrefix(err.Error(), "toml: ")}
+	if e, ok := errors.AsType[*toml.DecodeError](err); ok {
+		row, col := e.Position()
+		p.Pos, p.Field = contract.Pos{Line: row, Column: col}, strings.Join(e.Key(), ".")
+	}
+	r.problems = append(r.problems, p)
+}
+
+// bad adds a problem of a field such as "plan[2].rate".
+func (r *reader) bad(field, format string, args ...any) {
+	r.problems = append(r.problems, contract.Problem{File: r.file, Pos: contract.Pos{Line: locate(r.text, field)}, Field: field,
+		Text: fmt.Sprintf(format, args...)})
+}
+
+// locate finds the line of a field: of the key, else of its table, else 1.
+func locate(text []byte, field string) int {
+	table, key, nested := strings.Cut(field, ".")
+	if !nested {
+		table, key = "", field
+	}
+	name, nth := table, 0
+	if i := strings.IndexByte(table, '['); i >= 0 {
+		name = table[:i]
+		fmt.Sscanf(table[i:], "[%d]", &nth)
+	}
+	key, _, _ = strings.Cut(key, "[")
+	at, current, count := 1, "", -1
+	for n, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "[["):
+			if current = strings.Trim(line, "[] "); current == name {
+				if count++; count == nth {
+					at = n + 1
+				}
+			}
+		case strings.HasPrefix(line, "["):
+			if current = strings.Trim(line, "[] "); current == name {
+				count, at = nth, n+1
+			}
+		case current == name && (name == "" || count == nth):
+			if k, _, ok := strings.Cut(line, "="); ok && strings.TrimSpace(k) == key {
+				return n + 1
+			}
+		}
+	}
+	return at
+}
+
+func (r *reader) address(field, v string) netip.AddrPort {
+	a, err := register.Address(field, v)
+	if err != nil {
+		r.bad(field, "%q is no address with a port, such as \"127.0.0.1:8080\"", v)
+	}
+	return a
+}
+
+// convert checks all fields and turns them into what an instance is told.
+func (r *reader) convert(in *raw) *File {
+	out := &File{Description: in.Description}
+	c := &out.Config
+	c.Name, c.Seed = in.Name, in.Seed
+	if c.Name == "" {
+		r.bad("name", "is missing")
+	}
+	if in.Description == "" {
+		r.bad("description", "is missing: the file name of an OpenAPI description")
+	}
+	c.Listen = r.address("listen", in.Listen)
+	switch in.Validate {
+	case "", "cost":
+	case "full":
+		c.FullValidation = true
+	default:
+		r.bad("validate", "%q is unknown: \"cost\" or \"full\" is wanted", in.Validate)
+	}
+	n := max(len(in.Peers), 1)
+	if in.Instance < 0 || in.Instance >= n {
+		r.bad("instance", "%d is no number of %d peers, counted from 0", in.Instance, n)
+	}
+	for i, p := range in.Peers {
+		c.Peers = append(c.Peers, r.address(fmt.Sprintf("peers[%d]", i), p))
+	}
+	if n > 1 {
+		c.PeerListen = r.address("peer_listen", in.PeerListen)
+	}
+	zones := map[string]bool{}
+	for i, h := range in.Halls {
+		at := fmt.Sprintf("hall[%d]", i)
+		if h.Name == "" || zones[h.Name] || strings.Contains(h.Name, "/") {
+			r.bad(at+".name", "%q is empty, stands twice or has a slash", h.Name)
+		}
+		zones[h.Name] = true
+		c.Halls = append(c.Halls, gateway.Hall{Name: h.Name, Register: r.address(at+".register", h.Register)})
+	}
+	if len(in.Halls) == 0 {
+		r.bad("hall", "none is described: add a [[hall]] with name and register")
+	} else if !zones[in.Zone] {
+		r.bad("zone", "%q is no hall's name", in.Zone)
+	}
+	r.limits(in, c, n)
+	r.classes(in, c)
+	r.plans(in, c)
+	return out
+}
+
+func (r *reader) limits(in *raw, c *gateway.Config, n int) {
+	l, s := &in.Limits, &in.Servers
+	for _, f := range []struct {
+		name  string
+		v     float64
+		least float64
+		most  float64
+	}{{"limits.clients", float64(l.Clients), 0, 1 << 20}, {"limits.servers", float64(l.Servers), 0, 1 << 20}, {"limits.most_units", float64(l.MostUnits), 0, 1e6},
+		{"limits.max_attempts", float64(l.MaxAttempts), 0, 100}, {"limits.inbox_per_s", l.InboxPerS, 0, 1e6},
+		{"servers.cold_from", s.ColdFrom, 0, 1}, {"servers.fall_multiple", s.FallMultiple, 0, 1000}} {
+		if !(f.v >= f.least && f.v <= f.most) {
+			r.bad(f.name, "%v is outside %v to %v", f.v, f.least, f.most)
+		}
+	}
+	c.MaxClients, c.MaxServers = l.Clients, l.Servers
+	c.ConnectTimeout, c.ConnIdle, c.DrainFor = time.Duration(l.ConnectTimeout), time.Duration(l.ConnIdle), time.Duration(l.DrainFor)
+	c.Settings = choice.Settings{Me: in.Instance, Instances: n, Zone: in.Zone,
+		AnswerSlack: time.Duration(l.AnswerSlack), DrainGrace: time.Duration(s.DrainGrace), ColdFrom: s.ColdFrom, RampTime: time.Duration(s.RampTime),
+		FallMultiple: s.FallMultiple, OverloadFor: time.Duration(s.OverloadFor), MaxAttempts: l.MaxAttempts, Cancel: true, Peers: n > 1, Probes: true,
+		RetryAfter: true, MaxRetryAfter: time.Duration(l.MaxRetryAfter), Report: choice.ReportProbes, InboxPerS: l.InboxPerS,
+		MostUnits: float64(l.MostUnits), Tick: 2 * time.Millisecond, PriceCross: 0.01, PricePeer: 0.03, PriceProbe: 0.01, PriceWaste: 0.05}
+	if c.Settings.MaxRetryAfter == 0 {
+		c.Settings.MaxRetryAfter = 2 * time.Second
+	}
+	if c.Settings.InboxPerS == 0 {
+		c.Settings.InboxPerS = 40
+	}
+}
+
+func (r *reader) classes(in *raw, c *gateway.Config) {
+	if len(in.Classes) == 0 {
+		r.bad("class", "none is described: add a [[class]] with name, worth, aim and deadline")
+	}
+	names := map[string]bool{}
+	for i, k := range in.Classes {
+		at := fmt.Sprintf("class[%d]", i)
+		switch {
+		case k.Name == "" || names[k.Name]:
+			r.bad(at+".name", "%q is empty or stands twice", k.Name)
+		case !(k.Worth > 0 && k.Worth < 1e9):
+			r.bad(at+".worth", "%v is not above 0", k.Worth)
+		case !(k.Late >= 0 && k.Late <= 1):
+			r.bad(at+".late", "%v is outside 0 to 1", k.Late)
+		case k.Aim <= 0 || k.Deadline <= 0:
+			r.bad(at+".deadline", "aim and deadline are wanted")
+		case k.Aim > k.Deadline:
+			r.bad(at+".aim", "%v is past the deadline %v", time.Duration(k.Aim), time.Duration(k.Deadline))
+		}
+		names[k.Name] = true
+		c.Classes = append(c.Classes, contract.Class{Name: k.Name, Worth: k.Worth, Late: k.Late, Aim: time.Duration(k.Aim), Deadline: time.Duration(k.Deadline)})
+	}
+}
+
+func (r *reader) plans(in *raw, c *gateway.Config) {
+	plans := map[string]bool{}
+	for i, p := range in.Plans {
+		at := fmt.Sprintf("plan[%d]", i)
+		if p.Name == "" || plans[p.Name] {
+			r.bad(at+".name", "%q is empty or stands twice", p.Name)
+		}
+		plans[p.Name] = true
+		for name, v := range map[string]float64{"rate": p.Rate, "burst": p.Burst, "ceiling_rate": p.CeilingRate, "ceiling_burst": p.CeilingBurst,
+			"ceiling_slack": p.CeilingSlack, "price": p.Price, "over_worth": p.OverWorth, "over_cost": p.OverCost, "open": float64(p.Open)} {
+			if !(v >= 0 && v < 1e12) {
+				r.bad(at+"."+name, "%v is out of range", v)
+			}
+		}
+		if p.Rate > 0 && p.Burst <= 0 {
+			r.bad(at+".burst", "a rate needs a burst, or nothing is ever inside the quota")
+		}
+		if p.CeilingRate > 0 && (p.CeilingBurst <= 0 || p.CeilingRate < p.Rate) {
+			r.bad(at+".ceiling_rate", "a ceiling needs a burst and lies above the rate")
+		}
+		c.Settings.Plans = append(c.Settings.Plans, choice.Plan{Name: p.Name, Rate: p.Rate, Burst: p.Burst, Open: p.Open, CeilingRate: p.CeilingRate,
+			CeilingBurst: p.CeilingBurst, CeilingSlack: p.CeilingSlack, Price: p.Price, OverWorth: p.OverWorth, OverCost: p.OverCost})
+	}
+	c.Licensees = map[string]gateway.Licensee{}
+	for i, l := range in.Licensees {
+		at := fmt.Sprintf("licensee[%d]", i)
+		if _, twice := c.Licensees[l.Name]; l.Name == "" || twice {
+			r.bad(at+".name", "%q is empty or stands twice", l.Name)
+		}
+		if !plans[l.Plan] {
+			r.bad(at+".plan", "%q is no [[plan]] of this file", l.Plan)
+		}
+		c.Licensees[l.Name] = gateway.Licensee{Plan: l.Plan, Customer: gateway.CustomerOf(l.Name)}
+	}
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/standin"
+)
+
+// patience bounds every wait of a test; none is expected to come near it.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// arrival is a request as a scripted server reads it.
+type arrival struct {
+	server string
+	line   string // method and target, byte for byte
+	header http.Header
+	body   string
+	answer chan string // takes the answer's text; "" closes the connection
+}
+
+// halls is a set of scripted servers, which hand each request to the test.
+type halls struct {
+	t    *testing.T
+	regs map[string]*standin.Register
+	came chan *arrival
+	life sync.WaitGroup
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func newHalls(t *testing.T) *halls {
+	h := &halls{t: t, regs: map[string]*standin.Register{}, came: make(chan *arrival, 100)}
+	for _, name := range []string{"hall-a", "hall-b"} {
+		r, err := standin.NewRegister()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		h.regs[name] = r
+	}
+	return h
+}
+
+// server starts a scripted server and lists it.
+func (h *halls) server(hall, id string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() {
+		ln.Close()
+		h.mu.Lock()
+		for _, c := range h.open {
+			c.Close()
+		}
+		h.mu.Unlock()
+		h.life.Wait()
+	})
+	h.life.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.open = append(h.open, c)
+			h.mu.Unlock()
+			h.life.Go(func() { h.talk(c, hall+"/"+id) })
+		}
+	})
+	h.list(hall, id, ln.Addr().String(), "up")
+}
+
+func (h *halls) list(hall, id, addr, lifecycle string) {
+	h.regs[hall].Put(standin.Entry{InstanceID: id, HostPort: addr, Zone: hall, MachineType: "k", Lifecycle: lifecycle, Weight: 1})
+}
+
+func (h *halls) talk(c net.Conn, id string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == loadPath {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\nTEXT queue=0, util=0.10")
+			continue
+		}
+		a := &arrival{id, r.Method + " " + r.RequestURI, r.Header, string(body), make(chan string, 1)}
+		h.came <- a
+		text := <-a.answer
+		if _, err := io.WriteString(c, text); err != nil || text == "" {
+			return
+		}
+	}
+}
+
+// next is the next request that reaches a server.
+func (h *halls) next() *arrival {
+	h.t.Helper()
+	select {
+	case a := <-h.came:
+		return a
+	case <-time.After(patience):
+		h.t.Fatal("no request reaches a server")
+		return nil
+	}
+}
+
+// none checks that no request has reached a server.
+func (h *halls) none() {
+	h.t.Helper()
+	select {
+	case a := <-h.came:
+		a.answer <- ""
+		h.t.Errorf("%s reached %s", a.line, a.server)
+	default:
+	}
+}
+
+func answerText(status int, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
+}
+
+const description = `openapi: 3.0.3
+info: {title: t, version: "1"}
+x-mulleinmux: {class: check, units: 1}
+paths:
+  /visits/new:
+    get: {operationId: form, responses: {"200": {description: ok}}}
+  /visits/{id}:
+    parameters: [{name: id, in: path, required: true, schema: {type: string}}]
+    get: {operationId: get, responses: {"200": {description: ok}}}
+    delete: {operationId: cancel, x-mulleinmux: {class: book, units: 2}, responses: {"204": {description: ok}}}
+  /slots:
+    get:
+      operationId: slots
+      x-mulleinmux: {units: {query: days, most: 14}}
+      parameters: [{name: days, in: query, schema: {type: integer}}, {name: kind, in: query, schema: {type: string, enum: [home, office]}}]
+      responses: {"200": {description: ok}}
+  /visits:
+    post:
+      operationId: book
+      x-mulleinmux: {class: book, effect: keyed, key: {header: Idempotency-Key}, group: zone, window: 4s, units: {body: installers, most: 20}}
+      parameters: [{name: Idempotency-Key, in: header, required: true, schema: {type: string}}]
+      requestBody:
+        content: {application/json: {schema: {type: object, properties: {installers: {type: integer}, note: {type: string, maxLength: 5}}}}}
+      responses: {"200": {description: ok}}
+`
+
+func testClasses() []contract.Class {
+	return []contract.Class{{Name: "check", Worth: 3, Aim: 20 * time.Second, Deadline: 20 * time.Second},
+		{Name: "book", Worth: 9, Aim: 20 * time.Second, Deadline: 20 * time.Second}}
+}
+
+func testTable(t testing.TB, text string, number int) (*contract.Table, *openapi.Description) {
+	t.Helper()
+	tab, d, err := openapi.Compile("test.yaml", []byte(text), contract.Options{Classes: testClasses(), MostUnits: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab.Number = number
+	return tab, d
+}
+
+// running is an instance in this process.
+type running struct {
+	*Instance
+	addr string
+	stop context.CancelFunc
+	done chan error
+}
+
+func testSettings() choice.Settings {
+	return choice.Settings{Instances: 1, Zone: "hall-a", MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond, Probes: true, Report: choice.ReportProbes, MostUnits: 100,
+		Plans: []choice.Plan{{Name: "wide", Rate: 1e6, Burst: 1e6, Price: 1}, {Name: "tight", Rate: 0.1, Burst: 3, Price: 1}}}
+}
+
+// start starts an instance between the halls and waits until it knows so many servers.
+func start(t *testing.T, h *halls, known int, change func(*Config)) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab, d := testTable(t, description, 1)
+	cfg := &Config{Name: "g", Settings: testSettings(), Classes: testClasses(), DrainFor: 10 * time.Millisecond,
+		Licensees: map[string]Licensee{"honest": {"wide", 1}, "small": {"tight", 2}}}
+	for _, name := range []string{"hall-a", "hall-b"} {
+		cfg.Halls = append(cfg.Halls, Hall{name, h.regs[name].Addr()})
+	}
+	if change != nil {
+		change(cfg)
+	}
+	var check Checker
+	if cfg.FullValidation {
+		check = d.Checker()
+	}
+	cfg.On(ln, nil)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	ready := make(chan *Instance, 1)
+	go func() {
+		r.done <- Run(ctx, cfg, tab, check, log.New(io.Discard, "", 0), func(in *Instance) { ready <- in })
+	}()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-r.done:
+			if err != nil {
+				t.Errorf("run: %v", err)
+			}
+		case <-time.After(patience):
+			t.Error("the instance does not end")
+		}
+	})
+	select {
+	case r.Instance = <-ready:
+	case <-time.After(patience):
+		t.Fatal("the instance does not become ready")
+	}
+	if err := r.AwaitServers(ctx, known, patience); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// asker is one connection of a client.
+type asker struct {
+	net.Conn
+	br *bufio.Reader
+	t  testing.TB
+}
+
+func dial(t testing.TB, addr string) *asker {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &asker{c, bufio.NewReader(c), t}
+}
+
+type gotAnswer struct {
+	status int
+	header http.Header
+	body   string
+	close  bool
+}
+
+func (a *asker) send(text string) {
+	a.t.Helper()
+	if _, err := io.WriteString(a, text); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func (a *asker) read() gotAnswer {
+	a.t.Helper()
+	resp, err := http.ReadResponse(a.br, nil)
+	if err != nil {
+		a.t.Fatalf("reading the answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		a.t.Fatalf("reading the answer's body: %v", err)
+	}
+	return gotAnswer{resp.StatusCode, resp.Header, string(body), resp.Close}
+}
+
+func (a *asker) ask(text string) gotAnswer {
+	a.t.Helper()
+	a.send(text)
+	return a.read()
+}
+
+// get words a request without a body; lines are added to its head.
+func get(line string, lines ...string) string {
+	text := line + " HTTP/1.1\r\nHost: h\r\n"
+	if !strings.Contains(strings.Join(lines, "\n"), "X-Licensee") {
+		text += "X-Licensee: honest\r\n"
+	}
+	for _, l := range lines {
+		text += l + "\r\n"
+	}
+	return text + "\r\n"
+}
+
+func post(line, body string, lines ...string) string {
+	lines = append(lines, "Content-Type: application/json", fmt.Sprintf("Content-Length: %d", len(body)))
+	return get(line, lines...) + body
+}
+
+// totals sums the counters of all operations.
+func (r *running) totals() (units, sent, answers int64) {
+	r.Count(func(_ string, c *Counters) {
+		units += c.Units.Load()
+		sent += c.Sent.Load()
+		answers += c.Served.Load() + c.Refused.Load() + c.Failed.Load()
+	})
+	return units, sent, answers
+}
