Gateway: half an answer ends within 250 ms; drained connections say so; its tests pass

Cause: only the attempt's deadline bounded the read. Change: from the first bytes of an answer its rest has 250 ms, as on the edge node; an answer given while the instance drains closes its connection. Result: the gateway's tests pass under -race in 4 s, goroutines leak-checked.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -162,9 +162,6 @@
 	if err != nil {
 		return c.unreadable(err)
 	}
-	if c.f.draining.Load() {
-		fl.head.Close = true
-	}
 	if fl.head.Chunked {
 		return c.turnDown(&badRequest{status: http.StatusLengthRequired, text: "Content-Length is wanted, not Transfer-Encoding", close: true})
 	}
@@ -323,6 +320,7 @@
 
 // begin starts an answer.
 func (c *client) begin(status int, reason string) []byte {
+	c.fl.head.Close = c.fl.head.Close || c.f.draining.Load()
 	b := append(c.out[:0], "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -22,10 +22,11 @@
 const (
 	loadPath     = "/stats"
 	probeTimeout = 500 * time.Millisecond
-	idleShare    = 0.8               // of ConnIdle after which an idle connection is not used again
-	maxReply     = 1 << 20           // bytes that the body of an answer may hold
-	maxAnswer    = maxReply + 64<<10 // bytes of a whole answer, with heads, chunk sizes and 1xx answers ahead
-	keptBuffer   = 16 << 10          // bytes of a buffer that an idle connection keeps
+	idleShare    = 0.8                    // of ConnIdle after which an idle connection is not used again
+	maxReply     = 1 << 20                // bytes that the body of an answer may hold
+	maxAnswer    = maxReply + 64<<10      // bytes of a whole answer, with heads, chunk sizes and 1xx answers ahead
+	answerRest   = 250 * time.Millisecond // from an answer's first bytes to its last
+	keptBuffer   = 16 << 10               // bytes of a buffer that an idle connection keeps
 )
 
 var past = time.Unix(1, 0)
@@ -60,15 +61,17 @@
 
 // conn is a connection to a server.
 type conn struct {
-	nc   net.Conn
-	raw  syscall.RawConn
-	rd   *httpwire.Reader
-	left int // bytes that the answer under way may still take
-	got  bool
-	out  []byte // the request under way
-	of   *server
-	idle time.Time
-	made time.Time
+	nc      net.Conn
+	raw     syscall.RawConn
+	rd      *httpwire.Reader
+	left    int // bytes that the answer under way may still take
+	got     bool
+	hurried bool   // the rest of the answer has a deadline of its own
+	call    *call  // under way
+	out     []byte // the request under way
+	of      *server
+	idle    time.Time
+	made    time.Time
 }
 
 var errTooLong = errors.New("answer too long")
@@ -78,6 +81,10 @@
 	if c.left <= 0 {
 		return 0, errTooLong
 	}
+	if c.got && !c.hurried { // most answers come whole in the first read
+		c.hurried = true
+		c.call.hurry(c)
+	}
 	n, err := c.nc.Read(p[:min(len(p), c.left)])
 	c.left -= n
 	c.got = c.got || n > 0
@@ -291,7 +298,8 @@
 	mu     sync.Mutex
 	conn   *conn              // on which it is under way
 	cancel context.CancelFunc // of the connection that is being made
-	ended  bool               // given up
+	until  time.Time
+	ended  bool // given up
 }
 
 // giveUp ends the exchange at once.
@@ -314,11 +322,31 @@
 	if k.ended {
 		return false
 	}
-	k.conn = c
+	k.conn, k.until = c, until
+	c.left, c.got, c.hurried, c.call = maxAnswer, false, false, k
 	c.nc.SetDeadline(until)
 	return true
 }
 
+// hurry bounds the rest of an answer that has begun: servers write it in one piece, and
+// half a one must not take all of the time that another attempt would need.
+func (k *call) hurry(c *conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if rest := time.Now().Add(answerRest); !k.ended && rest.Before(k.until) {
+		c.nc.SetReadDeadline(rest)
+	}
+}
+
+// relax takes the bound of hurry off.
+func (k *call) relax(c *conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.ended {
+		c.nc.SetReadDeadline(k.until)
+	}
+}
+
 // end takes the connection back; it is false if the exchange was given up, which has
 // left the connection with a deadline.
 func (k *call) end() bool {
@@ -357,7 +385,6 @@
 		u.discard(c)
 		return choice.Cancelled
 	}
-	c.left, c.got = maxAnswer, false
 	c.out = word(c.out[:0])
 	if _, err = c.nc.Write(c.out); err != nil {
 		// A server begins a request when its last byte has come, and that was not written.
@@ -428,6 +455,10 @@
 			break
 		}
 		c.got = c.rd.Buffered() > 0 // the answer that counts may come later
+		if c.hurried {
+			c.hurried = false
+			c.call.relax(c)
+		}
 	}
 	h := &rep.head
 	switch {
