--- /dev/null
+++ b/cmd/mulleingate/bench.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"mulleinmux/internal/bench"
+)
+
+type benchCmd struct {
+	For     time.Duration `help:"Length of each measurement." default:"3s"`
+	Conns   int           `help:"Connections of clients, each with one request at a time." default:"32"`
+	Procs   []int         `help:"Processors of the front, one measurement each." default:"1"`
+	Rounds  int           `help:"Measurements of each; the medians count." default:"3"`
+	Profile string        `help:"File for a CPU profile of the gateway's last measurement." type:"path"`
+	JSON    bool          `help:"Print all results as JSON."`
+}
+
+func (c *benchCmd) Run(e *env) error {
+	if c.For <= 0 || c.Conns < 1 || c.Conns > 10000 || c.Rounds < 1 || len(c.Procs) == 0 || slices.Min(c.Procs) < 1 {
+		return usage{fmt.Errorf("--for, --conns, --procs and --rounds must be above 0")}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var all []bench.Result
+	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
+		all = append(all, r)
+		fmt.Fprintf(e.stderr, "%-12s %d procs: %8.0f requests/s, %6.1f us CPU and %5.1f allocations a request, p50 %.0f us, p99 %.0f us, %d other answers\n",
+			r.Front, r.Procs, r.PerS, r.CPU, r.Allocs, r.P50, r.P99, r.Other)
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		enc := json.NewEncoder(e.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(all)
+	}
+	median := func(front string, procs int, f func(bench.Result) float64) float64 {
+		var xs []float64
+		for _, r := range all {
+			if r.Front == front && r.Procs == procs {
+				xs = append(xs, f(r))
+			}
+		}
+		slices.Sort(xs)
+		return xs[len(xs)/2]
+	}
+	perS := func(r bench.Result) float64 { return r.PerS }
+	cpu := func(r bench.Result) float64 { return r.CPU }
+	fmt.Fprintf(e.stdout, "direct: %.0f requests/s\n", median("direct", 0, perS))
+	for _, p := range c.Procs {
+		g, rp := median("gateway", p, cpu), median("reverseproxy", p, cpu)
+		fmt.Fprintf(e.stdout, "%d procs: gateway %.1f us CPU a request, ReverseProxy %.1f, ratio %.2f; %.0f and %.0f requests/s\n",
+			p, g, rp, g/rp, median("gateway", p, perS), median("reverseproxy", p, perS))
+	}
+	return nil
+}
+
+type partCmd struct {
+	Part string `arg:""`
+}
+
+func (c *partCmd) Run(e *env) error { return bench.Play(e.ctx, c.Part, os.Stdin, e.stdout) }
--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -21,6 +21,8 @@
 type cli struct {
 	Lab   labCmd   `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
 	Check checkCmd `cmd:"" help:"Check descriptions (YAML, JSON) and configurations (TOML) without starting anything. Example: mulleingate check deploy/booking.yaml deploy/gateway.toml"`
+	Bench benchCmd `cmd:"" help:"Measure CPU a request and requests a second beside httputil.ReverseProxy. Example: mulleingate bench --for 3s --procs 1,2"`
+	Part  partCmd  `cmd:"" name:"bench-part" hidden:""`
 	Run   runCmd   `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
 }
 
