--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -13,6 +13,7 @@
 type benchCmd struct {
 	For     time.Duration `help:"Length of each measurement." default:"3s"`
 	Conns   int           `help:"Connections of clients, each with one request at a time." default:"32"`
+	Rate    float64       `help:"Requests a second; 0 is as many as go through."`
 	Procs   []int         `help:"Processors of the front, one measurement each." default:"1"`
 	Rounds  int           `help:"Measurements of each; the medians count." default:"3"`
 	Profile string        `help:"File for a CPU profile of the gateway's last measurement." type:"path"`
@@ -20,7 +21,7 @@
 }
 
 func (c *benchCmd) Run(e *env) error {
-	if c.For <= 0 || c.Conns < 1 || c.Conns > 10000 || c.Rounds < 1 || len(c.Procs) == 0 || slices.Min(c.Procs) < 1 {
+	if c.For <= 0 || !(c.Rate >= 0) || c.Conns < 1 || c.Conns > 10000 || c.Rounds < 1 || len(c.Procs) == 0 || slices.Min(c.Procs) < 1 {
 		return usage{fmt.Errorf("--for, --conns, --procs and --rounds must be above 0")}
 	}
 	self, err := os.Executable()
@@ -28,7 +29,7 @@
 		return err
 	}
 	var all []bench.Result
-	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
+	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
 		all = append(all, r)
 		fmt.Fprintf(e.stderr, "%-12s %d procs: %8.0f requests/s, %6.1f us CPU and %5.1f allocations a request, p50 %.0f us, p99 %.0f us, %d other answers\n",
 			r.Front, r.Procs, r.PerS, r.CPU, r.Allocs, r.P50, r.P99, r.Other)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -38,10 +38,8 @@
 )
 
 const (
-	serverCount = 16 // servers behind each front
-	// Connections come up, caches fill, and the module has had a report of each server: until
-	// then it goes by latency, which the clients' own load on this machine disturbs.
-	warmUp = 4 * time.Second
+	serverCount = 16          // servers behind each front
+	warmUp      = time.Second // connections come up, caches fill
 )
 
 // Options of a measurement.
@@ -49,6 +47,7 @@
 	Self    string        // this program, which is started again for each part
 	For     time.Duration // of each measurement
 	Conns   int           // connections of clients, each with one request at a time
+	Rate    float64       // requests a second, over all connections; 0: as many as go through
 	Procs   []int         // processors of the front, one measurement each
 	Rounds  int           // of each measurement; the medians count
 	Profile string        // file for a CPU profile of the gateway; empty: none
@@ -128,7 +127,7 @@
 // halls starts servers that answer at once.
 func halls() (addrs []string, err error) {
 	body := `{"visit":"9b1f03aa5c7e2d41","slot":"2026-12-24T10:00:00+03:00","installers":2,"district":"Ilala"}`
-	answer := []byte("HTTP/1.1 200 OK\r\nDate: Tue, 01 Dec 2026 10:00:00 GMT\r\nContent-Type: application/json\r\nContent-Length: " +
+	answer := []byte("HTTP/1.1 200 OK\r\nDate: Tue, 01 Dec 2026 10:00:00 GMT\r\nContent-Type: application/json\r\nEndpoint-Load-Metrics: TEXT queue=0, util=0.30\r\nContent-Length: " +
 		strconv.Itoa(len(body)) + "\r\n\r\n" + body)
 	load := []byte("HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\nTEXT queue=0, util=0.30")
 	for range serverCount {
@@ -192,7 +191,7 @@
 	cfg := &gateway.Config{Name: "gate", Halls: []gateway.Hall{{Name: "hall-a", Register: reg.Addr()}}, Classes: classes,
 		Licensees: map[string]gateway.Licensee{}, Settings: choice.Settings{Instances: 1, Zone: "hall-a", MaxAttempts: 5, Cancel: true,
 			RetryAfter: true, MaxRetryAfter: 2 * time.Second, Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond, Probes: true,
-			Report: choice.ReportProbes, MostUnits: 50, ColdFrom: 0.17, RampTime: 15 * time.Second, FallMultiple: 2.5, OverloadFor: 2 * time.Second,
+			Report: choice.ReportAnswers, MostUnits: 50, ColdFrom: 0.17, RampTime: 15 * time.Second, FallMultiple: 2.5, OverloadFor: 2 * time.Second,
 			DrainGrace: 250 * time.Millisecond, PriceCross: 0.01, PriceProbe: 0.01,
 			Plans: []choice.Plan{{Name: "kubwa", Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}}}}
 	for i := range 100 {
@@ -344,7 +343,7 @@
 	errs := make(chan error, opt.Conns)
 	for i := range opt.Conns {
 		all.Go(func() {
-			if err := drive(addrs[i%len(addrs)], i, stop, &counting, &count, &other, &lats[i]); err != nil {
+			if err := drive(addrs[i%len(addrs)], i, stop, &counting, opt, &count, &other, &lats[i]); err != nil {
 				errs <- err
 			}
 		})
@@ -384,7 +383,7 @@
 }
 
 // drive is one connection with one request at a time: a booking, then a look-up.
-func drive(addr string, i int, stop chan struct{}, counting *atomic.Bool, count, other *atomic.Int64, lat *[]float64) error {
+func drive(addr string, i int, stop chan struct{}, counting *atomic.Bool, opt Options, count, other *atomic.Int64, lat *[]float64) error {
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		return err
@@ -394,7 +393,15 @@
 	var h httpwire.Head
 	var out, body []byte
 	book := `{"slot":"2026-12-24T10:00:00+03:00","installers":2,"district":"Ilala"}`
+	next := time.Now()
 	for n := 0; ; n++ {
+		if opt.Rate > 0 { // one request in its turn, with no catching up after a pause
+			gap := time.Duration(float64(opt.Conns) / opt.Rate * float64(time.Second))
+			if next = next.Add(gap); time.Since(next) > gap {
+				next = time.Now()
+			}
+			time.Sleep(time.Until(next))
+		}
 		select {
 		case <-stop:
 			return nil
--- /dev/null
+++ b/internal/floors/floors_test.go
@@ -0,0 +1,118 @@
+// Package floors holds the repository to the order of its packages: see docs/ARCHITECTURE.md.
+package floors
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// floor of each package; a package may import those of its own floor and below, floor 1
+// only its own.
+var floor = map[string]int{
+	"choice": 1, "contract": 1,
+	"internal/wire": 2, "internal/httpwire": 2, "internal/load": 2, "internal/openapi": 2, "deploy": 2,
+	"internal/register": 3, "internal/peers": 3, "internal/node": 3, "internal/gateway": 3, "internal/gatefile": 3, "internal/standin": 3,
+	"internal/lab": 4, "internal/bench": 4, "internal/floors": 4,
+	"cmd/mulleinmux": 5, "cmd/mulleingate": 5, "cmd/drill": 5,
+}
+
+// rigs are used by tests and the lab alone.
+var rigs = []string{"internal/standin", "internal/lab", "internal/bench"}
+
+func list(t *testing.T, args ...string) []string {
+	t.Helper()
+	cmd := exec.Command("go", append([]string{"list"}, args...)...)
+	cmd.Dir = filepath.Join("..", "..")
+	out, err := cmd.Output()
+	if err != nil {
+		t.Fatalf("go list %v: %v", args, err)
+	}
+	return strings.Fields(string(out))
+}
+
+func TestArrowsGoDown(t *testing.T) {
+	for _, full := range list(t, "./...") {
+		name := strings.TrimPrefix(full, "mulleinmux/")
+		own, ok := floor[name]
+		if !ok {
+			t.Errorf("%s stands on no floor: add it to this test and to docs/ARCHITECTURE.md", name)
+			continue
+		}
+		for _, dep := range list(t, "-f", `{{join .Imports "\n"}}`, full) {
+			dep, ours := strings.CutPrefix(dep, "mulleinmux/")
+			if !ours {
+				continue
+			}
+			if floor[dep] > own {
+				t.Errorf("%s on floor %d imports %s on floor %d", name, own, dep, floor[dep])
+			}
+			if slices.Contains(rigs, dep) && own < 4 {
+				t.Errorf("%s imports the rig %s", name, dep)
+			}
+		}
+	}
+}
+
+// Floor 1 decides and does no I/O: no sockets, files, goroutines, clock or randomness of
+// its own.
+func TestDecisionsDoNoIO(t *testing.T) {
+	forbidden := []string{"net", "net/http", "os", "os/exec", "io/fs", "log", "log/slog", "sync", "crypto/rand", "math/rand", "syscall", "context"}
+	clock := []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"}
+	for name, n := range floor {
+		if n != 1 {
+			continue
+		}
+		files, err := filepath.Glob(filepath.Join("..", "..", name, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v", name, err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, imp := range f.Imports {
+				if path := strings.Trim(imp.Path.Value, `"`); slices.Contains(forbidden, path) || strings.Contains(path, ".") {
+					t.Errorf("%s imports %s", file, path)
+				}
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.GoStmt:
+					t.Errorf("%s starts a goroutine", file)
+				case *ast.SelectorExpr:
+					if x, ok := n.X.(*ast.Ident); ok && (x.Name == "time" && slices.Contains(clock, n.Sel.Name) ||
+						x.Name == "rand" && !slices.Contains([]string{"New", "NewPCG", "Rand"}, n.Sel.Name)) {
+						t.Errorf("%s uses %s.%s", file, x.Name, n.Sel.Name)
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
+// The edge node links nothing but this repository and the standard library.
+func TestEdgeNodeIsLean(t *testing.T) {
+	deps := list(t, "-deps", "mulleinmux/cmd/mulleinmux")
+	if !slices.Contains(deps, "mulleinmux/choice") {
+		t.Fatalf("not the edge node: %v", deps)
+	}
+	for _, dep := range deps {
+		if first, _, _ := strings.Cut(dep, "/"); strings.Contains(first, ".") && first != "vendor" {
+			t.Errorf("links %s", dep)
+		}
+		if own, ours := strings.CutPrefix(dep, "mulleinmux/"); ours && (own == "contract" || own == "internal/gateway" || own == "internal/httpwire") {
+			t.Errorf("links %s", dep)
+		}
+	}
+}
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -24,14 +24,15 @@
 	Description string // file name of the description, as written
 }
 
-type duration time.Duration
+// duration is a struct so that a bare number is no duration.
+type duration struct{ d time.Duration }
 
 func (d *duration) UnmarshalText(text []byte) error {
 	t, err := time.ParseDuration(string(text))
 	if err != nil || t < 0 {
 		return fmt.Errorf("%q is no duration: write it with a unit, such as \"400ms\"", text)
 	}
-	*d = duration(t)
+	d.d = t
 	return nil
 }
 
@@ -249,11 +250,11 @@
 		}
 	}
 	c.MaxClients, c.MaxServers = l.Clients, l.Servers
-	c.ConnectTimeout, c.ConnIdle, c.DrainFor = time.Duration(l.ConnectTimeout), time.Duration(l.ConnIdle), time.Duration(l.DrainFor)
+	c.ConnectTimeout, c.ConnIdle, c.DrainFor = l.ConnectTimeout.d, l.ConnIdle.d, l.DrainFor.d
 	c.Settings = choice.Settings{Me: in.Instance, Instances: n, Zone: in.Zone,
-		AnswerSlack: time.Duration(l.AnswerSlack), DrainGrace: time.Duration(s.DrainGrace), ColdFrom: s.ColdFrom, RampTime: time.Duration(s.RampTime),
-		FallMultiple: s.FallMultiple, OverloadFor: time.Duration(s.OverloadFor), MaxAttempts: l.MaxAttempts, Cancel: true, Peers: n > 1, Probes: true,
-		RetryAfter: true, MaxRetryAfter: time.Duration(l.MaxRetryAfter), Report: choice.ReportProbes, InboxPerS: l.InboxPerS,
+		AnswerSlack: l.AnswerSlack.d, DrainGrace: s.DrainGrace.d, ColdFrom: s.ColdFrom, RampTime: s.RampTime.d,
+		FallMultiple: s.FallMultiple, OverloadFor: s.OverloadFor.d, MaxAttempts: l.MaxAttempts, Cancel: true, Peers: n > 1, Probes: true,
+		RetryAfter: true, MaxRetryAfter: l.MaxRetryAfter.d, Report: choice.ReportProbes, InboxPerS: l.InboxPerS,
 		MostUnits: float64(l.MostUnits), Tick: 2 * time.Millisecond, PriceCross: 0.01, PricePeer: 0.03, PriceProbe: 0.01, PriceWaste: 0.05}
 	if c.Settings.MaxRetryAfter == 0 {
 		c.Settings.MaxRetryAfter = 2 * time.Second
@@ -277,13 +278,13 @@
 			r.bad(at+".worth", "%v is not above 0", k.Worth)
 		case !(k.Late >= 0 && k.Late <= 1):
 			r.bad(at+".late", "%v is outside 0 to 1", k.Late)
-		case k.Aim <= 0 || k.Deadline <= 0:
+		case k.Aim.d <= 0 || k.Deadline.d <= 0:
 			r.bad(at+".deadline", "aim and deadline are wanted")
-		case k.Aim > k.Deadline:
-			r.bad(at+".aim", "%v is past the deadline %v", time.Duration(k.Aim), time.Duration(k.Deadline))
+		case k.Aim.d > k.Deadline.d:
+			r.bad(at+".aim", "%v is past the deadline %v", k.Aim.d, k.Deadline.d)
 		}
 		names[k.Name] = true
-		c.Classes = append(c.Classes, contract.Class{Name: k.Name, Worth: k.Worth, Late: k.Late, Aim: time.Duration(k.Aim), Deadline: time.Duration(k.Deadline)})
+		c.Classes = append(c.Classes, contract.Class{Name: k.Name, Worth: k.Worth, Late: k.Late, Aim: k.Aim.d, Deadline: k.Deadline.d})
 	}
 }
 
--- /dev/null
+++ b/internal/lab/judge_test.go
@@ -0,0 +1,200 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinmux/deploy"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/standin"
+)
+
+// A scenario whose rules are broken on purpose fails: a booking is sent to both halls
+// past the gateway.
+func TestBrokenOnPurpose(t *testing.T) {
+	t.Parallel()
+	v, err := Play(context.Background(), Options{Scenario: "calm", For: 2 * time.Second, Seed: 7, breakRule: func(w *world) {
+		for _, h := range w.halls {
+			for _, addr := range h.Addrs() {
+				r, err := http.NewRequest("POST", "http://"+addr+"/v1/visits", strings.NewReader(`{"installers":2}`))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.Header.Set("Idempotency-Key", "twice")
+				r.Header.Set("X-Trace-Id", "past-"+h.Name)
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				break
+			}
+		}
+		http.DefaultClient.CloseIdleConnections()
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v.OK || v.Duplicates != 1 || v.Rules["no_effect_twice"] != 1 || v.Rules["units"] < 2 || v.UnitsDeclared-v.UnitsCounted != 4 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Each rule's check finds what it is for, and finds nothing where the rule was kept.
+func TestChecksFind(t *testing.T) {
+	t0 := time.Now()
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	ran := func(trace, hall, effect string, from, to int) standin.Arrival {
+		return standin.Arrival{Hall: hall, Server: "s", Operation: "op", Effect: effect, Trace: trace, Key: "k-" + trace, Licensee: "kubwa-0", Version: 1, Units: 2,
+			At: at(from), Ended: at(to), Ran: true}
+	}
+	effected := func(a standin.Arrival) standin.Arrival { a.Effected = true; return a }
+	unseen := func(a standin.Arrival) standin.Arrival { a.Ran = false; return a }
+	draining := func(a standin.Arrival, d time.Duration) standin.Arrival { a.Draining = d; return a }
+	rec := gateway.Record{Trace: "a", Operation: "op", Version: 1, Units: 2, Sent: true, Attempts: 2}
+	change := func(f func(*gateway.Record)) gateway.Record { r := rec; f(&r); return r }
+	try := standin.Try{Trace: "a", At: at(0), Ended: at(30), Answers: 1, Status: 200, Served: true}
+	for _, c := range []struct {
+		name string
+		as   []standin.Arrival
+		rec  gateway.Record
+		try  standin.Try
+		want string // rule; empty: none
+	}{
+		{"one attempt", []standin.Arrival{effected(ran("a", "A", "unsafe", 0, 10))}, rec, try, ""},
+		{"safe, again elsewhere", []standin.Arrival{ran("a", "A", "safe", 0, 10), ran("a", "B", "safe", 10, 20)}, rec, try, ""},
+		{"two at once", []standin.Arrival{ran("a", "A", "safe", 0, 100), ran("a", "B", "safe", 50, 120)}, rec, try, "no_effect_twice"},
+		{"unsafe, twice", []standin.Arrival{effected(ran("a", "A", "unsafe", 0, 10)), ran("a", "A", "unsafe", 20, 30)}, rec, try, "no_effect_twice"},
+		{"unsafe, never ran first", []standin.Arrival{unseen(ran("a", "A", "unsafe", 0, 10)), effected(ran("a", "A", "unsafe", 20, 30))}, rec, try, ""},
+		{"keyed, same hall", []standin.Arrival{effected(ran("a", "A", "keyed", 0, 10)), ran("a", "A", "keyed", 20, 30)}, rec, try, ""},
+		{"keyed, other hall", []standin.Arrival{ran("a", "A", "keyed", 0, 10), effected(ran("a", "B", "keyed", 20, 30))}, rec, try, "no_effect_twice"},
+		{"keyed, too late", []standin.Arrival{ran("a", "A", "keyed", 0, 10), ran("a", "A", "keyed", 4100, 4200)}, rec, try, "no_effect_twice"},
+		{"keyed, effect twice", []standin.Arrival{effected(ran("a", "A", "keyed", 0, 10)), effected(ran("a", "A", "keyed", 20, 30))}, rec, try, "no_effect_twice"},
+		{"to one that drains", []standin.Arrival{draining(ran("a", "A", "safe", 0, 10), 310*time.Millisecond)}, rec, try, "drains"},
+		{"within the grace", []standin.Arrival{draining(ran("a", "A", "safe", 0, 10), 240*time.Millisecond)}, rec, try, ""},
+		{"charged too little", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, change(func(r *gateway.Record) { r.Units = 1 }), try, "units"},
+		{"not charged", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, change(func(r *gateway.Record) { r.Sent = false }), try, "units"},
+		{"charged for nothing", nil, rec, try, "units"},
+		{"an unknown attempt", []standin.Arrival{ran("a", "A", "safe", 0, 10), ran("a", "A", "safe", 20, 30)}, change(func(r *gateway.Record) { r.Attempts = 1 }), try, "units"},
+		{"another operation", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, change(func(r *gateway.Record) { r.Operation = "cheap" }), try, "operations"},
+		{"another version", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, change(func(r *gateway.Record) { r.Version = 2 }), try, "versions"},
+		{"no answer", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, rec, standin.Try{Trace: "a", Cut: true}, "one_answer"},
+		{"two answers", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, rec, standin.Try{Trace: "a", Answers: 2, Status: 200, Served: true}, "one_answer"},
+		{"another's answer", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, rec, standin.Try{Trace: "a", Answers: 1, Status: 200, Served: true, Wrong: "x"}, "one_answer"},
+		{"a late answer", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, rec, standin.Try{Trace: "a", At: at(0), Ended: at(2100), Answers: 1, Status: 502}, "one_answer"},
+		{"turned down", []standin.Arrival{ran("a", "A", "safe", 0, 10)}, rec, standin.Try{Trace: "a", Answers: 1, Status: 404}, "operations"},
+	} {
+		j := &judge{&Verdict{Rules: map[string]int{}}}
+		byTrace := map[string][]standin.Arrival{}
+		if len(c.as) > 0 {
+			byTrace["a"] = c.as
+		}
+		j.answers([]standin.Try{c.try})
+		j.effects(c.as, byTrace)
+		j.costs(byTrace, map[string]gateway.Record{"a": c.rec})
+		for rule, n := range j.v.Rules {
+			if rule != c.want && n > 0 {
+				t.Errorf("%s: %v", c.name, j.v.Examples)
+			}
+		}
+		if c.want != "" && j.v.Rules[c.want] == 0 {
+			t.Errorf("%s: %s is not found broken", c.name, c.want)
+		}
+	}
+	// The ceiling of kubwa: 300 at once and 180 a second, with a slack of 57.
+	for units, want := range map[int]bool{350: false, 370: true} {
+		j := &judge{&Verdict{Rules: map[string]int{}}}
+		byTrace := map[string][]standin.Arrival{}
+		for i := range units / 2 {
+			name := fmt.Sprint("t", i)
+			byTrace[name] = []standin.Arrival{ran(name, "A", "safe", 0, 10)}
+		}
+		if j.ceilings(byTrace); (j.v.Rules["ceilings"] > 0) != want {
+			t.Errorf("%d units at once: %d violations", units, j.v.Rules["ceilings"])
+		}
+	}
+}
+
+// No spelling of a path reaches a hall as another operation than the one charged: a hall
+// that decodes, cleans and cuts whatever it can finds the same one.
+func FuzzSpelling(f *testing.F) {
+	for seed := range uint64(300) {
+		f.Add(seed)
+	}
+	tab, _, err := openapi.Compile("booking.yaml", deploy.Booking, (&gateway.Config{Classes: classes()}).Options())
+	if err != nil {
+		f.Fatal(err)
+	}
+	rs := routes(sameUnits)
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		found := 0
+		for range 50 {
+			r := rs[rng.IntN(len(rs))]
+			path := r.Template
+			for strings.Contains(path, "{") {
+				i, j := strings.IndexByte(path, '{'), strings.IndexByte(path, '}')
+				path = path[:i] + []string{"7", "new", "batch", "search", "x.csv", "sheet.pdf", "a b", "..", "visits"}[rng.IntN(9)] + path[j+1:]
+			}
+			for range rng.IntN(3) {
+				path = respell(rng, path)
+			}
+			target := path + "?days=3"
+			if tab.CheckPath(path) != "" {
+				continue
+			}
+			op, _, _ := tab.Match(r.Method, path)
+			if op == nil {
+				continue
+			}
+			found++
+			hall := standin.Lookup(rs, r.Method, target, http.Header{})
+			if hall == nil || hall.Operation != op.ID {
+				t.Fatalf("%s %s is charged as %s and reaches the hall as %+v", r.Method, path, op.ID, hall)
+			}
+		}
+		if found == 0 {
+			t.Errorf("no path was found")
+		}
+	})
+}
+
+// respell writes a path in another way, which a hall may or may not take for the same.
+func respell(rng *rand.Rand, path string) string {
+	i := 1 + rng.IntN(len(path)-1)
+	switch rng.IntN(12) {
+	case 0:
+		return path[:i] + fmt.Sprintf("%%%02X", path[i]) + path[i+1:]
+	case 1:
+		return path[:i] + fmt.Sprintf("%%%02x", path[i]) + path[i+1:]
+	case 2:
+		return path[:i] + "/" + path[i:]
+	case 3:
+		return path[:i] + "/./" + path[i:]
+	case 4:
+		return path[:i] + "/../" + path[i:]
+	case 5:
+		return path[:i] + ";x=1" + path[i:]
+	case 6:
+		return path + "/"
+	case 7:
+		return path[:i] + "%2F" + path[i:]
+	case 8:
+		return path[:i] + "\\" + path[i:]
+	case 9:
+		return path[:i] + "%252F" + path[i:]
+	case 10:
+		return path[:i] + strings.ToUpper(path[i:])
+	}
+	return path + "/.."
+}
--- a/internal/openapi/read.go
+++ b/internal/openapi/read.go
@@ -62,9 +62,12 @@
 		r.library(err)
 		return nil, r.problems
 	}
-	// Examples show; they decide nothing.
+	if r.ids(); len(r.problems) > 0 {
+		return nil, r.problems
+	}
+	// Examples show; they decide nothing. The library does not know path items as components.
 	err = spec.Validate(context.Background(), openapi3.EnableMultiError(), openapi3.DisableExamplesValidation(),
-		openapi3.DisableSchemaPatternValidation())
+		openapi3.DisableSchemaPatternValidation(), openapi3.AllowExtraSiblingFields("pathItems"))
 	if err != nil {
 		r.library(err)
 		return nil, r.problems
@@ -197,6 +200,27 @@
 	}
 }
 
+// ids checks that each operationId stands once: the library says so without the lines.
+func (r *reader) ids() {
+	first := map[string]*yaml.Node{}
+	paths := get(r.root, "paths")
+	for i := 0; paths != nil && i+1 < len(paths.Content); i += 2 {
+		item := r.deref(paths.Content[i+1])
+		for j := 0; item != nil && item.Kind == yaml.MappingNode && j+1 < len(item.Content); j += 2 {
+			id := get(item.Content[j+1], "operationId")
+			if id == nil {
+				continue
+			}
+			if other := first[id.Value]; other != nil {
+				r.problem(id, "paths."+paths.Content[i].Value+"."+item.Content[j].Value+".operationId",
+					"%q names the operation at line %d too: give each its own", id.Value, other.Line)
+				continue
+			}
+			first[id.Value] = id
+		}
+	}
+}
+
 var unescape = strings.NewReplacer("~1", "/", "~0", "~", "%7B", "{", "%7D", "}", "%7b", "{", "%7d", "}")
 
 // lookup follows a JSON pointer from the root, through references on its way.
--- a/internal/standin/hall.go
+++ b/internal/standin/hall.go
@@ -342,3 +342,13 @@
 	}
 	return fmt.Sprintf("TEXT queue=%d, util=%.2f", s.waiting, s.util)
 }
+
+// Addrs are the addresses of the hall's servers.
+func (h *Hall) Addrs() (addrs []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.servers {
+		addrs = append(addrs, s.ln.Addr().String())
+	}
+	return addrs
+}
