Guards seen to matter: 30 mutants, SetClasses tested, a check that did nothing taken out

Need: each failure test must fail without the code it guards. Change: 30 guards were taken out one by one; two went unnoticed. A check of the whole body's JSON did nothing that reading it to its end does not do, and is gone (a fuzz target holds the two together); the classes of a new description were known by chance in the test of a change in flight, which now brings a new one. choice.SetClasses has a test of its own.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1226,3 +1226,47 @@
 		t.Errorf("%d of a burst sent, want more than %v and at most %v", got, jamFloor*n, jamSure*jamFloor*n)
 	}
 }
+
+// A class that leaves the table takes no new request and keeps those under way; its place goes to a new one
+// only when they have ended, and one that stays keeps what was learned.
+func TestClassesChange(t *testing.T) {
+	class := func(name string, aim time.Duration) Class {
+		return Class{Name: name, Aim: aim, Deadline: 2 * time.Second, Worth: 1}
+	}
+	s := Settings{Instances: 1, MaxAttempts: 3, Classes: []Class{class("a", time.Second), class("b", time.Second)},
+		Plans: []Plan{{Name: "wide", Rate: 1e6, Burst: 1e6, Price: 1}}}
+	g, r := newGate(t, s, fleet(4)...)
+	g.Request(t0, newRequest(1, "a", "wide", 7), r)
+	if got := r.last(); !strings.HasPrefix(got, "send") {
+		t.Fatal(got)
+	}
+	g.lat[g.class["b"]].mean = 0.25
+	if err := g.SetClasses([]Class{class("b", 2*time.Second), class("c", time.Second)}); err != nil {
+		t.Fatal(err)
+	}
+	for n, want := range map[string]string{"a": "refuse", "b": "send", "c": "send"} {
+		g.Request(t0, newRequest(2+int(n[0]), n, "wide", 7), r)
+		if got := r.last(); !strings.HasPrefix(got, want) {
+			t.Errorf("class %s: %s, want %s", n, got, want)
+		}
+	}
+	if b := g.class["b"]; g.lat[b].mean != 0.25 || g.set.Classes[b].Aim != 2*time.Second {
+		t.Errorf("class b: %+v, %+v", g.lat[b], g.set.Classes[b])
+	}
+	if len(g.set.Classes) != 3 { // a's place is taken by the request under way
+		t.Errorf("%d places", len(g.set.Classes))
+	}
+	id := newRequest(1, "a", "wide", 7).ID
+	g.Outcome(t0+50*time.Millisecond, Outcome{ID: id, Result: OK, Closed: true, Took: 50 * time.Millisecond}, r)
+	for i := range 20 {
+		if err := g.SetClasses([]Class{class("b", time.Second), class("c", time.Second), class(fmt.Sprint("d", i), time.Second)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(g.set.Classes) != 3 || len(g.lat) != 3 {
+		t.Errorf("%d places after twenty changes", len(g.set.Classes))
+	}
+	if err := g.SetClasses([]Class{class("x", time.Second), class("x", time.Second)}); err == nil || len(g.class) != 3 {
+		t.Errorf("a name twice: %v, %v", err, g.class)
+	}
+}
--- a/contract/charge.go
+++ b/contract/charge.go
@@ -218,9 +218,6 @@
 // one JSON value. In every object on the way each name stands once, however it is
 // written, and no other that differs in case only.
 func bodyValue(body []byte, path []string, number bool) (string, error) {
-	if !json.Valid(body) {
-		return "", refusal("body: is no JSON, or is cut short")
-	}
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.UseNumber()
 	value, err := property(dec, path, number)
@@ -233,11 +230,13 @@
 	return value, nil
 }
 
+func noJSON(err error) error { return refusal("body: is no JSON, or is cut short: %v", err) }
+
 // property reads the object that comes next, to its end.
 func property(dec *json.Decoder, path []string, number bool) (value string, err error) {
 	tok, err := dec.Token()
 	if err != nil {
-		return "", refusal("body: %v", err)
+		return "", noJSON(err)
 	}
 	if tok != json.Delim('{') {
 		return "", refusal("body: an object is wanted where %q stands", path[0])
@@ -246,12 +245,12 @@
 	for dec.More() {
 		name, err := dec.Token()
 		if err != nil {
-			return "", refusal("body: %v", err)
+			return "", noJSON(err)
 		}
 		if !strings.EqualFold(name.(string), path[0]) {
 			var skip json.RawMessage
 			if err := dec.Decode(&skip); err != nil {
-				return "", refusal("body: %v", err)
+				return "", noJSON(err)
 			}
 			continue
 		}
@@ -269,7 +268,7 @@
 		}
 		tok, err := dec.Token()
 		if err != nil {
-			return "", refusal("body: %v", err)
+			return "", noJSON(err)
 		}
 		switch v := tok.(type) {
 		case json.Number:
@@ -285,7 +284,7 @@
 		}
 	}
 	if _, err := dec.Token(); err != nil { // the closing brace
-		return "", refusal("body: %v", err)
+		return "", noJSON(err)
 	}
 	if !found {
 		return "", errMissing
--- a/contract/fuzz_test.go
+++ b/contract/fuzz_test.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -126,6 +127,8 @@
 		for _, op := range ops {
 			if n, err := op.Charge(Request{Query: query, Head: jsonHead, Body: body}); err == nil && (n < 1 || n > 50) {
 				t.Errorf("%q %q: %d units", query, body, n)
+			} else if err == nil && op.Units.Source.In == InBody && !json.Valid(body) {
+				t.Errorf("%q is no JSON and was charged", body)
 			}
 		}
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -197,7 +197,7 @@
   /visits:
     post:
       operationId: book
-      x-mulleinmux: {class: book, effect: unsafe, units: 20}
+      x-mulleinmux: {class: book, effect: unsafe, units: 20, aim: 5s}
       responses: {"200": {description: ok}}
   /visits/{id}:
     parameters: [{name: id, in: path, required: true, schema: {type: string}}]
