--- /dev/null
+++ b/fleetconfig/objects.go
@@ -0,0 +1,171 @@
+package fleetconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Plan is a tariff's quotas. Rates are in units a second.
+type Plan struct {
+	Rate         float64 `json:"rate"`
+	Burst        float64 `json:"burst"`
+	CeilingRate  float64 `json:"ceiling_rate,omitempty"`
+	CeilingBurst float64 `json:"ceiling_burst,omitempty"`
+	CeilingSlack float64 `json:"ceiling_slack,omitempty"`
+	Open         int     `json:"open,omitempty"`
+	Price        float64 `json:"price"`
+	OverWorth    float64 `json:"over_worth,omitempty"`
+	OverCost     float64 `json:"over_cost,omitempty"`
+}
+
+// Licensee is a licensed provider.
+type Licensee struct {
+	Plan string `json:"plan"`
+}
+
+// Hall is a site's servers.
+type Hall struct {
+	Register string `json:"register"` // address with a port
+}
+
+// Class is what requests of a class are worth, and the figures of operations that declare
+// none. Times are in milliseconds.
+type Class struct {
+	Name       string  `json:"name,omitempty"` // that of its object
+	Worth      float64 `json:"worth"`
+	Late       float64 `json:"late,omitempty"`
+	AimMs      int64   `json:"aim_ms"`
+	DeadlineMs int64   `json:"deadline_ms"`
+}
+
+// Description is an OpenAPI description.
+type Description struct {
+	File string `json:"file"`
+	Text string `json:"text"`
+}
+
+// kinds checks a value of each kind and returns it in its one form.
+var kinds = map[string]func(json.RawMessage) (json.RawMessage, error){
+	"plan": as(func(p *Plan) error {
+		for name, v := range map[string]float64{"rate": p.Rate, "burst": p.Burst, "ceiling_rate": p.CeilingRate, "ceiling_burst": p.CeilingBurst,
+			"ceiling_slack": p.CeilingSlack, "open": float64(p.Open), "price": p.Price, "over_worth": p.OverWorth, "over_cost": p.OverCost} {
+			if !(v >= 0 && v < 1e12) {
+				return fmt.Errorf("%s: out of range", firstBad(name))
+			}
+		}
+		switch {
+		case p.Rate > 0 && p.Burst <= 0:
+			return errors.New("burst: a rate needs one")
+		case p.CeilingRate > 0 && (p.CeilingBurst <= 0 || p.CeilingRate < p.Rate):
+			return errors.New("ceiling_rate: a ceiling needs a burst and lies above the rate")
+		}
+		return nil
+	}),
+	"licensee": as(func(l *Licensee) error {
+		if l.Plan == "" {
+			return errors.New("plan: is missing")
+		}
+		return nil
+	}),
+	"hall": as(func(h *Hall) error {
+		if _, err := netip.ParseAddrPort(h.Register); err != nil {
+			return errors.New("register: an address with a port is wanted")
+		}
+		return nil
+	}),
+	"class": as(func(c *Class) error {
+		switch {
+		case c.Name != "":
+			return errors.New("name: is that of the change")
+		case !(c.Worth > 0 && c.Worth < 1e9):
+			return errors.New("worth: is not above 0")
+		case !(c.Late >= 0 && c.Late <= 1):
+			return errors.New("late: is outside 0 to 1")
+		case c.AimMs <= 0 || c.DeadlineMs < c.AimMs || c.DeadlineMs > 3_600_000:
+			return errors.New("aim_ms: above 0 and up to deadline_ms, an hour at the most, is wanted")
+		}
+		return nil
+	}),
+	"description": as(func(d *Description) error {
+		if d.File == "" || d.Text == "" {
+			return errors.New("file or text is missing")
+		}
+		return nil
+	}),
+}
+
+// firstBad is the name itself: which of several wrong fields is told must not depend on the
+// order of a map, so none is told by name.
+func firstBad(string) string { return "a figure" }
+
+func as[T any](check func(*T) error) func(json.RawMessage) (json.RawMessage, error) {
+	return func(text json.RawMessage) (json.RawMessage, error) {
+		var v T
+		if err := strict(text, &v); err != nil {
+			return nil, fmt.Errorf("value: %w", err)
+		}
+		if err := check(&v); err != nil {
+			return nil, err
+		}
+		return json.Marshal(&v)
+	}
+}
+
+// Read returns all objects of a kind by name.
+func Read[T any](s *State, kind string) map[string]T {
+	out := map[string]T{}
+	s.Each(kind, func(name string, value json.RawMessage) {
+		var v T
+		if json.Unmarshal(value, &v) == nil { // it was checked when it was put
+			out[name] = v
+		}
+	})
+	return out
+}
+
+// Classes returns the classes, by name.
+func (s *State) Classes() []Class { return classesOf(s.objects) }
+
+func classesOf(objects map[string]json.RawMessage) (cs []Class) {
+	for _, k := range slices.Sorted(maps.Keys(objects)) {
+		if name, ok := strings.CutPrefix(k, "class/"); ok {
+			var c Class
+			if json.Unmarshal(objects[k], &c) == nil {
+				c.Name = name
+				cs = append(cs, c)
+			}
+		}
+	}
+	return cs
+}
+
+// consistent checks that what objects refer to is there. touched are the kinds changed.
+func (s *State) consistent(objects map[string]json.RawMessage, touched map[string]bool) error {
+	for _, k := range slices.Sorted(maps.Keys(objects)) {
+		kind, name, _ := strings.Cut(k, "/")
+		switch {
+		case kind == "licensee" && (touched["licensee"] || touched["plan"]):
+			var l Licensee
+			if err := json.Unmarshal(objects[k], &l); err != nil {
+				return err
+			}
+			if _, ok := objects[key("plan", l.Plan)]; !ok {
+				return fmt.Errorf("licensee %s: plan %q is not there: put it first, or in the same proposal", name, l.Plan)
+			}
+		case kind == "description" && (touched["description"] || touched["class"]) && s.validate != nil:
+			var d Description
+			if err := json.Unmarshal(objects[k], &d); err != nil {
+				return err
+			}
+			if err := s.validate(d.File, d.Text, classesOf(objects)); err != nil {
+				return fmt.Errorf("description %s: %w", name, err)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleetconfig/state.go
@@ -0,0 +1,307 @@
+// Package fleetconfig is the configuration that the instances of a gateway agree on: a
+// state machine whose entries are proposals of operators, applied in one order by all.
+// It does no I/O; package raftnode brings the order.
+//
+// Invariant: the state is a function of the entries applied, in their order. [State.Apply]
+// therefore reads no clock and iterates no map in its own order, and what it refuses, it
+// refuses everywhere alike.
+package fleetconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Format is the newest format of entries and snapshots that this program knows.
+const Format = 1
+
+// Bounds.
+const (
+	MaxProposal = 12 << 20 // bytes of an encoded proposal
+	maxChanges  = 10_000   // in one proposal
+	keptIDs     = 10_000   // request ids that are remembered, the oldest forgotten first
+	keptHistory = 2_000    // versions whose history is kept
+)
+
+// Errors.
+var (
+	// ErrNewerFormat says that an entry or a snapshot was written by a newer program. To
+	// go on would drop what it says.
+	ErrNewerFormat = errors.New("written in a newer format than this program knows: update it")
+	// ErrMalformed says that an entry or a snapshot can't be read.
+	ErrMalformed = errors.New("malformed")
+)
+
+// Change puts or removes one object.
+type Change struct {
+	Op    string          `json:"op"` // "put" or "remove"
+	Kind  string          `json:"kind"`
+	Name  string          `json:"name"`
+	Value json.RawMessage `json:"value,omitempty"` // of a put
+}
+
+// Proposal is what an operator asks for: all of its changes take place, or none.
+type Proposal struct {
+	ID      string   `json:"id"`             // of the request: a repeated one is applied once
+	Base    *uint64  `json:"base,omitempty"` // the version that the changes were made against; nil: any
+	Author  string   `json:"author,omitempty"`
+	Why     string   `json:"why,omitempty"`
+	AtMs    int64    `json:"at_ms,omitempty"` // when it was proposed, by the proposer's clock; decides nothing
+	Changes []Change `json:"changes"`
+}
+
+// Outcome is what became of a proposal.
+type Outcome struct {
+	Version uint64 `json:"version"`           // in force after it
+	Applied bool   `json:"applied"`           // the version is the proposal's own
+	Refused string `json:"refused,omitempty"` // why not
+}
+
+// Record is one version in the history.
+type Record struct {
+	Version uint64   `json:"version"`
+	ID      string   `json:"id"`
+	Author  string   `json:"author,omitempty"`
+	Why     string   `json:"why,omitempty"`
+	AtMs    int64    `json:"at_ms,omitempty"`
+	Changes []string `json:"changes"` // such as "put plan kubwa"
+	Hash    string   `json:"hash"`    // of the chain after it
+}
+
+// Validator checks a description against the classes in force. It must be a function of
+// its arguments alone.
+type Validator func(file, text string, classes []Class) error
+
+// State is the agreed configuration. It is not safe for concurrent use.
+type State struct {
+	validate Validator
+	version  uint64
+	hash     [sha256.Size]byte // of all entries so far, refused ones too
+	objects  map[string]json.RawMessage
+	outcomes map[string]Outcome
+	ids      []string // of outcomes, the oldest first
+	history  []Record
+}
+
+// New returns an empty state at version 0.
+func New(v Validator) *State {
+	return &State{validate: v, objects: map[string]json.RawMessage{}, outcomes: map[string]Outcome{}}
+}
+
+// Version is the version in force; 0: nothing has been applied.
+func (s *State) Version() uint64 { return s.version }
+
+// Hash is the hash of the chain of all entries so far, in hex. Two states with the same
+// hash have applied the same entries in the same order.
+func (s *State) Hash() string { return hex.EncodeToString(s.hash[:]) }
+
+// History is the records kept, the oldest first.
+func (s *State) History() []Record { return slices.Clone(s.history) }
+
+// Get returns an object's value, or false.
+func (s *State) Get(kind, name string) (json.RawMessage, bool) {
+	v, ok := s.objects[key(kind, name)]
+	return v, ok
+}
+
+// Each calls f for each object of a kind, by name.
+func (s *State) Each(kind string, f func(name string, value json.RawMessage)) {
+	for _, k := range slices.Sorted(maps.Keys(s.objects)) {
+		if of, name, _ := strings.Cut(k, "/"); of == kind {
+			f(name, s.objects[k])
+		}
+	}
+}
+
+func key(kind, name string) string { return kind + "/" + name }
+
+// Encode words a proposal as an entry.
+func Encode(p *Proposal) ([]byte, error) {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("proposal: %w", err)
+	}
+	if len(text) > MaxProposal {
+		return nil, fmt.Errorf("proposal: %d bytes: %d are the most", len(text), MaxProposal)
+	}
+	return append([]byte{Format}, text...), nil
+}
+
+// decode reads an entry.
+func decode(entry []byte) (*Proposal, error) {
+	if len(entry) == 0 || entry[0] == 0 {
+		return nil, ErrMalformed
+	}
+	if entry[0] > Format {
+		return nil, ErrNewerFormat
+	}
+	var p Proposal
+	if err := strict(entry[1:], &p); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return &p, nil
+}
+
+func strict(text []byte, to any) error {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(to); err != nil {
+		return err
+	}
+	if dec.More() {
+		return errors.New("something follows")
+	}
+	return nil
+}
+
+// Check tells what a proposal would come to now. It changes nothing: it is asked before a
+// proposal goes out, and Apply asks again.
+func (s *State) Check(p *Proposal) error {
+	_, err := s.try(p)
+	return err
+}
+
+// Apply applies the next entry. An error means that the entry can't be read: the state is
+// as it was, and the instance must stop, since others may have read it.
+func (s *State) Apply(entry []byte) (id string, o Outcome, err error) {
+	p, err := decode(entry)
+	if err != nil {
+		return "", Outcome{}, err
+	}
+	if before, ok := s.outcomes[p.ID]; ok {
+		return p.ID, before, nil // repeated: its answer was lost
+	}
+	objects, err := s.try(p)
+	s.chain(entry, err == nil)
+	if err != nil {
+		o = Outcome{Version: s.version, Refused: err.Error()}
+	} else {
+		s.version++
+		s.objects = objects
+		o = Outcome{Version: s.version, Applied: true}
+		r := Record{Version: s.version, ID: p.ID, Author: p.Author, Why: p.Why, AtMs: p.AtMs, Hash: s.Hash()}
+		for _, c := range p.Changes {
+			r.Changes = append(r.Changes, c.Op+" "+c.Kind+" "+c.Name)
+		}
+		if s.history = append(s.history, r); len(s.history) > keptHistory {
+			s.history = slices.Clone(s.history[len(s.history)-keptHistory:])
+		}
+	}
+	s.outcomes[p.ID] = o
+	if s.ids = append(s.ids, p.ID); len(s.ids) > keptIDs {
+		delete(s.outcomes, s.ids[0])
+		s.ids = s.ids[1:]
+	}
+	return p.ID, o, nil
+}
+
+func (s *State) chain(entry []byte, applied bool) {
+	h := sha256.New()
+	h.Write(s.hash[:])
+	h.Write(entry)
+	if applied {
+		h.Write([]byte{1})
+	}
+	h.Sum(s.hash[:0])
+}
+
+// try returns the objects as a proposal would leave them, or why it is refused.
+func (s *State) try(p *Proposal) (map[string]json.RawMessage, error) {
+	switch {
+	case p.ID == "" || len(p.ID) > 200:
+		return nil, errors.New("id: 1 to 200 bytes are wanted")
+	case len(p.Changes) == 0:
+		return nil, errors.New("changes: none")
+	case len(p.Changes) > maxChanges:
+		return nil, fmt.Errorf("changes: %d are the most", maxChanges)
+	case p.Base != nil && *p.Base != s.version:
+		return nil, fmt.Errorf("base: version %d is in force, not %d: look at what changed and propose again", s.version, *p.Base)
+	}
+	next := maps.Clone(s.objects)
+	touched := map[string]bool{}
+	for i, c := range p.Changes {
+		at := fmt.Sprintf("changes[%d] (%s %s %s)", i, c.Op, c.Kind, c.Name)
+		if c.Name == "" || len(c.Name) > 200 || strings.ContainsAny(c.Name, "/\n\x00") {
+			return nil, fmt.Errorf("%s: name: 1 to 200 bytes without a slash are wanted", at)
+		}
+		kind, ok := kinds[c.Kind]
+		if !ok {
+			return nil, fmt.Errorf("%s: kind: one of %s is wanted", at, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
+		}
+		k := key(c.Kind, c.Name)
+		touched[c.Kind] = true
+		switch c.Op {
+		case "put":
+			value, err := kind(c.Value)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", at, err)
+			}
+			next[k] = value
+		case "remove":
+			if _, ok := next[k]; !ok {
+				return nil, fmt.Errorf("%s: there is none", at)
+			}
+			delete(next, k)
+		default:
+			return nil, fmt.Errorf("%s: op: put or remove is wanted", at)
+		}
+	}
+	return next, s.consistent(next, touched)
+}
+
+// snapshot is the form of a snapshot.
+type snapshot struct {
+	Format   int                        `json:"format"`
+	Version  uint64                     `json:"version"`
+	Hash     string                     `json:"hash"`
+	Objects  map[string]json.RawMessage `json:"objects"`
+	IDs      []string                   `json:"ids"`
+	Outcomes []Outcome                  `json:"outcomes"` // in the order of IDs
+	History  []Record                   `json:"history"`
+}
+
+// Snapshot words the state. The same state gives the same bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, IDs: s.ids, History: s.history}
+	for _, id := range s.ids {
+		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
+	}
+	return json.Marshal(snap)
+}
+
+// Restore replaces the state by a snapshot's. With an error the state is as it was.
+func (s *State) Restore(text []byte) error {
+	var form struct {
+		Format int `json:"format"`
+	}
+	if err := json.Unmarshal(text, &form); err != nil {
+		return fmt.Errorf("snapshot: %w: %w", ErrMalformed, err)
+	}
+	if form.Format > Format {
+		return fmt.Errorf("snapshot: format %d: %w", form.Format, ErrNewerFormat)
+	}
+	var snap snapshot
+	if err := strict(text, &snap); err != nil {
+		return fmt.Errorf("snapshot: %w: %w", ErrMalformed, err)
+	}
+	hash, err := hex.DecodeString(snap.Hash)
+	if err != nil || len(hash) != sha256.Size || len(snap.IDs) != len(snap.Outcomes) || form.Format < 1 {
+		return fmt.Errorf("snapshot: %w", ErrMalformed)
+	}
+	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
+	copy(s.hash[:], hash)
+	if s.objects == nil {
+		s.objects = map[string]json.RawMessage{}
+	}
+	for i, id := range snap.IDs {
+		s.outcomes[id] = snap.Outcomes[i]
+	}
+	return nil
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -460,20 +460,13 @@
 func TestHallsApart(t *testing.T) {
 	h := newHalls(t)
 	h.server("hall-a", "s")
+	h.server("hall-a", "t")
 	h.server("hall-b", "s")
-	g := start(t, h, 2, nil)
+	g := start(t, h, 3, nil)
+	h.list("hall-a", "t", "127.0.0.1:1", "removed") // a change says nothing of the hall's others
+	h.gone(g, "hall-a", 1)
 	h.list("hall-a", "s", "127.0.0.1:1", "removed")
-	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		g.mu.Lock()
-		n := len(g.known["hall-a"])
-		g.mu.Unlock()
-		if n == 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the server stays known")
-		}
-	}
+	h.gone(g, "hall-a", 0)
 	c := dial(t, g.addr)
 	for range 5 {
 		c.send(get("GET /visits/1"))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// gone waits until an instance knows so many servers of a hall.
+func (h *halls) gone(g *running, hall string, left int) {
+	h.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		n := len(g.known[hall])
+		g.mu.Unlock()
+		if n == left {
+			return
+		}
+		if n < left || time.Now().After(end) {
+			h.t.Fatalf("%s: %d servers known, not %d", hall, n, left)
+		}
+	}
+}
+
 func answerText(status int, extra, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
 }
