--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -103,7 +103,9 @@
 func (s *State) Hash() string { return hex.EncodeToString(s.hash[:]) }
 
 // History is the records kept, the oldest first.
-func (s *State) History() []Record { return slices.Clone(s.history) }
+func (s *State) History() []Record { return slices.Clone(s.kept()) }
+
+func (s *State) kept() []Record { return s.history[max(len(s.history)-keptHistory, 0):] }
 
 // Get returns an object's value, or false.
 func (s *State) Get(kind, name string) (json.RawMessage, bool) {
@@ -190,8 +192,8 @@
 		for _, c := range p.Changes {
 			r.Changes = append(r.Changes, c.Op+" "+c.Kind+" "+c.Name)
 		}
-		if s.history = append(s.history, r); len(s.history) > keptHistory {
-			s.history = slices.Clone(s.history[len(s.history)-keptHistory:])
+		if s.history = append(s.history, r); len(s.history) >= 2*keptHistory {
+			s.history = slices.Clone(s.kept()) // now and then: not for each version
 		}
 	}
 	s.outcomes[p.ID] = o
@@ -269,7 +271,7 @@
 
 // Snapshot words the state. The same state gives the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, IDs: s.ids, History: s.history}
+	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, IDs: s.ids, History: s.kept()}
 	for _, id := range s.ids {
 		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
 	}
--- a/fleetconfig/state_test.go
+++ b/fleetconfig/state_test.go
@@ -183,7 +183,7 @@
 			t.Fatal(err)
 		}
 	}
-	if len(s.outcomes) != keptIDs || len(s.ids) != keptIDs || len(s.history) != keptHistory || s.History()[keptHistory-1].Version != keptIDs+50 {
+	if len(s.outcomes) != keptIDs || len(s.ids) != keptIDs || len(s.history) >= 2*keptHistory || len(s.History()) != keptHistory || s.History()[keptHistory-1].Version != keptIDs+50 {
 		t.Errorf("%d outcomes, %d ids, %d records", len(s.outcomes), len(s.ids), len(s.history))
 	}
 	if _, err := Encode(&Proposal{ID: "big", Why: strings.Repeat("x", MaxProposal)}); err == nil {
--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -289,29 +289,38 @@
 	c.rn.ReportSnapshot(id, status)
 }
 
-// Work does what the member has to do and returns the messages that may go out: all that
-// they promise is on the disk. An error means that the member has stopped and must not be
+// Work does what the member has to do and hands send the messages as soon as they may go
+// out: what a message promises of this member's disk is on it. A leader's entries go out
+// while it writes its own copy, which counts for the quorum only once it is written
+// (section 10.2.1 of Ongaro's dissertation). An error means that the member has stopped and must not be
 // driven further; another Open may bring it back.
-func (c *Core) Work() (out []*pb.Message, err error) {
+func (c *Core) Work(send func(*pb.Message)) error {
 	for c.failed == nil && c.rn.HasReady() {
 		rd := c.rn.Ready()
+		for _, m := range rd.Messages {
+			if early(m) {
+				send(m)
+			}
+		}
 		if err := c.keep(&rd); err != nil {
-			return out, c.fail(err)
+			return c.fail(err)
 		}
-		out = append(out, rd.Messages...)
 		for _, m := range rd.Messages {
 			if m.GetType() == pb.MsgSnap {
 				c.sent[m.GetTo()] = 0
 			}
+			if !early(m) {
+				send(m)
+			}
 		}
 		if !raft.IsEmptySnap(rd.Snapshot) {
 			if err := c.restore(rd.Snapshot); err != nil {
-				return out, c.fail(err)
+				return c.fail(err)
 			}
 		}
 		for _, e := range rd.CommittedEntries {
 			if err := c.apply(e); err != nil {
-				return out, c.fail(err)
+				return c.fail(err)
 			}
 		}
 		for _, rs := range rd.ReadStates {
@@ -322,10 +331,15 @@
 		c.rn.Advance(rd)
 		c.answerReads()
 		if err := c.snapshot(); err != nil {
-			return out, c.fail(err)
+			return c.fail(err)
 		}
 	}
-	return out, c.failed
+	return c.failed
+}
+
+// early tells whether a message says nothing of its sender's disk: what a leader replicates.
+func early(m *pb.Message) bool {
+	return m.GetType() == pb.MsgApp || m.GetType() == pb.MsgHeartbeat
 }
 
 // keep saves what a Ready promises.
--- /dev/null
+++ b/internal/raftnode/node.go
@@ -0,0 +1,240 @@
+package raftnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"mulleinmux/fleetconfig"
+)
+
+// NodeConfig is what a [Node] is told.
+type NodeConfig struct {
+	Config
+	Cluster     string // its name; a member of another one is never taken in
+	Credentials Credentials
+	Tick        time.Duration     // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
+	Peers       map[uint64]string // addresses of all members
+	Logger      *log.Logger
+}
+
+// Node is a member on real time, sockets and disk. Its methods may be called from any
+// goroutine; the member itself is touched by one.
+type Node struct {
+	cfg    NodeConfig
+	core   *Core
+	net    *transport
+	events chan func()
+	stop   context.CancelFunc
+	ended  chan struct{}
+	err    error // why it ended, once it has
+	once   sync.Once
+	disk   Disk
+}
+
+const (
+	defaultTick = 50 * time.Millisecond
+	eventQueue  = 1024
+	batchMost   = 256 // events between two turns of the member's work: what they propose is synced together
+)
+
+// Start starts a member on a listener, which it closes at its end.
+func Start(cfg NodeConfig, disk Disk, ln net.Listener) (*Node, error) {
+	if cfg.Tick == 0 {
+		cfg.Tick = defaultTick
+	}
+	core, err := Open(cfg.Config, disk)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{cfg: cfg, core: core, events: make(chan func(), eventQueue), stop: stop, ended: make(chan struct{}), disk: disk}
+	n.net = &transport{cluster: cfg.Cluster, me: cfg.ID, creds: cfg.Credentials, ln: ln, logf: cfg.Logger.Printf,
+		heard: func(m *pb.Message) { n.do(ctx, func() { core.Step(m) }) },
+		sent: func(m *pb.Message, ok bool) {
+			// Told from the transport's goroutines, and from the member's own while it sends.
+			n.net.all.Go(func() {
+				n.do(ctx, func() {
+					if m.GetType() == pb.MsgSnap {
+						core.SnapshotSent(m.GetTo(), ok)
+					} else if !ok {
+						core.Unreachable(m.GetTo())
+					}
+				})
+			})
+		}}
+	n.net.start(ctx)
+	n.net.peers(cfg.Peers)
+	go n.run(ctx)
+	return n, nil
+}
+
+// do has the member's goroutine run f; it is false once the node ends.
+func (n *Node) do(ctx context.Context, f func()) bool {
+	select {
+	case n.events <- f:
+		return true
+	case <-ctx.Done():
+	case <-n.ended:
+	}
+	return false
+}
+
+func (n *Node) run(ctx context.Context) {
+	defer close(n.ended)
+	defer n.net.wait()
+	defer n.stop()
+	tick := time.NewTicker(n.cfg.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.core.fail(ErrStopped)
+			n.err = ErrStopped
+			return
+		case <-tick.C:
+			n.core.Tick()
+		case f := <-n.events:
+			f()
+		}
+		for i := 0; i < batchMost && len(n.events) > 0; i++ {
+			(<-n.events)()
+		}
+		if err := n.core.Work(n.net.send); err != nil {
+			n.cfg.Logger.Printf("member %d stops: %v", n.cfg.ID, err)
+			n.err = err
+			return
+		}
+	}
+}
+
+// Stop ends the node and waits until it has ended.
+func (n *Node) Stop() {
+	n.stop()
+	<-n.ended
+}
+
+// Ended is closed when the node has ended; Err tells why.
+func (n *Node) Ended() <-chan struct{} { return n.ended }
+
+// Err is why the node has ended, once it has.
+func (n *Node) Err() error {
+	select {
+	case <-n.ended:
+		return n.err
+	default:
+		return nil
+	}
+}
+
+// Propose has a proposal applied and returns its outcome. Where the answer is lost (a
+// leader that changed), it asks again under the same id until ctx ends: it is applied once.
+func (n *Node) Propose(ctx context.Context, p *fleetconfig.Proposal) (fleetconfig.Outcome, error) {
+	type result struct {
+		o   fleetconfig.Outcome
+		err error
+	}
+	pause := 4 * n.cfg.Tick
+	var last error
+	for {
+		got := make(chan result, 1)
+		var once sync.Once
+		if !n.do(ctx, func() {
+			n.core.Propose(p, func(o fleetconfig.Outcome, err error) { once.Do(func() { got <- result{o, err} }) })
+		}) {
+			return fleetconfig.Outcome{}, errors.Join(ErrStopped, last, ctx.Err())
+		}
+		again := time.NewTimer(time.Duration(3*n.core.cfg.ElectionTicks) * n.cfg.Tick)
+		select {
+		case r := <-got:
+			again.Stop()
+			if r.err == nil {
+				return r.o, nil
+			}
+			if !errors.Is(r.err, ErrNoLeader) && !errors.Is(r.err, ErrLost) {
+				return fleetconfig.Outcome{}, r.err
+			}
+			last = r.err
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		case <-again.C:
+			last = ErrLost
+		case <-ctx.Done():
+			again.Stop()
+		}
+		if ctx.Err() != nil {
+			n.do(context.Background(), func() { n.core.Forget(p.ID) })
+			return fleetconfig.Outcome{}, fmt.Errorf("%w: %w", errors.Join(last, ErrLost), ctx.Err())
+		}
+	}
+}
+
+// Read calls f with the state once all that was committed anywhere when it was asked is
+// applied here. f must not keep the state.
+func (n *Node) Read(ctx context.Context, f func(*fleetconfig.State)) error {
+	got := make(chan error, 1)
+	var mu sync.Mutex
+	over := false // f must not be called once Read has returned
+	defer func() {
+		mu.Lock()
+		over = true
+		mu.Unlock()
+	}()
+	if !n.do(ctx, func() {
+		n.core.Read(func(err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && !over {
+				f(n.core.State())
+			}
+			got <- err
+		})
+	}) {
+		return errors.Join(ErrStopped, ctx.Err())
+	}
+	select {
+	case err := <-got:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNoLeader, ctx.Err())
+	}
+}
+
+// Status is a member's view.
+type Status struct {
+	ID       uint64   `json:"id"`
+	Leader   uint64   `json:"leader"` // 0: none is known
+	Ready    bool     `json:"ready"`
+	Version  uint64   `json:"version"`
+	Index    uint64   `json:"index"`
+	Hash     string   `json:"hash"`
+	Voters   []uint64 `json:"voters"`
+	Learners []uint64 `json:"learners"`
+}
+
+// Status tells how the member stands, without asking others.
+func (n *Node) Status(ctx context.Context) (s Status, err error) {
+	got := make(chan Status, 1)
+	if !n.do(ctx, func() {
+		v, l := n.core.Members()
+		got <- Status{n.cfg.ID, n.core.Leader(), n.core.Ready(), n.core.State().Version(), n.core.Index(), n.core.State().Hash(), v, l}
+	}) {
+		return s, errors.Join(ErrStopped, ctx.Err())
+	}
+	select {
+	case s = <-got:
+		return s, nil
+	case <-ctx.Done():
+		return s, ctx.Err()
+	case <-n.ended:
+		return s, ErrStopped
+	}
+}
--- /dev/null
+++ b/internal/raftnode/node_test.go
@@ -0,0 +1,396 @@
+package raftnode
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"mulleinmux/fleetconfig"
+)
+
+// patience bounds every wait of a test; none is expected to come near it.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// real is a cluster on real sockets and files.
+type real struct {
+	t     testing.TB
+	dir   string
+	auth  *Authority
+	addrs map[uint64]string
+	nodes map[uint64]*Node
+	disks map[uint64]*BoltDisk
+	lns   map[uint64]net.Listener
+	tick  time.Duration
+	every uint64 // entries between snapshots
+}
+
+func newReal(t testing.TB, n int) *real { return newRealAt(t, n, 10*time.Millisecond, 200) }
+
+func newRealAt(t testing.TB, n int, tick time.Duration, snapshotEvery uint64) *real {
+	t.Helper()
+	auth, err := NewAuthority("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &real{t: t, dir: t.TempDir(), auth: auth, addrs: map[uint64]string{}, nodes: map[uint64]*Node{}, disks: map[uint64]*BoltDisk{}, lns: map[uint64]net.Listener{}, tick: tick, every: snapshotEvery}
+	for id := uint64(1); id <= uint64(n); id++ {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.lns[id], r.addrs[id] = ln, ln.Addr().String()
+	}
+	for id := uint64(1); id <= uint64(n); id++ {
+		r.start(id)
+	}
+	t.Cleanup(func() {
+		for id := range r.nodes {
+			r.kill(id)
+		}
+	})
+	return r
+}
+
+func (r *real) start(id uint64) {
+	r.t.Helper()
+	ln := r.lns[id]
+	if ln == nil { // it was up before: its address is free again
+		var err error
+		if ln, err = net.Listen("tcp", r.addrs[id]); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	r.lns[id] = nil
+	disk, err := OpenBolt(filepath.Join(r.dir, fmt.Sprint(id, ".db")), "test", id)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	creds, err := r.auth.Credentials(id)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var voters []uint64
+	for v := range r.addrs {
+		voters = append(voters, v)
+	}
+	slices.Sort(voters)
+	n, err := Start(NodeConfig{Config: Config{ID: id, Voters: voters, SnapshotEvery: r.every, KeepEntries: 20}, Cluster: "test", Credentials: creds,
+		Tick: r.tick, Peers: r.addrs, Logger: log.New(io.Discard, "", 0)}, disk, ln)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.nodes[id], r.disks[id] = n, disk
+}
+
+func (r *real) kill(id uint64) {
+	r.nodes[id].Stop()
+	delete(r.nodes, id)
+	if err := r.disks[id].Close(); err != nil {
+		r.t.Error(err)
+	}
+}
+
+func (r *real) status(id uint64) Status {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := r.nodes[id].Status(ctx)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+// await waits until a condition holds of every member that is up.
+func (r *real) await(what string, cond func(Status) bool) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		all := true
+		for id := range r.nodes {
+			all = all && cond(r.status(id))
+		}
+		if all {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (r *real) propose(id uint64, p *fleetconfig.Proposal) fleetconfig.Outcome {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	o, err := r.nodes[id].Propose(ctx, p)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return o
+}
+
+func planPut(id string, price int) *fleetconfig.Proposal {
+	return &fleetconfig.Proposal{ID: id, Changes: []fleetconfig.Change{{Op: "put", Kind: "plan", Name: "x", Value: json.RawMessage(fmt.Sprintf(`{"rate":0,"burst":0,"price":%d}`, price))}}}
+}
+
+// On real sockets and files: a leader that is killed under a stream of changes takes none
+// of the answered ones along; one that comes back, and one that missed so much that the log
+// was compacted, catch up before they are ready; all have one chain.
+func TestLeaderLost(t *testing.T) {
+	r := newReal(t, 3)
+	r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	leader := r.status(1).Leader
+	via := leader%3 + 1
+	for i := range 20 {
+		if o := r.propose(via, planPut(fmt.Sprint("a", i), i)); !o.Applied || o.Version != uint64(i+1) {
+			t.Fatalf("%+v", o)
+		}
+	}
+	r.kill(leader)
+	began := time.Now()
+	if o := r.propose(via, planPut("b", 1)); !o.Applied || o.Version != 21 {
+		t.Fatalf("after the leader was lost: %+v", o)
+	}
+	t.Logf("the next change was applied %v after the leader was killed", time.Since(began))
+	// A repeated proposal comes to what it came to.
+	if o := r.propose(via, planPut("a3", 3)); !o.Applied || o.Version != 4 {
+		t.Errorf("repeated: %+v", o)
+	}
+	var all sync.WaitGroup
+	for c := range 8 {
+		all.Go(func() {
+			for i := range 60 {
+				r.propose(via, planPut(fmt.Sprint("c", c, "-", i), i))
+			}
+		})
+	}
+	all.Wait()
+	r.start(leader)
+	r.await("ready and of one mind", func(s Status) bool { return s.Ready && s.Version == 501 && s.Hash == r.status(via).Hash })
+	// A read sees all that was answered, at any member.
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for id := range r.nodes {
+		version := uint64(0)
+		if err := r.nodes[id].Read(ctx, func(s *fleetconfig.State) { version = s.Version() }); err != nil || version != 501 {
+			t.Errorf("member %d reads version %d, error %v", id, version, err)
+		}
+	}
+}
+
+// A minority takes no change and confirms no read, and says so; it is not ready after a
+// restart until a quorum is back.
+func TestMinority(t *testing.T) {
+	r := newReal(t, 3)
+	r.await("ready", func(s Status) bool { return s.Ready })
+	r.propose(1, planPut("a", 1))
+	r.kill(2)
+	r.kill(3)
+	r.kill(1)
+	r.start(1)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := r.nodes[1].Propose(ctx, planPut("b", 2)); err == nil || !strings.Contains(err.Error(), "leader") {
+		t.Errorf("a change by a minority: %v", err)
+	}
+	if err := r.nodes[1].Read(ctx, func(*fleetconfig.State) { t.Error("a read by a minority") }); err == nil {
+		t.Error("a read by a minority is confirmed")
+	}
+	if s := r.status(1); s.Ready || s.Version > 1 {
+		t.Errorf("%+v", s)
+	}
+	r.start(2)
+	r.await("ready again", func(s Status) bool { return s.Ready && s.Version >= 1 })
+}
+
+// Who is no member of this cluster, speaks in another's name or sends frames without end is
+// turned away, and the member goes on.
+func TestStrangers(t *testing.T) {
+	r := newReal(t, 3)
+	r.await("ready", func(s Status) bool { return s.Ready })
+	other, err := NewAuthority("test") // of the same name, with another key
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreign, err := NewAuthority("elsewhere")
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame := func(m *pb.Message) []byte {
+		text, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	}
+	vote := &pb.Message{Type: pb.MsgVote.Enum(), From: proto.Uint64(3), To: proto.Uint64(1), Term: proto.Uint64(1 << 40)}
+	for name, c := range map[string]struct {
+		auth *Authority
+		id   uint64
+		text []byte
+	}{
+		"another authority":   {other, 2, frame(vote)},
+		"another cluster":     {foreign, 2, frame(vote)},
+		"in another's name":   {r.auth, 2, frame(vote)},
+		"a frame without end": {r.auth, 2, binary.BigEndian.AppendUint32(nil, 1<<31)},
+		"noise":               {r.auth, 2, []byte{0, 0, 0, 3, 0xff, 0xff, 0xff}},
+	} {
+		creds, err := c.auth.Credentials(c.id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, err := tls.Dial("tcp", r.addrs[1], &tls.Config{Certificates: []tls.Certificate{creds.Certificate}, InsecureSkipVerify: true})
+		if err == nil {
+			nc.SetDeadline(time.Now().Add(patience))
+			nc.Write(c.text)
+			if _, err = nc.Read(make([]byte, 1)); err == nil {
+				t.Errorf("%s: is answered", name)
+			}
+			nc.Close()
+		}
+	}
+	if s := r.status(1); s.Leader == 0 {
+		t.Errorf("%+v", s)
+	}
+	if o := r.propose(1, planPut("a", 1)); !o.Applied {
+		t.Errorf("%+v", o)
+	}
+}
+
+// A change of 8 MB goes through, and one over the most is refused with its size.
+func TestLargeChange(t *testing.T) {
+	r := newRealAt(t, 3, 100*time.Millisecond, 200) // an election must not come while 8 MB are written and read
+	r.await("ready", func(s Status) bool { return s.Ready })
+	text := strings.Repeat("x", 8<<20)
+	p := func(id, text string) *fleetconfig.Proposal {
+		v, err := json.Marshal(fleetconfig.Description{File: "d.yaml", Text: text})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &fleetconfig.Proposal{ID: id, Changes: []fleetconfig.Change{{Op: "put", Kind: "description", Name: "d", Value: v}}}
+	}
+	if o := r.propose(2, p("a", text)); !o.Applied {
+		t.Errorf("%+v", o)
+	}
+	r.await("applied everywhere", func(s Status) bool { return s.Version == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := r.nodes[1].Propose(ctx, p("b", text+text)); err == nil || !strings.Contains(err.Error(), "are the most") {
+		t.Errorf("%v", err)
+	}
+}
+
+// Certificates are written once and read back; a further member's comes from the same
+// authority.
+func TestCertificates(t *testing.T) {
+	dir := t.TempDir()
+	a, err := NewAuthority("c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Write(dir, []uint64{1, 2}); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Write(dir, []uint64{1}); err == nil {
+		t.Error("files were written over")
+	}
+	b, err := LoadAuthority(dir)
+	if err != nil || b.Cluster != "c" {
+		t.Fatalf("%+v %v", b, err)
+	}
+	if _, err := LoadCredentials(dir, 2); err != nil {
+		t.Error(err)
+	}
+	if _, err := LoadCredentials(dir, 3); err == nil {
+		t.Error("member 3 has no certificate")
+	}
+	if _, _, err := b.Issue(3); err != nil {
+		t.Error(err)
+	}
+}
+
+// BenchmarkCommit is a change over three members on loopback beside one synced commit of
+// the same file system, with one operator and with 64.
+func BenchmarkCommit(b *testing.B) {
+	b.Run("bbolt", func(b *testing.B) {
+		db, err := bbolt.Open(filepath.Join(b.TempDir(), "x.db"), 0o600, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer db.Close()
+		var lat []time.Duration
+		for i := 0; b.Loop(); i++ {
+			at := time.Now()
+			err := db.Update(func(tx *bbolt.Tx) error {
+				k, err := tx.CreateBucketIfNotExists([]byte("b"))
+				if err != nil {
+					return err
+				}
+				return k.Put(binary.BigEndian.AppendUint64(nil, uint64(i)), make([]byte, 150))
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			lat = append(lat, time.Since(at))
+		}
+		report(b, lat)
+	})
+	for _, operators := range []int{1, 64} {
+		b.Run(fmt.Sprintf("operators=%d", operators), func(b *testing.B) {
+			r := newRealAt(b, 3, 10*time.Millisecond, 2000)
+			r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+			leader := r.status(1).Leader
+			var mu sync.Mutex
+			var lat []time.Duration
+			n := 0
+			b.ResetTimer()
+			var all sync.WaitGroup
+			for range operators {
+				all.Go(func() {
+					for {
+						mu.Lock()
+						n++
+						i := n
+						mu.Unlock()
+						if i > b.N {
+							return
+						}
+						at := time.Now()
+						r.propose(leader, planPut(fmt.Sprint("p", i), i))
+						mu.Lock()
+						lat = append(lat, time.Since(at))
+						mu.Unlock()
+					}
+				})
+			}
+			all.Wait()
+			b.StopTimer()
+			report(b, lat)
+		})
+	}
+}
+
+func report(b *testing.B, lat []time.Duration) {
+	slices.Sort(lat)
+	b.ReportMetric(float64(lat[len(lat)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(lat[len(lat)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(len(lat))/b.Elapsed().Seconds(), "changes/s")
+}
--- a/internal/raftnode/sim_test.go
+++ b/internal/raftnode/sim_test.go
@@ -190,16 +190,12 @@
 
 // work has a member do its work; one whose disk fails goes down.
 func (c *cluster) work(m *member) {
-	out, err := m.core.Work()
-	if err != nil {
+	if err := m.core.Work(c.send); err != nil {
 		if !errors.Is(err, errDisk) {
 			c.fatalf("member %d: %v", m.id, err)
 		}
 		c.kill(m)
 	}
-	for _, msg := range out { // what came out before the error was promised on disk
-		c.send(msg)
-	}
 }
 
 func (c *cluster) kill(m *member) {
