--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -373,6 +373,32 @@
 	}
 }
 
+// A connection that a server has made into something else carries no further request.
+func TestUpgradedConnection(t *testing.T) {
+	h := newHalls(t)
+	h.server("hall-a", "s")
+	g := start(t, h, 1, func(c *Config) { c.Settings.Probes = false }) // which have connections of their own
+	c := dial(t, g.addr)
+	c.send(get("DELETE /visits/1"))
+	h.next().answer <- "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n"
+	if r := c.read(); r.status != 502 {
+		t.Errorf("%+v", r)
+	}
+	h.mu.Lock()
+	before := len(h.open)
+	h.mu.Unlock()
+	c.send(get("GET /visits/1"))
+	h.next().answer <- answerText(200, "", "x")
+	if r := c.read(); r.status != 200 {
+		t.Errorf("%+v", r)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.open) == before {
+		t.Error("the upgraded connection was used again")
+	}
+}
+
 // A request that nobody answers gets its final answer in time.
 func TestSilence(t *testing.T) {
 	h := newHalls(t)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -477,6 +477,9 @@
 			return 0, false, err
 		}
 	}
+	if h.Status < 200 {
+		return choice.ErrorAnswer, false, nil // 101: what follows is no HTTP
+	}
 	// What stands behind the answer belongs to no request: the next one would take it for its own.
 	return judge(h), !h.Close && c.rd.Buffered() == 0, nil
 }
@@ -488,7 +491,7 @@
 	switch {
 	case neverRan && h.Get("X-Never-Ran") == "1":
 		return choice.Full
-	case neverRan || h.Status >= 500 || h.Status < 200 || h.Status == 408:
+	case neverRan || h.Status >= 500 || h.Status == 408:
 		return choice.ErrorAnswer
 	}
 	return choice.OK
--- a/internal/lab/contract.go
+++ b/internal/lab/contract.go
@@ -26,8 +26,8 @@
 	return units
 }
 
-// variant writes version n of the description. In even versions operations that licensees
-// go on asking for are gone; with bad, it is one that must be refused.
+// variant writes version n of the description: three prices and an aim differ in each, the
+// aim making a class that the module has not met. With bad, it is one that must be refused.
 func variant(n int, bad bool) []byte {
 	text := string(deploy.Booking)
 	swap := func(old, to string) {
