--- /dev/null
+++ b/cmd/mulleingate/certs.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+
+	"mulleinmux/internal/raftnode"
+)
+
+type certsCmd struct {
+	Dir     string   `help:"Folder to write to; it is made where it is not there." required:"" type:"path"`
+	Cluster string   `help:"Name of a new cluster. Without it the folder's authority issues for further members."`
+	Members []uint64 `help:"Numbers of the members." required:""`
+}
+
+func (c *certsCmd) Run(e *env) error {
+	for _, m := range c.Members {
+		if m == 0 {
+			return usage{errors.New("--members: numbers from 1 are wanted")}
+		}
+	}
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		return usage{fmt.Errorf("--dir: %w", err)}
+	}
+	var a *raftnode.Authority
+	var err error
+	if c.Cluster != "" {
+		if a, err = raftnode.NewAuthority(c.Cluster); err == nil {
+			err = a.Write(c.Dir)
+		}
+	} else {
+		a, err = raftnode.LoadAuthority(c.Dir)
+	}
+	if err == nil {
+		err = a.WriteMembers(c.Dir, c.Members)
+	}
+	if errors.Is(err, fs.ErrExist) || errors.Is(err, fs.ErrNotExist) {
+		return usage{err} // nothing is written over
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.stdout, "certificates of cluster %s for members %v are in %s; keep authority-key.pem away from the instances\n", a.Cluster, c.Members, c.Dir)
+	return nil
+}
--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -23,6 +23,7 @@
 	Check checkCmd `cmd:"" help:"Check descriptions (YAML, JSON) and configurations (TOML) without starting anything. Example: mulleingate check deploy/booking.yaml deploy/gateway.toml"`
 	Bench benchCmd `cmd:"" help:"Measure CPU a request and requests a second beside httputil.ReverseProxy. Example: mulleingate bench --for 3s --procs 1,2"`
 	Part  partCmd  `cmd:"" name:"bench-part" hidden:""`
+	Certs certsCmd `cmd:"" help:"Make the certificates with which instances know each other. Example: mulleingate certs --cluster dodoma --members 1,2,3 --dir certs"`
 	Run   runCmd   `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
 }
 
--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -92,6 +92,11 @@
 		{[]string{"lab", "--for", "1ms"}, 2, []string{"--for"}},
 		{[]string{"lab", "--list"}, 0, []string{"calm", "mixed", "contract-change"}},
 		{[]string{"bench", "--rounds", "0"}, 2, []string{"--rounds"}},
+		{[]string{"certs", "--cluster", "c", "--members", "1,2", "--dir", filepath.Join(dir, "certs")}, 0, []string{"cluster c for members [1 2]"}},
+		{[]string{"certs", "--members", "3", "--dir", filepath.Join(dir, "certs")}, 0, []string{"cluster c for members [3]"}},
+		{[]string{"certs", "--cluster", "d", "--members", "4", "--dir", filepath.Join(dir, "certs")}, 2, []string{"authority-key.pem", "exists"}},
+		{[]string{"certs", "--members", "2", "--dir", filepath.Join(dir, "certs")}, 2, []string{"member-2", "exists"}},
+		{[]string{"certs", "--members", "1", "--dir", filepath.Join(dir, "none")}, 2, []string{"authority"}},
 		{[]string{"nothing"}, 2, []string{"nothing"}},
 		{[]string{"--help"}, 0, []string{"mulleingate", "lab", "check", "run"}},
 	} {
--- a/internal/raftnode/certs.go
+++ b/internal/raftnode/certs.go
@@ -104,31 +104,40 @@
 	return c, nil
 }
 
-// Write writes the authority and a certificate and key for each member into a folder. A
-// file that is there is never written over.
-func (a *Authority) Write(dir string, members []uint64) error {
-	write := func(name string, text []byte, mode os.FileMode) error {
-		f, err := os.OpenFile(filepath.Join(dir, name), os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
-		if err != nil {
-			return err
-		}
-		_, err = f.Write(text)
-		return errors.Join(err, f.Sync(), f.Close())
+// writeNew writes a file that is not there yet.
+func writeNew(dir, name string, text []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(filepath.Join(dir, name), os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return err
 	}
+	_, err = f.Write(text)
+	return errors.Join(err, f.Sync(), f.Close())
+}
+
+// Write writes the authority's certificate and key into a folder. A file that is there is
+// never written over: the error is [fs.ErrExist].
+func (a *Authority) Write(dir string) error {
 	key, err := encodeKey(a.key)
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(write(authorityFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw}), 0o644),
-		write(authorityKeyFile, key, 0o600)); err != nil {
+	if err := writeNew(dir, authorityKeyFile, key, 0o600); err != nil {
 		return err
 	}
+	return writeNew(dir, authorityFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw}), 0o644)
+}
+
+// WriteMembers writes a certificate and a key for each member, as [Authority.Write] does.
+func (a *Authority) WriteMembers(dir string, members []uint64) error {
 	for _, m := range members {
 		certificate, key, err := a.Issue(m)
 		if err != nil {
 			return err
 		}
-		if err := errors.Join(write(fmt.Sprintf("member-%d.pem", m), certificate, 0o644), write(fmt.Sprintf("member-%d-key.pem", m), key, 0o600)); err != nil {
+		if err := writeNew(dir, fmt.Sprintf("member-%d-key.pem", m), key, 0o600); err != nil {
+			return err
+		}
+		if err := writeNew(dir, fmt.Sprintf("member-%d.pem", m), certificate, 0o644); err != nil {
 			return err
 		}
 	}
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log"
 	"net"
 	"path/filepath"
@@ -306,11 +308,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Write(dir, []uint64{1, 2}); err != nil {
+	if err := errors.Join(a.Write(dir), a.WriteMembers(dir, []uint64{1, 2})); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Write(dir, []uint64{1}); err == nil {
-		t.Error("files were written over")
+	if err := a.Write(dir); !errors.Is(err, fs.ErrExist) {
+		t.Errorf("the authority was written over: %v", err)
+	}
+	if err := a.WriteMembers(dir, []uint64{1}); !errors.Is(err, fs.ErrExist) {
+		t.Errorf("a member's files were written over: %v", err)
 	}
 	b, err := LoadAuthority(dir)
 	if err != nil || b.Cluster != "c" {
@@ -394,3 +399,37 @@
 	b.ReportMetric(float64(lat[len(lat)*99/100].Microseconds()), "p99-us")
 	b.ReportMetric(float64(len(lat))/b.Elapsed().Seconds(), "changes/s")
 }
+
+// BenchmarkCatchUp is the time in which a member with an empty disk catches up with 50,000
+// versions of the two others.
+func BenchmarkCatchUp(b *testing.B) {
+	const versions = 50_000
+	for b.Loop() {
+		b.StopTimer()
+		r := newRealAt(b, 3, 20*time.Millisecond, 2000)
+		r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+		late := r.status(1).Leader%3 + 1
+		r.kill(late)
+		var all sync.WaitGroup
+		for c := range 64 {
+			all.Go(func() {
+				for i := range versions / 64 {
+					r.propose(late%3+1, planPut(fmt.Sprint(c, "-", i), i))
+				}
+			})
+		}
+		all.Wait()
+		want := r.status(late%3 + 1).Version
+		r.start(late) // its file holds what it had before the changes: nothing but its vote
+		b.StartTimer()
+		for r.status(late).Version < want || !r.status(late).Ready {
+			time.Sleep(time.Millisecond)
+		}
+		b.StopTimer()
+		b.ReportMetric(float64(want), "versions")
+		for id := range r.nodes {
+			r.kill(id)
+		}
+		b.StartTimer()
+	}
+}
