choice takes new plans while it runs; the agreed state gives plans stable places

Instances are to take plans from the agreed configuration, and name plans to each other by their place. SetPlans replaces the table; a store goes over to the new figures with what it has spent. Units told under a plan that has just changed are no longer dropped. The state keeps an order of plans in which none moves, knows members' addresses, and can be frozen for readers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,6 +129,9 @@
 	q.Units = math.Max(q.Units, 0)
 	q.Spread = min(max(q.Spread, 1), g.set.Instances)
 	st := g.storeFor(q.Customer, pi, q.Spread, q.First)
+	if st.plan != pi { // the customer has changed its plan
+		g.replan(st, g.set.Plans[st.plan], pi)
+	}
 	g.nextNum++
 	r := &request{Request: q, num: g.nextNum, class: ci, store: st, ends: now + q.Grace - 2*g.set.Tick}
 	late, l := g.late(ci, q.Grace), &g.lat[ci]
@@ -209,24 +212,11 @@
 	p := &g.set.Plans[plan]
 	if st == nil {
 		st = &store{key: key, plan: plan, spread: spread, first: first, at: g.now, pass: 1}
-		if st.split = spread; g.set.Peers && spread > 1 && g.tellGap > probesKept*probeEvery {
-			// As many holders as it takes for their inboxes to hold the asks.
-			st.wide, st.split = true, min(max(1, int(math.Ceil(p.Rate/(askShare*g.set.InboxPerS)))), spread)
-		}
+		g.split(st, p)
 		// Filled since this gateway's start: a store dropped when full comes back full.
 		st.level = math.Min(p.Burst, p.Burst/float64(st.split)+p.Rate*(g.now-g.started).Seconds())
-		if st.parts = 1; st.wide {
-			st.parts = float64(st.split)
-			st.level = p.Burst / st.parts
-		}
-		// Rule 5: the parts of a ceiling sum to the whole. Each counts as empty at its gateway's start, since
-		// one killed before may have spent it, and has filled since. A holder has most of it, for its grants.
-		st.burstPart = 1 / float64(spread)
-		st.ratePart = st.burstPart
 		if st.wide {
-			held := float64(g.partsHeld(st)) / st.parts
-			st.burstPart = memberBurst*st.burstPart + (1-memberBurst)*held
-			st.ratePart = memberRate*st.ratePart + (1-memberRate)*held
+			st.level = p.Burst / st.parts
 		}
 		st.ceiling = math.Min(p.CeilingBurst*st.burstPart,
 			p.CeilingRate*st.ratePart*(g.now-g.started).Seconds())
@@ -237,6 +227,37 @@
 	return st
 }
 
+// split sets over how many gateways a store is split, and this one's parts.
+func (g *Gateway) split(st *store, p *Plan) {
+	if st.split = st.spread; g.set.Peers && st.spread > 1 && g.tellGap > probesKept*probeEvery {
+		// As many holders as it takes for their inboxes to hold the asks.
+		st.wide, st.split = true, min(max(1, int(math.Ceil(p.Rate/(askShare*g.set.InboxPerS)))), st.spread)
+	}
+	// Rule 5: the parts of a ceiling sum to the whole. Each counts as empty at its gateway's start, since
+	// one killed before may have spent it, and has filled since. A holder has most of it, for its grants.
+	st.parts, st.burstPart = 1, 1/float64(st.spread)
+	st.ratePart = st.burstPart
+	if st.wide {
+		st.parts = float64(st.split)
+		held := float64(g.partsHeld(st)) / st.parts
+		st.burstPart = memberBurst*st.burstPart + (1-memberBurst)*held
+		st.ratePart = memberRate*st.ratePart + (1-memberRate)*held
+	}
+}
+
+// replan moves a store, filled up to now, from the figures of one plan to those of another. What was spent
+// stays spent, of the quota and of the ceiling; under a first ceiling the store begins empty, as at a start.
+func (g *Gateway) replan(st *store, old Plan, plan int) {
+	p := &g.set.Plans[plan]
+	spent, over := old.Burst/st.parts-st.level, old.CeilingBurst*st.burstPart-st.ceiling
+	st.plan = plan
+	g.split(st, p)
+	st.level = math.Max(p.Burst/st.parts-spent, -p.Burst)
+	if st.ceiling = p.CeilingBurst*st.burstPart - over; old.CeilingRate <= 0 {
+		st.ceiling = 0
+	}
+}
+
 // quota tells whether units are inside the customer's quota and, if not, when to come back.
 func (g *Gateway) quota(st *store, units float64) (bool, time.Duration) {
 	p := &g.set.Plans[st.plan]
@@ -303,12 +324,10 @@
 
 func (g *Gateway) hear(from int, es []entry) {
 	for _, e := range es {
-		if st := g.stores[e.key]; st != nil && st.plan != e.plan {
-			continue
-		}
 		st := g.storeFor(e.key, e.plan, e.spread, e.first)
-		if g.set.Plans[e.plan].Rate > 0 {
-			st.level = math.Max(st.level-e.units, -g.set.Plans[e.plan].Burst)
+		// Its plan may have changed at one gateway and not yet at the other: units spent count all the same.
+		if p := &g.set.Plans[st.plan]; p.Rate > 0 {
+			st.level = math.Max(st.level-e.units, -p.Burst)
 		}
 		if g.set.Plans[e.plan].Open > 0 {
 			if st.levels == nil {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1270,3 +1270,49 @@
 		t.Errorf("a name twice: %v, %v", err, g.class)
 	}
 }
+
+// A plan's new figures, and a customer's move to another plan, leave what was spent spent.
+func TestPlansChange(t *testing.T) {
+	s := Settings{Instances: 2, MaxAttempts: 3, Peers: true, Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		Plans: []Plan{{Name: "small", Rate: 10, Burst: 40}, {Name: "large", Rate: 20, Burst: 100, CeilingRate: 40, CeilingBurst: 120}}}
+	now := t0
+	g, r := newGate(t, s, fleet(40)...)
+	now += time.Hour // full
+	ask := func(n int, plan string, units float64) string {
+		q := newRequest(n, "a", plan, 7)
+		q.Units, q.Spread = units, 2
+		g.Request(now, q, r)
+		return r.last()
+	}
+	if got := ask(1, "small", 10); !strings.HasPrefix(got, "send") {
+		t.Fatal(got)
+	}
+	st := g.stores[7]
+	if err := g.SetPlans(now, []Plan{{Name: "small", Rate: 10, Burst: 15}, s.Plans[1], {Name: "new", Rate: 1, Burst: 1}}); err != nil || st.level != 5 {
+		t.Fatalf("level %v after 10 units of what is now 15, error %v", st.level, err)
+	}
+	if got := ask(2, "small", 10); !strings.HasPrefix(got, "refuse") {
+		t.Errorf("15 units are the burst and 20 were sent: %s", got)
+	}
+	if ask(3, "large", 10); st.plan != 1 || st.level != 80 || st.ceiling > 0 {
+		t.Errorf("on the larger plan: %+v", st)
+	}
+	// A peer that has not yet heard of the move tells units under the old plan: they count.
+	if g.hear(1, []entry{{key: 7, plan: 0, spread: 2, units: 30}}); st.level != 50 || st.plan != 1 {
+		t.Errorf("level %v, plan %d after 30 units at a peer", st.level, st.plan)
+	}
+	now += time.Hour
+	if ask(4, "large", 20); st.ceiling != 40 {
+		t.Fatalf("part of the ceiling %v, want 60-20", st.ceiling)
+	}
+	if err := g.SetPlans(now, []Plan{g.set.Plans[0], {Name: "large", Rate: 20, Burst: 100, CeilingRate: 30, CeilingBurst: 60}, g.set.Plans[2]}); err != nil || st.ceiling != 10 {
+		t.Errorf("part of the ceiling %v, want 30-20, error %v", st.ceiling, err)
+	}
+	// A place is kept for good, and what can't be is refused whole.
+	if g.SetPlans(now, g.set.Plans[:2]) == nil || g.SetPlans(now, []Plan{{Name: "x"}, {Name: "x"}, {Name: "y"}}) == nil || len(g.plan) != 3 {
+		t.Errorf("plans %v", g.plan)
+	}
+	if got := ask(5, "gone", 1); !strings.HasPrefix(got, "refuse") {
+		t.Errorf("an unknown plan: %s", got)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -554,3 +554,32 @@
 	}
 	return nil
 }
+
+// SetPlans replaces the table of plans while the gateway runs. Gateways name a plan to each other by its
+// place: all must have one order, in which a plan keeps its place for good. A customer's store goes over to
+// the new figures with what it has spent.
+func (g *Gateway) SetPlans(now time.Duration, plans []Plan) error {
+	set := g.set
+	if set.Plans = plans; set.validate() != nil {
+		return fmt.Errorf("plans: %w", set.validate())
+	}
+	if len(plans) < len(g.set.Plans) {
+		return fmt.Errorf("plans: %d, and %d have a place", len(plans), len(g.set.Plans))
+	}
+	g.now = now
+	for _, st := range g.order {
+		g.fillUp(st)
+	}
+	old := g.set.Plans
+	g.set.Plans = append([]Plan(nil), plans...)
+	g.plan = make(map[string]int, len(plans))
+	for i, p := range plans {
+		g.plan[p.Name] = i
+	}
+	for _, st := range g.order {
+		if old[st.plan] != plans[st.plan] {
+			g.replan(st, old[st.plan], st.plan)
+		}
+	}
+	return nil
+}
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -43,6 +44,12 @@
 	DeadlineMs int64   `json:"deadline_ms"`
 }
 
+// Member is where an instance of the gateway is reached.
+type Member struct {
+	Raft  string `json:"raft"`  // by the other members: an address with a port
+	Admin string `json:"admin"` // by operators: an address with a port
+}
+
 // Description is an OpenAPI description.
 type Description struct {
 	File string `json:"file"`
@@ -82,6 +89,15 @@
 		}
 		return nil
 	}),
+	"member": as(func(m *Member) error {
+		if _, err := netip.ParseAddrPort(m.Raft); err != nil {
+			return errors.New("raft: an address with a port is wanted")
+		}
+		if _, err := netip.ParseAddrPort(m.Admin); err != nil {
+			return errors.New("admin: an address with a port is wanted")
+		}
+		return nil
+	}),
 	"class": as(func(c *Class) error {
 		switch {
 		case c.Name != "":
@@ -157,6 +173,10 @@
 			if _, ok := objects[key("plan", l.Plan)]; !ok {
 				return fmt.Errorf("licensee %s: plan %q is not there: put it first, or in the same proposal", name, l.Plan)
 			}
+		case kind == "member" && touched["member"]:
+			if n, err := strconv.ParseUint(name, 10, 64); err != nil || n == 0 || strconv.FormatUint(n, 10) != name {
+				return fmt.Errorf("member %s: name: a number from 1 is wanted", name)
+			}
 		case kind == "description" && (touched["description"] || touched["class"]) && s.validate != nil:
 			var d Description
 			if err := json.Unmarshal(objects[k], &d); err != nil {
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -28,6 +28,7 @@
 	maxChanges  = 10_000   // in one proposal
 	keptIDs     = 10_000   // request ids that are remembered, the oldest forgotten first
 	keptHistory = 2_000    // versions whose history is kept
+	maxPlaces   = 1_000    // plans that were ever put
 )
 
 // Errors.
@@ -83,8 +84,9 @@
 type State struct {
 	validate Validator
 	version  uint64
-	hash     [sha256.Size]byte // of all entries so far, refused ones too
-	objects  map[string]json.RawMessage
+	hash     [sha256.Size]byte          // of all entries so far, refused ones too
+	objects  map[string]json.RawMessage // replaced as a whole by each change
+	places   []string                   // of plans, in the order in which they were first put
 	outcomes map[string]Outcome
 	ids      []string // of outcomes, the oldest first
 	history  []Record
@@ -113,6 +115,18 @@
 	return v, ok
 }
 
+// Places are the names of all plans that were ever put, removed ones too, in an order that
+// is the same at all instances and in which none moves: instances name plans to each other
+// by their place.
+func (s *State) Places() []string { return slices.Clone(s.places) }
+
+// Freeze returns the configuration as it is now, without the outcomes of proposals. It
+// stays as it is while s goes on, and may be read by others.
+func (s *State) Freeze() *State {
+	return &State{validate: s.validate, version: s.version, hash: s.hash, objects: s.objects, places: slices.Clone(s.places),
+		outcomes: map[string]Outcome{}, history: s.History()}
+}
+
 // Each calls f for each object of a kind, by name.
 func (s *State) Each(kind string, f func(name string, value json.RawMessage)) {
 	for _, k := range slices.Sorted(maps.Keys(s.objects)) {
@@ -187,6 +201,11 @@
 	} else {
 		s.version++
 		s.objects = objects
+		for _, c := range p.Changes {
+			if c.Op == "put" && c.Kind == "plan" && !slices.Contains(s.places, c.Name) {
+				s.places = append(s.places, c.Name)
+			}
+		}
 		o = Outcome{Version: s.version, Applied: true}
 		r := Record{Version: s.version, ID: p.ID, Author: p.Author, Why: p.Why, AtMs: p.AtMs, Hash: s.Hash()}
 		for _, c := range p.Changes {
@@ -255,15 +274,33 @@
 			return nil, fmt.Errorf("%s: op: put or remove is wanted", at)
 		}
 	}
+	if touched["plan"] && s.newPlaces(p) > maxPlaces {
+		return nil, fmt.Errorf("changes: more than %d plans were ever put: put one that was removed anew, under its name", maxPlaces)
+	}
 	return next, s.consistent(next, touched)
 }
 
+// newPlaces counts the places that there would be.
+func (s *State) newPlaces(p *Proposal) int {
+	all := map[string]bool{}
+	for _, name := range s.places {
+		all[name] = true
+	}
+	for _, c := range p.Changes {
+		if c.Op == "put" && c.Kind == "plan" {
+			all[c.Name] = true
+		}
+	}
+	return len(all)
+}
+
 // snapshot is the form of a snapshot.
 type snapshot struct {
 	Format   int                        `json:"format"`
 	Version  uint64                     `json:"version"`
 	Hash     string                     `json:"hash"`
 	Objects  map[string]json.RawMessage `json:"objects"`
+	Places   []string                   `json:"places"`
 	IDs      []string                   `json:"ids"`
 	Outcomes []Outcome                  `json:"outcomes"` // in the order of IDs
 	History  []Record                   `json:"history"`
@@ -271,7 +308,7 @@
 
 // Snapshot words the state. The same state gives the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, IDs: s.ids, History: s.kept()}
+	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, IDs: s.ids, History: s.kept()}
 	for _, id := range s.ids {
 		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
 	}
@@ -297,7 +334,7 @@
 	if err != nil || len(hash) != sha256.Size || len(snap.IDs) != len(snap.Outcomes) || form.Format < 1 {
 		return fmt.Errorf("snapshot: %w", ErrMalformed)
 	}
-	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
+	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, places: snap.Places, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
 	copy(s.hash[:], hash)
 	if s.objects == nil {
 		s.objects = map[string]json.RawMessage{}
