--- a/cmd/mulleingate/certs.go
+++ b/cmd/mulleingate/certs.go
@@ -10,12 +10,16 @@
 )
 
 type certsCmd struct {
-	Dir     string   `help:"Folder to write to; it is made where it is not there." required:"" type:"path"`
-	Cluster string   `help:"Name of a new cluster. Without it the folder's authority issues for further members."`
-	Members []uint64 `help:"Numbers of the members." required:""`
+	Dir       string   `help:"Folder to write to; it is made where it is not there." required:"" type:"path"`
+	Cluster   string   `help:"Name of a new cluster. Without it the folder's authority issues for further members."`
+	Members   []uint64 `help:"Numbers of the members."`
+	Operators []string `help:"Names of operators, who may then use mulleingate config."`
 }
 
 func (c *certsCmd) Run(e *env) error {
+	if len(c.Members)+len(c.Operators) == 0 {
+		return usage{errors.New("--members, --operators: none is named")}
+	}
 	for _, m := range c.Members {
 		if m == 0 {
 			return usage{errors.New("--members: numbers from 1 are wanted")}
@@ -36,12 +40,17 @@
 	if err == nil {
 		err = a.WriteMembers(c.Dir, c.Members)
 	}
+	for _, name := range c.Operators {
+		if err == nil {
+			err = a.WriteOperator(c.Dir, name)
+		}
+	}
 	if errors.Is(err, fs.ErrExist) || errors.Is(err, fs.ErrNotExist) {
 		return usage{err} // nothing is written over
 	}
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.stdout, "certificates of cluster %s for members %v are in %s; keep authority-key.pem away from the instances\n", a.Cluster, c.Members, c.Dir)
+	fmt.Fprintf(e.stdout, "certificates of cluster %s for members %v and operators %v are in %s; keep authority-key.pem away from the instances\n", a.Cluster, c.Members, c.Operators, c.Dir)
 	return nil
 }
--- /dev/null
+++ b/cmd/mulleingate/cluster.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"log"
+	"os"
+
+	"mulleinmux/internal/fleet"
+	"mulleinmux/internal/gatefile"
+	"mulleinmux/internal/lab"
+	"mulleinmux/internal/raftnode"
+)
+
+type initCmd struct {
+	Config     string `help:"The instance's file." required:"" type:"path"`
+	NewCluster bool   `help:"The members that the file has begin a new cluster." xor:"how" required:""`
+	Join       bool   `help:"This member joins a cluster that runs: see config members add." xor:"how" required:""`
+}
+
+func (c *initCmd) Run(e *env) error {
+	f, err := clusterFile(c.Config)
+	if err != nil {
+		return usage{err}
+	}
+	cfg := fleetConfig(c.Config, f)
+	if err := fleet.Init(cfg, c.Join); errors.Is(err, fs.ErrExist) || errors.Is(err, fs.ErrNotExist) {
+		return usage{err}
+	} else if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.stdout, "%s: member %d of cluster %s\n", cfg.Data, cfg.Member, cfg.Cluster)
+	return nil
+}
+
+func clusterFile(config string) (*gatefile.File, error) {
+	text, err := os.ReadFile(config)
+	if err != nil {
+		return nil, fmt.Errorf("--config: %w", err)
+	}
+	f, err := gatefile.Parse(config, text)
+	if err == nil && f.Cluster == nil {
+		err = fmt.Errorf("%s: cluster: is missing: the instance is no member of one", config)
+	}
+	return f, err
+}
+
+func fleetConfig(config string, f *gatefile.File) *fleet.Config {
+	c := f.Cluster
+	return &fleet.Config{Cluster: c.Name, Member: c.Member, Data: beside(config, c.Data), Members: c.Members, Tick: c.Tick}
+}
+
+// member runs an instance as a member of a cluster.
+func (c *runCmd) member(e *env, f *gatefile.File, logger *log.Logger) error {
+	cfg := fleetConfig(c.Config, f)
+	creds, err := raftnode.LoadCredentials(beside(c.Config, f.Cluster.Certs), cfg.Member)
+	if err != nil {
+		return usage{fmt.Errorf("cluster.certs: %w", err)}
+	}
+	cfg.Credentials = creds
+	if c.Chaos != 0 {
+		lab.Chaos(cfg, c.Chaos, logger)
+	}
+	err = fleet.Run(e.ctx, cfg, &f.Config, logger, func(*fleet.Fleet) {})
+	if errors.Is(err, fleet.ErrNoFile) || errors.Is(err, raftnode.ErrForeign) || errors.Is(err, raftnode.ErrDamaged) {
+		return usage{err}
+	}
+	return err
+}
--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -19,12 +19,14 @@
 
 // cli is the whole command line.
 type cli struct {
-	Lab   labCmd   `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
-	Check checkCmd `cmd:"" help:"Check descriptions (YAML, JSON) and configurations (TOML) without starting anything. Example: mulleingate check deploy/booking.yaml deploy/gateway.toml"`
-	Bench benchCmd `cmd:"" help:"Measure CPU a request and requests a second beside httputil.ReverseProxy. Example: mulleingate bench --for 3s --procs 1,2"`
-	Part  partCmd  `cmd:"" name:"bench-part" hidden:""`
-	Certs certsCmd `cmd:"" help:"Make the certificates with which instances know each other. Example: mulleingate certs --cluster dodoma --members 1,2,3 --dir certs"`
-	Run   runCmd   `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
+	Lab    labCmd    `cmd:"" help:"Play a scenario: real instances on loopback between stand-in halls. Exits 0 only if every rule was kept. Example: mulleingate lab --scenario mixed --for 20s --seed 7 --json"`
+	Check  checkCmd  `cmd:"" help:"Check descriptions (YAML, JSON) and configurations (TOML) without starting anything. Example: mulleingate check deploy/booking.yaml deploy/gateway.toml"`
+	Bench  benchCmd  `cmd:"" help:"Measure CPU a request and requests a second beside httputil.ReverseProxy. Example: mulleingate bench --for 3s --procs 1,2"`
+	Part   partCmd   `cmd:"" name:"bench-part" hidden:""`
+	Certs  certsCmd  `cmd:"" help:"Make the certificates with which instances know each other. Example: mulleingate certs --cluster dodoma --members 1,2,3 --dir certs"`
+	Init   initCmd   `cmd:"" help:"Make the file of a member of a cluster, once. Example: mulleingate init --config gate-1.toml --new-cluster"`
+	Config configCmd `cmd:"" help:"Ask and change what the instances of a cluster agree on."`
+	Run    runCmd    `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
 }
 
 type labCmd struct {
@@ -41,6 +43,7 @@
 	ctx    context.Context
 	stdout io.Writer
 	stderr io.Writer
+	env    []string // for the processes of the lab
 }
 
 // errVerdict is a scenario that broke a rule: its verdict has been printed.
@@ -64,6 +67,11 @@
 	if !known(c.Scenario) {
 		return usage{fmt.Errorf("--scenario: %q is unknown: see mulleingate lab --list", c.Scenario)}
 	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	opt.Program, opt.Env = program, e.env
 	if c.Logs != "" {
 		f, err := os.Create(c.Logs)
 		if err != nil {
@@ -101,6 +109,9 @@
 	return false
 }
 
+// labEnv is added to the environment of the lab's processes.
+var labEnv []string
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -126,11 +137,11 @@
 		fmt.Fprintln(stderr, "mulleingate:", err)
 		return 2
 	}
-	err = parsed.Run(&env{ctx, stdout, stderr})
+	err = parsed.Run(&env{ctx, stdout, stderr, labEnv}, &c.Config)
 	switch {
 	case err == nil:
 		return 0
-	case errors.Is(err, errVerdict):
+	case errors.Is(err, errVerdict), errors.Is(err, errDiffers):
 		return 1
 	}
 	fmt.Fprintln(stderr, "mulleingate:", err)
--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -22,6 +22,15 @@
 // patience bounds every wait of a test; none is expected to come near it.
 const patience = 30 * time.Second
 
+// The test's binary is the program for the processes of the lab.
+func TestMain(m *testing.M) {
+	if os.Getenv("MULLEINGATE_TEST_MAIN") != "" {
+		main()
+	}
+	labEnv = []string{"MULLEINGATE_TEST_MAIN=1"}
+	os.Exit(m.Run())
+}
+
 type syncBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
@@ -66,6 +75,13 @@
 		}
 		return file(t, dir, name, strings.Replace(string(deploy.Gateway), old, to, 1))
 	}
+	member := file(t, dir, "member.toml", string(deploy.Member))
+	memberWith := func(name, old, to string) string {
+		if !strings.Contains(string(deploy.Member), old) {
+			t.Fatalf("the example lacks %q", old)
+		}
+		return file(t, dir, name, strings.Replace(string(deploy.Member), old, to, 1))
+	}
 	for _, c := range []struct {
 		args   []string
 		status int
@@ -97,6 +113,23 @@
 		{[]string{"certs", "--cluster", "d", "--members", "4", "--dir", filepath.Join(dir, "certs")}, 2, []string{"authority-key.pem", "exists"}},
 		{[]string{"certs", "--members", "2", "--dir", filepath.Join(dir, "certs")}, 2, []string{"member-2", "exists"}},
 		{[]string{"certs", "--members", "1", "--dir", filepath.Join(dir, "none")}, 2, []string{"authority"}},
+		{[]string{"certs", "--operators", "amina", "--dir", filepath.Join(dir, "certs")}, 0, []string{"operators [amina]"}},
+		{[]string{"certs", "--dir", filepath.Join(dir, "certs")}, 2, []string{"none is named"}},
+		{[]string{"check", member}, 0, []string{"can be used"}},
+		{[]string{"check", memberWith("m1.toml", "number = 1 ", "number = 7 ")}, 2, []string{"m1.toml:33", "cluster.number", "7 is no [[cluster.member]]"}},
+		{[]string{"check", memberWith("m2.toml", `raft = "127.0.0.1:7102"`, `raft = "127.0.0.1"`)}, 2, []string{"cluster.member[1].raft", "no address"}},
+		{[]string{"check", memberWith("m3.toml", `"serve"`, `"maybe"`)}, 2, []string{"cluster.when_stale", "maybe"}},
+		{[]string{"check", memberWith("m4.toml", `zone = "hall-a"`, "zone = \"hall-a\"\ndescription = \"x.yaml\"")}, 2, []string{"description", "agreed on by the cluster"}},
+		{[]string{"check", memberWith("m5.toml", "number = 2", "number = 1")}, 2, []string{"cluster.member[1].number", "stands twice"}},
+		{[]string{"run", "--config", member}, 2, []string{"member-1.db", "mulleingate init"}},
+		{[]string{"init", "--config", member}, 2, []string{"--new-cluster", "--join"}},
+		{[]string{"init", "--config", config, "--join"}, 2, []string{"cluster: is missing"}},
+		{[]string{"init", "--config", member, "--new-cluster"}, 0, []string{"member 1 of cluster dodoma"}},
+		{[]string{"init", "--config", member, "--join"}, 2, []string{"exists"}},
+		{[]string{"config", "--certs", filepath.Join(dir, "certs"), "--operator", "zuri", "status"}, 2, []string{"--operator", "zuri", "mulleingate certs"}},
+		{[]string{"config", "--certs", filepath.Join(dir, "certs"), "--operator", "amina", "--at", "127.0.0.1:1", "status"}, 1, []string{"127.0.0.1:1", "refused"}},
+		{[]string{"config", "--timeout", "1h", "status"}, 2, []string{"--timeout"}},
+		{[]string{"config", "apply", file(t, dir, "empty.toml", "description = \"none.yaml\"\n")}, 2, []string{"empty.toml", "hall", "class"}},
 		{[]string{"nothing"}, 2, []string{"nothing"}},
 		{[]string{"--help"}, 0, []string{"mulleingate", "lab", "check", "run"}},
 	} {
--- a/cmd/mulleingate/serve.go
+++ b/cmd/mulleingate/serve.go
@@ -119,6 +119,10 @@
 		if err != nil {
 			return fail(err)
 		}
+		if f.Cluster != nil { // it names no description
+			r.OK = true
+			return r
+		}
 		description, opt = beside(file, f.Description), f.Config.Options()
 		if text, err = os.ReadFile(description); err != nil {
 			return fail(fmt.Errorf("%s: description: %w", file, err))
@@ -182,6 +186,7 @@
 
 type runCmd struct {
 	Config string `help:"The instance's file." required:"" type:"path"`
+	Chaos  uint64 `help:"Seed of faults of the network between members and of the disk (the lab's)." hidden:""`
 }
 
 func (c *runCmd) Run(e *env) (err error) {
@@ -194,12 +199,6 @@
 		return usage{err}
 	}
 	cfg := &f.Config
-	description := beside(c.Config, f.Description)
-	table, check, err := load(description, cfg)
-	if err != nil {
-		return usage{err}
-	}
-	table.Number = 1
 	if f.AccessLog != "" {
 		out, err := os.OpenFile(beside(c.Config, f.AccessLog), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o640)
 		if err != nil {
@@ -211,15 +210,23 @@
 		cfg.Observe = access.Observe
 	}
 	logger := log.New(e.stderr, "", log.LstdFlags|log.Lmicroseconds)
+	if f.Cluster != nil {
+		return c.member(e, f, logger)
+	}
+	description := beside(c.Config, f.Description)
+	table, check, err := load(description, cfg)
+	if err != nil {
+		return usage{err}
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	ready, ended := make(chan *gateway.Instance, 1), make(chan error, 1)
 	go func() {
-		ended <- gateway.Run(e.ctx, cfg, table, check, logger, func(in *gateway.Instance) { ready <- in })
+		ended <- gateway.Run(e.ctx, cfg, cfg.Setup(1, table, check), logger, func(in *gateway.Instance) { ready <- in })
 	}()
 	var in *gateway.Instance
-	for number := 1; ; {
+	for number := uint64(1); ; {
 		select {
 		case err := <-ended:
 			return err
@@ -230,8 +237,7 @@
 			}
 			table, check, err := load(description, cfg)
 			if err == nil {
-				table.Number = number + 1
-				err = in.Install(table, check)
+				err = in.Install(cfg.Setup(number+1, table, check))
 			}
 			if err != nil {
 				logger.Printf("reload: the description in force stays, version %d:\n%v", number, err)
--- a/contract/table.go
+++ b/contract/table.go
@@ -44,15 +44,11 @@
 	path  string // template as written
 }
 
-// Table returns the table that the operation belongs to.
-func (o *Operation) Table() *Table { return o.table }
-
 // Table is a compiled description. Its invariant: any path matches at most one
 // template that no other matching template is narrower than.
 type Table struct {
 	File       string
 	Version    string // info.version of the description
-	Number     int    // version number, given by who installs the table
 	Operations []*Operation
 	Classes    []choice.Class // each named once
 
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -13,3 +13,13 @@
 //
 //go:embed gateway.toml
 var Gateway []byte
+
+// Member is the example of the file of an instance in a cluster, member.toml.
+//
+//go:embed member.toml
+var Member []byte
+
+// Fleet is the example of what instances agree on, fleet.toml.
+//
+//go:embed fleet.toml
+var Fleet []byte
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -50,6 +50,14 @@
 	Admin string `json:"admin"` // by operators: an address with a port
 }
 
+// Limit bounds what one request may ask for. The one that is known is "units".
+type Limit struct {
+	Most int `json:"most"`
+}
+
+// defaultMostUnits is the limit of units where none is agreed.
+const defaultMostUnits = 50
+
 // Description is an OpenAPI description.
 type Description struct {
 	File string `json:"file"`
@@ -98,6 +106,12 @@
 		}
 		return nil
 	}),
+	"limit": as(func(l *Limit) error {
+		if l.Most < 1 || l.Most > 1_000_000 {
+			return errors.New("most: is outside 1 to 1000000")
+		}
+		return nil
+	}),
 	"class": as(func(c *Class) error {
 		switch {
 		case c.Name != "":
@@ -160,6 +174,17 @@
 	return cs
 }
 
+// MostUnits is the most units that one request may cost.
+func (s *State) MostUnits() int { return mostUnits(s.objects) }
+
+func mostUnits(objects map[string]json.RawMessage) int {
+	var l Limit
+	if text, ok := objects[key("limit", "units")]; ok && json.Unmarshal(text, &l) == nil {
+		return l.Most
+	}
+	return defaultMostUnits
+}
+
 // consistent checks that what objects refer to is there. touched are the kinds changed.
 func (s *State) consistent(objects map[string]json.RawMessage, touched map[string]bool) error {
 	for _, k := range slices.Sorted(maps.Keys(objects)) {
@@ -177,12 +202,14 @@
 			if n, err := strconv.ParseUint(name, 10, 64); err != nil || n == 0 || strconv.FormatUint(n, 10) != name {
 				return fmt.Errorf("member %s: name: a number from 1 is wanted", name)
 			}
-		case kind == "description" && (touched["description"] || touched["class"]) && s.validate != nil:
+		case kind == "limit" && name != "units":
+			return fmt.Errorf("limit %s: is not known: units is", name)
+		case kind == "description" && (touched["description"] || touched["class"] || touched["limit"]) && s.validate != nil:
 			var d Description
 			if err := json.Unmarshal(objects[k], &d); err != nil {
 				return err
 			}
-			if err := s.validate(d.File, d.Text, classesOf(objects)); err != nil {
+			if err := s.validate(d.File, d.Text, classesOf(objects), mostUnits(objects)); err != nil {
 				return fmt.Errorf("description %s: %w", name, err)
 			}
 		}
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -76,9 +76,9 @@
 	Hash    string   `json:"hash"`    // of the chain after it
 }
 
-// Validator checks a description against the classes in force. It must be a function of
-// its arguments alone.
-type Validator func(file, text string, classes []Class) error
+// Validator checks a description against the classes and the limit of units in force. It
+// must be a function of its arguments alone.
+type Validator func(file, text string, classes []Class, mostUnits int) error
 
 // State is the agreed configuration. It is not safe for concurrent use.
 type State struct {
@@ -109,6 +109,12 @@
 
 func (s *State) kept() []Record { return s.history[max(len(s.history)-keptHistory, 0):] }
 
+// Outcome is what became of a proposal, as long as its id is remembered.
+func (s *State) Outcome(id string) (Outcome, bool) {
+	o, ok := s.outcomes[id]
+	return o, ok
+}
+
 // Get returns an object's value, or false.
 func (s *State) Get(kind, name string) (json.RawMessage, bool) {
 	v, ok := s.objects[key(kind, name)]
--- a/fleetconfig/state_test.go
+++ b/fleetconfig/state_test.go
@@ -20,7 +20,7 @@
 )
 
 // validator knows the word "bad", and wants the class that a text names.
-func validator(file, text string, classes []Class) error {
+func validator(file, text string, classes []Class, _ int) error {
 	if strings.Contains(text, "bad") {
 		return fmt.Errorf("%s: bad", file)
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -202,7 +202,7 @@
 	ready := make(chan *gateway.Instance, 1)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- gateway.Run(ctx, cfg, table, nil, log.New(os.Stderr, "", 0), func(in *gateway.Instance) { ready <- in })
+		ended <- gateway.Run(ctx, cfg, cfg.Setup(1, table, nil), log.New(os.Stderr, "", 0), func(in *gateway.Instance) { ready <- in })
 	}()
 	select {
 	case err := <-ended:
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/raftnode"
+)
+
+// Client asks instances as an operator. It asks the first address that can be reached.
+type Client struct {
+	cluster string
+	at      []string
+	http    *http.Client
+}
+
+// AnswerError is an instance's answer that is no success.
+type AnswerError struct {
+	Status int
+	Text   string
+}
+
+func (e *AnswerError) Error() string { return e.Text }
+
+// NewClient returns a client. at are admin addresses of instances.
+func NewClient(cluster string, creds raftnode.Credentials, at ...string) *Client {
+	tls := creds.TLS()
+	return &Client{cluster: cluster, at: at, http: &http.Client{Transport: &http.Transport{TLSClientConfig: tls, TLSHandshakeTimeout: 2 * time.Second,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// do asks one instance.
+func (c *Client) do(ctx context.Context, at, method, path string, body, to any, passed bool) error {
+	var in io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		in = bytes.NewReader(text)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "https://"+at+path, in)
+	if err != nil {
+		return err
+	}
+	if passed {
+		r.Header.Set("X-Passed", "1")
+	}
+	if end, ok := ctx.Deadline(); ok { // the instance gives up a little earlier, and tells why
+		r.Header.Set("X-Timeout-Ms", strconv.FormatInt(max((time.Until(end)*9/10).Milliseconds(), 1), 10))
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		if errors.Is(err, raftnode.ErrAuthority) {
+			return fmt.Errorf("%s: is not of cluster %q: %w", at, c.cluster, raftnode.ErrAuthority)
+		}
+		if strings.Contains(err.Error(), "remote error: tls") {
+			return fmt.Errorf("%s: does not take the certificate: is it of cluster %q? %w", at, c.cluster, err)
+		}
+		return fmt.Errorf("%s: %w", at, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 256<<20))
+	if err != nil {
+		return fmt.Errorf("%s: %w", at, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var f struct {
+			Error   string `json:"error"`
+			Refused string `json:"refused"`
+		}
+		if json.Unmarshal(text, &f) != nil || f.Error == "" && f.Refused == "" {
+			f.Error = resp.Status
+		}
+		if f.Refused != "" {
+			f.Error = "refused: " + f.Refused
+		}
+		return &AnswerError{resp.StatusCode, f.Error}
+	}
+	if err := json.Unmarshal(text, to); err != nil {
+		return fmt.Errorf("%s: answer: %w", at, err)
+	}
+	return nil
+}
+
+// any asks the instances in turn until one can be reached.
+func (c *Client) any(ctx context.Context, method, path string, body, to any) error {
+	var all error
+	for _, at := range c.at {
+		err := c.do(ctx, at, method, path, body, to, false)
+		if _, answered := errors.AsType[*AnswerError](err); err == nil || answered || ctx.Err() != nil {
+			return err
+		}
+		all = errors.Join(all, err)
+	}
+	return all
+}
+
+// Status asks one instance for its view.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	err = c.any(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// StatusAt asks the instance at an admin address.
+func (c *Client) StatusAt(ctx context.Context, at string) (s Status, err error) {
+	err = c.do(ctx, at, http.MethodGet, "/v1/status", nil, &s, false)
+	return s, err
+}
+
+// Objects returns the agreed objects; with local, as applied at the instance asked.
+func (c *Client) Objects(ctx context.Context, local bool) (o Objects, err error) {
+	path := "/v1/config"
+	if local {
+		path += "?local=1"
+	}
+	err = c.any(ctx, http.MethodGet, path, nil, &o)
+	return o, err
+}
+
+// History returns the versions kept, the oldest first.
+func (c *Client) History(ctx context.Context) (h []fleetconfig.Record, err error) {
+	err = c.any(ctx, http.MethodGet, "/v1/history", nil, &h)
+	return h, err
+}
+
+// Check asks what a proposal would come to.
+func (c *Client) Check(ctx context.Context, p *fleetconfig.Proposal) (o fleetconfig.Outcome, err error) {
+	err = c.any(ctx, http.MethodPost, "/v1/check", p, &o)
+	return o, err
+}
+
+// Propose has a proposal applied. One that is refused is an [AnswerError] with status 409.
+func (c *Client) Propose(ctx context.Context, p *fleetconfig.Proposal) (o fleetconfig.Outcome, err error) {
+	err = c.any(ctx, http.MethodPost, "/v1/propose", p, &o)
+	return o, err
+}
+
+// Members changes the members.
+func (c *Client) Members(ctx context.Context, m *MembersChange) (s Status, err error) {
+	err = c.any(ctx, http.MethodPost, "/v1/members", m, &s)
+	return s, err
+}
+
+// StatusOf asks all members that one instance knows of. Those that don't answer have an
+// error instead.
+func (c *Client) StatusOf(ctx context.Context) (map[uint64]Status, map[uint64]error, error) {
+	first, err := c.Status(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	all, failed := map[uint64]Status{}, map[uint64]error{}
+	for id, m := range first.Members {
+		one, cancel := context.WithTimeout(ctx, 2*time.Second)
+		if s, err := c.StatusAt(one, m.Admin); err != nil {
+			failed[id] = err
+		} else {
+			all[id] = s
+		}
+		cancel()
+	}
+	return all, failed, nil
+}
+
+// AwaitEverywhere waits until a version is in force at the instances of all members.
+func (c *Client) AwaitEverywhere(ctx context.Context, version uint64) error {
+	for {
+		all, failed, err := c.StatusOf(ctx)
+		missing := ""
+		for id, s := range all {
+			if s.Installed < version {
+				missing += fmt.Sprintf("; member %d has version %d", id, s.Installed)
+				if s.Note != "" {
+					missing += " (" + s.Note + ")"
+				}
+			}
+		}
+		for id, e := range failed {
+			missing += fmt.Sprintf("; member %d: %v", id, e)
+		}
+		if err == nil && missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			if err != nil {
+				missing = "; " + err.Error()
+			}
+			return fmt.Errorf("version %d is agreed on, and not in force everywhere%s", version, missing)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,337 @@
+// Package fleet runs an instance of the gateway as a member of a cluster: what the members
+// agree on (package raftnode) is put in force at the instance (package gateway), and
+// operators are answered.
+//
+// Invariant: an instance serves on a version only after a quorum has confirmed, since its
+// start, that this version was the newest then. So it never serves on an older version than
+// it has answered on before, across its restarts too.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/raftnode"
+)
+
+// Config is what a member is told at its start.
+type Config struct {
+	Cluster     string
+	Member      uint64
+	Data        string // its file
+	Credentials raftnode.Credentials
+	Members     map[uint64]fleetconfig.Member // to begin with; those agreed on take their place
+	Listen      string                        // for the other members; Members has it where empty
+	Admin       string                        // for operators; likewise
+	Tick        time.Duration                 // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
+
+	// For the lab's faults, nil elsewhere.
+	Disk     func(raftnode.Disk) raftnode.Disk
+	Outgoing func(send func(*pb.Message)) func(*pb.Message)
+}
+
+// ErrNoFile says that a member has no file yet. It must be made on purpose: a member that
+// began anew under its number could vote twice.
+var ErrNoFile = errors.New("there is no such file: make it once with mulleingate init, --new-cluster for the first members or --join for a further one")
+
+const (
+	confirmEvery = 4               // ticks between two asks whether the version is the newest
+	handOver     = 2 * time.Second // for a leader that leaves to hand its lead over
+	staleLog     = 5 * time.Second // between two lines on a configuration that is not confirmed
+)
+
+// Validate checks a description as all members do.
+func Validate(file, text string, classes []fleetconfig.Class, most int) error {
+	_, _, err := openapi.Compile(file, []byte(text), compileOptions(classes, most))
+	return err
+}
+
+// Init makes a member's file: that of a new cluster whose voters are all members that the
+// configuration has, or an empty one for a member that joins. One that is there is left.
+func Init(cfg *Config, join bool) error {
+	if _, err := os.Stat(cfg.Data); !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%s: %w", cfg.Data, fs.ErrExist)
+	}
+	disk, err := raftnode.OpenBolt(cfg.Data, cfg.Cluster, cfg.Member)
+	if err != nil {
+		return err
+	}
+	if !join {
+		// Every member of a new cluster begins with the same snapshot of nothing.
+		_, err = raftnode.Open(raftnode.Config{ID: cfg.Member, Voters: slices.Sorted(maps.Keys(cfg.Members)), Validate: Validate}, disk)
+	}
+	return errors.Join(err, disk.Close())
+}
+
+// Fleet is a member and its instance.
+type Fleet struct {
+	cfg   *Config
+	gate  *gateway.Config
+	log   *log.Logger
+	node  *raftnode.Node
+	wake  chan struct{} // the state has changed
+	setup setups
+	begun time.Time
+
+	mu       sync.Mutex
+	in       *gateway.Instance
+	members  map[uint64]fleetconfig.Member // as known
+	note     string                        // why what is agreed can't be served on
+	installs atomic.Int64
+}
+
+// Run runs a member and its instance until ctx ends: a leader hands its lead over, the
+// instance drains, the member stops. A member that can't go on (its disk failed, it was
+// removed) ends both with its error. gate is a configuration without halls, plans,
+// licensees and classes.
+func Run(ctx context.Context, cfg *Config, gate *gateway.Config, logger *log.Logger, begun func(*Fleet)) (err error) {
+	if _, err := os.Stat(cfg.Data); errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%s: %w", cfg.Data, ErrNoFile)
+	}
+	if h, err := cfg.Credentials.Holder(); err != nil || h.Cluster != cfg.Cluster || h.Member != cfg.Member {
+		return fmt.Errorf("certificate: is that of member %d of %q, not of %d of %q: %w", h.Member, h.Cluster, cfg.Member, cfg.Cluster, err)
+	}
+	bolt, err := raftnode.OpenBolt(cfg.Data, cfg.Cluster, cfg.Member)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, bolt.Close()) }()
+	var disk raftnode.Disk = bolt
+	if cfg.Disk != nil {
+		disk = cfg.Disk(bolt)
+	}
+	if gate.Agreed == nil {
+		gate.Agreed = &gateway.Agreed{}
+	}
+	own := cfg.Members[cfg.Member]
+	ln, err := net.Listen("tcp", orElse(cfg.Listen, own.Raft))
+	if err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	admin, err := net.Listen("tcp", orElse(cfg.Admin, own.Admin))
+	if err != nil {
+		ln.Close()
+		return fmt.Errorf("admin: %w", err)
+	}
+	f := &Fleet{cfg: cfg, gate: gate, log: logger, wake: make(chan struct{}, 1), members: maps.Clone(cfg.Members), begun: time.Now()}
+	addrs := map[uint64]string{}
+	for id, m := range cfg.Members {
+		addrs[id] = m.Raft
+	}
+	f.node, err = raftnode.Start(raftnode.NodeConfig{Config: raftnode.Config{ID: cfg.Member, Validate: Validate}, Cluster: cfg.Cluster,
+		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed}, disk, ln)
+	if err != nil {
+		ln.Close()
+		admin.Close()
+		return err
+	}
+	defer f.node.Stop()
+	life, stop := context.WithCancel(context.Background())
+	var side sync.WaitGroup
+	defer side.Wait()
+	defer stop()
+	srv := f.serveAdmin(admin, &side)
+	defer srv.Close()
+
+	serving, drain := context.WithCancel(context.Background())
+	defer drain()
+	ended := make(chan error, 1)
+	ready := make(chan *gateway.Instance, 1)
+	go func() {
+		ended <- gateway.Run(serving, gate, gateway.Setup{}, logger, func(in *gateway.Instance) { ready <- in })
+	}()
+	select {
+	case in := <-ready:
+		f.mu.Lock()
+		f.in = in
+		f.mu.Unlock()
+	case err := <-ended:
+		return err
+	}
+	side.Go(func() { f.follow(life) })
+	begun(f)
+	select {
+	case err := <-ended:
+		return err
+	case <-f.node.Ended():
+		err = fmt.Errorf("member %d: %w", cfg.Member, f.node.Err())
+		logger.Printf("%v: the instance drains", err)
+	case <-ctx.Done():
+		f.handOver()
+	}
+	drain()
+	return errors.Join(err, <-ended)
+}
+
+func orElse(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// handOver hands the lead over, if this member has it, so that a planned stop costs no
+// election time-out.
+func (f *Fleet) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOver)
+	defer cancel()
+	s, err := f.node.Status(ctx)
+	if err != nil || s.Leader != s.ID {
+		return
+	}
+	for _, v := range s.Voters {
+		if behind, known, err := f.node.Behind(ctx, v); v != s.ID && err == nil && known && behind < caughtUp {
+			if err := f.node.Transfer(ctx, v); err != nil {
+				f.log.Printf("handing the lead over: %v", err)
+			}
+			return
+		}
+	}
+}
+
+// changed tells that the state has changed; it is called by the member.
+func (f *Fleet) changed() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// confirmation is a state that a quorum has confirmed to be the newest at a time.
+type confirmation struct {
+	at    time.Time
+	state *fleetconfig.State
+}
+
+// follow puts each version in force and has it confirmed now and then, until ctx ends.
+func (f *Fleet) follow(ctx context.Context) {
+	tick := orTick(f.cfg.Tick)
+	confirmed := make(chan confirmation)
+	var ask sync.WaitGroup
+	defer ask.Wait()
+	ask.Go(func() {
+		for ctx.Err() == nil {
+			c := confirmation{at: time.Now()}
+			one, cancel := context.WithTimeout(ctx, 2*time.Second)
+			err := f.node.Read(one, func(s *fleetconfig.State) { c.state = s.Freeze() })
+			cancel()
+			if err == nil {
+				select {
+				case confirmed <- c:
+				case <-ctx.Done():
+				}
+			}
+			select {
+			case <-ctx.Done():
+			case <-f.node.Ended():
+				return
+			case <-time.After(confirmEvery * tick):
+			}
+		}
+	})
+	told := time.Now()
+	stale := time.NewTicker(time.Second)
+	defer stale.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-confirmed:
+			if f.install(c.state) {
+				f.in.Confirm(c.at)
+			}
+		case <-f.wake:
+			if s, err := f.node.Freeze(ctx); err == nil {
+				f.install(s)
+			}
+		case now := <-stale.C:
+			if age, serves := f.in.Standing(now); age > 2*time.Second && now.Sub(told) > staleLog {
+				told = now
+				f.log.Printf("cut off: version %d was last confirmed %.1f s ago; served on: %v", f.in.Version(), age.Seconds(), serves)
+			}
+		}
+	}
+}
+
+func orTick(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 50 * time.Millisecond
+	}
+	return d
+}
+
+// install puts a version in force, unless it is; it is false if what is agreed can't be
+// served on.
+func (f *Fleet) install(s *fleetconfig.State) bool {
+	if s.Version() == f.in.Version() && f.installs.Load() > 0 {
+		return true
+	}
+	if s.Version() < f.in.Version() {
+		return true // what is in force is newer, and was agreed on as well
+	}
+	setup, err := f.setup.of(s, f.gate.FullValidation)
+	if err == nil {
+		f.learnMembers(s)
+		err = f.in.Install(setup)
+	}
+	f.mu.Lock()
+	before := f.note
+	f.note = ""
+	if err != nil {
+		f.note = err.Error()
+	}
+	changed := f.note != before
+	f.mu.Unlock()
+	if err != nil {
+		if changed {
+			f.log.Printf("version %d is not in force here: %v", s.Version(), err)
+		}
+		return false
+	}
+	f.installs.Add(1)
+	return true
+}
+
+// learnMembers takes over where the members are reached.
+func (f *Fleet) learnMembers(s *fleetconfig.State) {
+	agreed := fleetconfig.Read[fleetconfig.Member](s, "member")
+	if len(agreed) == 0 {
+		return
+	}
+	f.mu.Lock()
+	for name, m := range agreed {
+		if id, err := strconv.ParseUint(name, 10, 64); err == nil {
+			f.members[id] = m
+		}
+	}
+	addrs := map[uint64]string{}
+	for id, m := range f.members {
+		addrs[id] = m.Raft
+	}
+	f.mu.Unlock()
+	f.node.Peers(addrs)
+}
+
+// Instance is the gateway's.
+func (f *Fleet) Instance() *gateway.Instance { return f.in }
+
+// Propose has a proposal applied.
+func (f *Fleet) Propose(ctx context.Context, p *fleetconfig.Proposal) (fleetconfig.Outcome, error) {
+	return f.node.Propose(ctx, p)
+}
--- /dev/null
+++ b/internal/fleet/setup.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/contract"
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/register"
+)
+
+// errNothing says that there is nothing to serve yet.
+var errNothing = errors.New("no description is agreed on yet: mulleingate config apply")
+
+// setups turns agreed states into what an instance is told. It keeps what is dear to make
+// from one state to the next.
+type setups struct {
+	key       []byte // what the table was compiled of
+	table     *contract.Table
+	check     gateway.Checker
+	licensees map[string]licensee
+}
+
+type licensee struct {
+	text  json.RawMessage
+	value gateway.Licensee
+}
+
+func compileOptions(classes []fleetconfig.Class, most int) contract.Options {
+	opt := contract.Options{MostUnits: most}
+	for _, c := range classes {
+		opt.Classes = append(opt.Classes, contract.Class{Name: c.Name, Worth: c.Worth, Late: c.Late,
+			Aim: time.Duration(c.AimMs) * time.Millisecond, Deadline: time.Duration(c.DeadlineMs) * time.Millisecond})
+	}
+	return opt
+}
+
+// of returns the setup of a state.
+func (u *setups) of(s *fleetconfig.State, full bool) (out gateway.Setup, err error) {
+	descriptions := fleetconfig.Read[fleetconfig.Description](s, "description")
+	if len(descriptions) == 0 {
+		return out, errNothing
+	}
+	if len(descriptions) > 1 {
+		return out, fmt.Errorf("%d descriptions are agreed on, and one is served: remove the others", len(descriptions))
+	}
+	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
+	for _, name := range slices.Sorted(maps.Keys(halls)) {
+		at, err := register.Address("register", halls[name].Register)
+		if err != nil {
+			return out, fmt.Errorf("hall %s: %w", name, err)
+		}
+		out.Halls = append(out.Halls, gateway.Hall{Name: name, Register: at})
+	}
+	for _, d := range descriptions {
+		key, err := json.Marshal([]any{d, s.Classes(), s.MostUnits()})
+		if err != nil {
+			return out, err
+		}
+		if bytes.Equal(key, u.key) {
+			break
+		}
+		table, doc, err := openapi.Compile(d.File, []byte(d.Text), compileOptions(s.Classes(), s.MostUnits()))
+		if err != nil {
+			return out, err
+		}
+		u.key, u.table, u.check = key, table, nil
+		if full {
+			u.check = doc.Checker()
+		}
+	}
+	out.Number, out.Table, out.Check = s.Version(), u.table, u.check
+	plans := fleetconfig.Read[fleetconfig.Plan](s, "plan")
+	for _, name := range s.Places() {
+		p, ok := plans[name]
+		if !ok { // its place stays; no licensee can have it
+			name = "/removed/" + name
+		}
+		out.Plans = append(out.Plans, choice.Plan{Name: name, Rate: p.Rate, Burst: p.Burst, Open: p.Open, CeilingRate: p.CeilingRate,
+			CeilingBurst: p.CeilingBurst, CeilingSlack: p.CeilingSlack, Price: p.Price, OverWorth: p.OverWorth, OverCost: p.OverCost})
+	}
+	next := make(map[string]licensee, len(u.licensees))
+	out.Licensees = make(map[string]gateway.Licensee, len(u.licensees))
+	s.Each("licensee", func(name string, text json.RawMessage) {
+		l, ok := u.licensees[name]
+		if !ok || !bytes.Equal(l.text, text) {
+			var v fleetconfig.Licensee
+			if json.Unmarshal(text, &v) != nil {
+				return // it was checked when it was put
+			}
+			l = licensee{text, gateway.Licensee{Plan: v.Plan, Customer: gateway.CustomerOf(name)}}
+		}
+		next[name], out.Licensees[name] = l, l.value
+	})
+	u.licensees = next
+	return out, nil
+}
--- a/internal/floors/floors_test.go
+++ b/internal/floors/floors_test.go
@@ -17,7 +17,7 @@
 var floor = map[string]int{
 	"choice": 1, "contract": 1, "fleetconfig": 1,
 	"internal/wire": 2, "internal/httpwire": 2, "internal/load": 2, "internal/openapi": 2, "deploy": 2,
-	"internal/register": 3, "internal/peers": 3, "internal/node": 3, "internal/raftnode": 3, "internal/gateway": 3, "internal/gatefile": 3, "internal/standin": 3,
+	"internal/register": 3, "internal/peers": 3, "internal/node": 3, "internal/raftnode": 3, "internal/gateway": 3, "internal/gatefile": 3, "internal/standin": 3, "internal/fleet": 3,
 	"internal/lab": 4, "internal/bench": 4, "internal/floors": 4,
 	"cmd/mulleinmux": 5, "cmd/mulleingate": 5, "cmd/drill": 5,
 }
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"mulleinmux/choice"
 	"mulleinmux/contract"
+	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/register"
 )
@@ -23,6 +25,17 @@
 	Config      gateway.Config
 	Description string // file name of the description, as written
 	AccessLog   string // file name of the access log, as written; empty: none
+	Cluster     *Cluster
+}
+
+// Cluster is an instance's place among those that agree on what they serve. Without it the
+// file itself says that.
+type Cluster struct {
+	Name        string
+	Member      uint64
+	Data, Certs string // file and folder, as written
+	Tick        time.Duration
+	Members     map[uint64]fleetconfig.Member
 }
 
 // duration is a struct so that a bare number is no duration.
@@ -39,17 +52,16 @@
 
 // raw is the form of the file.
 type raw struct {
-	Name        string   `toml:"name"`
-	Listen      string   `toml:"listen"`
-	Zone        string   `toml:"zone"`
-	Instance    int      `toml:"instance"`
-	PeerListen  string   `toml:"peer_listen"`
-	Peers       []string `toml:"peers"`
-	Description string   `toml:"description"`
-	Validate    string   `toml:"validate"`
-	AccessLog   string   `toml:"access_log"`
-	Seed        uint64   `toml:"seed"`
-	Limits      struct {
+	Name       string   `toml:"name"`
+	Listen     string   `toml:"listen"`
+	Zone       string   `toml:"zone"`
+	Instance   int      `toml:"instance"`
+	PeerListen string   `toml:"peer_listen"`
+	Peers      []string `toml:"peers"`
+	Validate   string   `toml:"validate"`
+	AccessLog  string   `toml:"access_log"`
+	Seed       uint64   `toml:"seed"`
+	Limits     struct {
 		Clients        int      `toml:"clients"`
 		Servers        int      `toml:"servers"`
 		ConnectTimeout duration `toml:"connect_timeout"`
@@ -68,7 +80,27 @@
 		FallMultiple float64  `toml:"fall_multiple"`
 		OverloadFor  duration `toml:"overload_for"`
 	} `toml:"servers"`
-	Halls []struct {
+	Cluster *struct {
+		Name       string   `toml:"name"`
+		Number     uint64   `toml:"number"`
+		Data       string   `toml:"data"`
+		Certs      string   `toml:"certs"`
+		Tick       duration `toml:"tick"`
+		StaleAfter duration `toml:"stale_after"`
+		WhenStale  string   `toml:"when_stale"`
+		Members    []struct {
+			Number uint64 `toml:"number"`
+			Raft   string `toml:"raft"`
+			Admin  string `toml:"admin"`
+		} `toml:"member"`
+	} `toml:"cluster"`
+	shared
+}
+
+// shared is what instances may agree on instead.
+type shared struct {
+	Description string `toml:"description"`
+	Halls       []struct {
 		Name     string `toml:"name"`
 		Register string `toml:"register"`
 	} `toml:"hall"`
@@ -147,9 +179,9 @@
 
 // locate finds the line of a field: of the key, else of its table, else 1.
 func locate(text []byte, field string) int {
-	table, key, nested := strings.Cut(field, ".")
-	if !nested {
-		table, key = "", field
+	table, key := "", field
+	if i := strings.LastIndexByte(field, '.'); i >= 0 {
+		table, key = field[:i], field[i+1:]
 	}
 	name, nth := table, 0
 	if i := strings.IndexByte(table, '['); i >= 0 {
@@ -196,9 +228,6 @@
 	if c.Name == "" {
 		r.bad("name", "is missing")
 	}
-	if in.Description == "" {
-		r.bad("description", "is missing: the file name of an OpenAPI description")
-	}
 	c.Listen = r.address("listen", in.Listen)
 	switch in.Validate {
 	case "", "cost":
@@ -217,6 +246,73 @@
 	if n > 1 {
 		c.PeerListen = r.address("peer_listen", in.PeerListen)
 	}
+	r.limits(in, c, n)
+	if in.Cluster != nil {
+		r.cluster(in, out)
+		return out
+	}
+	if in.Description == "" {
+		r.bad("description", "is missing: the file name of an OpenAPI description")
+	}
+	r.halls(&in.shared, c)
+	if len(in.Halls) > 0 && !slices.ContainsFunc(c.Halls, func(h gateway.Hall) bool { return h.Name == in.Zone }) {
+		r.bad("zone", "%q is no hall's name", in.Zone)
+	}
+	r.classes(&in.shared, c)
+	r.plans(&in.shared, c)
+	return out
+}
+
+// cluster reads an instance's place in a cluster, which agrees on the rest.
+func (r *reader) cluster(in *raw, out *File) {
+	for _, f := range []struct {
+		field string
+		there bool
+	}{{"description", in.Description != ""}, {"hall", len(in.Halls) > 0}, {"class", len(in.Classes) > 0}, {"plan", len(in.Plans) > 0},
+		{"licensee", len(in.Licensees) > 0}, {"limits.most_units", in.Limits.MostUnits != 0}} {
+		if f.there {
+			r.bad(f.field, "is agreed on by the cluster: it belongs into the file of mulleingate config apply")
+		}
+	}
+	if in.Zone == "" {
+		r.bad("zone", "is missing: the hall of this instance's own site")
+	}
+	c := in.Cluster
+	k := &Cluster{Name: c.Name, Member: c.Number, Data: c.Data, Certs: c.Certs, Tick: c.Tick.d, Members: map[uint64]fleetconfig.Member{}}
+	out.Cluster = k
+	for _, f := range []struct{ name, v string }{{"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}} {
+		if f.v == "" {
+			r.bad("cluster."+f.name, "is missing")
+		}
+	}
+	if strings.Contains(c.Name, "/") {
+		r.bad("cluster.name", "%q has a slash", c.Name)
+	}
+	for i, m := range c.Members {
+		at := fmt.Sprintf("cluster.member[%d]", i)
+		if _, twice := k.Members[m.Number]; m.Number == 0 || twice {
+			r.bad(at+".number", "%d is 0 or stands twice", m.Number)
+		}
+		k.Members[m.Number] = fleetconfig.Member{Raft: r.address(at+".raft", m.Raft).String(), Admin: r.address(at+".admin", m.Admin).String()}
+	}
+	if _, ok := k.Members[c.Number]; !ok {
+		r.bad("cluster.number", "%d is no [[cluster.member]] of this file", c.Number)
+	}
+	if c.Tick.d != 0 && (c.Tick.d < time.Millisecond || c.Tick.d > time.Second) {
+		r.bad("cluster.tick", "%v is outside 1ms to 1s", c.Tick.d)
+	}
+	agreed := &gateway.Agreed{StaleAfter: c.StaleAfter.d}
+	switch c.WhenStale {
+	case "", "serve":
+	case "refuse":
+		agreed.Refuse = true
+	default:
+		r.bad("cluster.when_stale", "%q is unknown: \"serve\" or \"refuse\" is wanted", c.WhenStale)
+	}
+	out.Config.Agreed = agreed
+}
+
+func (r *reader) halls(in *shared, c *gateway.Config) {
 	zones := map[string]bool{}
 	for i, h := range in.Halls {
 		at := fmt.Sprintf("hall[%d]", i)
@@ -228,13 +324,7 @@
 	}
 	if len(in.Halls) == 0 {
 		r.bad("hall", "none is described: add a [[hall]] with name and register")
-	} else if !zones[in.Zone] {
-		r.bad("zone", "%q is no hall's name", in.Zone)
 	}
-	r.limits(in, c, n)
-	r.classes(in, c)
-	r.plans(in, c)
-	return out
 }
 
 func (r *reader) limits(in *raw, c *gateway.Config, n int) {
@@ -266,7 +356,7 @@
 	}
 }
 
-func (r *reader) classes(in *raw, c *gateway.Config) {
+func (r *reader) classes(in *shared, c *gateway.Config) {
 	if len(in.Classes) == 0 {
 		r.bad("class", "none is described: add a [[class]] with name, worth, aim and deadline")
 	}
@@ -290,7 +380,7 @@
 	}
 }
 
-func (r *reader) plans(in *raw, c *gateway.Config) {
+func (r *reader) plans(in *shared, c *gateway.Config) {
 	plans := map[string]bool{}
 	for i, p := range in.Plans {
 		at := fmt.Sprintf("plan[%d]", i)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"mulleinmux/choice"
@@ -37,6 +36,10 @@
 
 	Licensees map[string]Licensee // by name
 
+	// Agreed, if set, has the instance serve only on a setup whose standing it is told
+	// (see [Instance.Confirm]): instances agree on it.
+	Agreed *Agreed
+
 	MaxClients     int           // connections of clients
 	MaxServers     int           // connections to servers
 	ConnectTimeout time.Duration // for a connection to a server
@@ -51,6 +54,27 @@
 	peerConn *net.UDPConn
 }
 
+// Agreed is how an instance deals with a setup that may no longer be the one in force.
+type Agreed struct {
+	StaleAfter time.Duration // since it was last confirmed; 30 s where 0
+	Refuse     bool          // then requests are refused; else they are served on
+}
+
+// Setup is what an instance can be told anew while it runs.
+type Setup struct {
+	Number    uint64          // its version, which halls and clients are told
+	Table     *contract.Table // nil: as it is
+	Check     Checker         // with Table; nil: only what the cost depends on is checked
+	Licensees map[string]Licensee
+	Plans     []choice.Plan // by place, as [choice.Gateway.SetPlans] wants them
+	Halls     []Hall
+}
+
+// Setup is the one that a configuration holds.
+func (c *Config) Setup(number uint64, table *contract.Table, check Checker) Setup {
+	return Setup{Number: number, Table: table, Check: check, Licensees: c.Licensees, Plans: c.Settings.Plans, Halls: c.Halls}
+}
+
 // Defaults of a [Config].
 const (
 	defaultClients = 4096
@@ -58,6 +82,7 @@
 	defaultConnect = 250 * time.Millisecond
 	defaultIdle    = 30 * time.Second
 	defaultDrain   = 500 * time.Millisecond
+	defaultStale   = 30 * time.Second
 )
 
 // Options are what a description is compiled with.
@@ -72,23 +97,19 @@
 	switch {
 	case c.Name == "":
 		return errors.New("name: is empty")
-	case len(c.Halls) == 0:
-		return errors.New("halls: none")
 	case c.PeerListen.IsValid() && len(c.Peers) != c.Settings.Instances:
 		return fmt.Errorf("peers: %d addresses for %d instances", len(c.Peers), c.Settings.Instances)
 	case !c.PeerListen.IsValid() && c.peerConn == nil && c.Settings.Instances > 1:
 		return errors.New("peers: instances that share quotas must message each other")
 	}
-	for i, h := range c.Halls {
-		if slices.ContainsFunc(c.Halls[:i], func(o Hall) bool { return o.Name == h.Name }) {
-			return fmt.Errorf("halls: %q stands twice", h.Name)
-		}
-	}
 	c.MaxClients = orDefault(c.MaxClients, defaultClients)
 	c.MaxServers = orDefault(c.MaxServers, defaultServers)
 	c.ConnectTimeout = orDefault(c.ConnectTimeout, defaultConnect)
 	c.ConnIdle = orDefault(c.ConnIdle, defaultIdle)
 	c.DrainFor = orDefault(c.DrainFor, defaultDrain)
+	if c.Agreed != nil {
+		c.Agreed.StaleAfter = orDefault(c.Agreed.StaleAfter, defaultStale)
+	}
 	return nil
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -28,6 +28,7 @@
 	restLimit  = 1500 * time.Millisecond // for a request, from its first bytes to its last
 	idleLimit  = 30 * time.Second        // for a connection between requests
 	writeLimit = 10 * time.Second        // for an answer
+	tellAge    = 2 * time.Second         // of a setup that was not confirmed since: answers tell it
 	slack      = 5 * time.Second         // by which idleLimit and writeLimit may come early: saves setting them for each request
 )
 
@@ -137,11 +138,15 @@
 	status int
 	text   string
 	allow  string
-	close  bool // what follows on the connection can't be told apart
+	wait   time.Duration // of a refusal
+	close  bool          // what follows on the connection can't be told apart
 }
 
 func (e *badRequest) Error() string { return e.text }
 
+// errUnconfirmed refuses a request: what is agreed is not known well enough to serve on.
+var errUnconfirmed = &badRequest{status: http.StatusServiceUnavailable, text: "refused: trying again at another instance does no harm", wait: time.Second}
+
 // one answers one request; it is false if the connection is to be closed.
 func (c *client) one() (again bool) {
 	fl := &c.fl
@@ -226,7 +231,18 @@
 // force is read once: the request keeps it.
 func (f *front) parse(fl *flight, began time.Time) (q choice.Request, err error) {
 	h := &fl.head
+	// First its standing, then the version: a version may be put in force in between, which is
+	// confirmed then as well.
+	fl.age, fl.version = 0, nil
+	if f.in.cfg.Agreed != nil {
+		var serves bool
+		if fl.age, serves = f.in.Standing(began); !serves {
+			f.in.refused.Add(1)
+			return q, errUnconfirmed
+		}
+	}
 	v := f.in.version.Load()
+	fl.version = v
 	path, query, _ := strings.Cut(h.Target, "?")
 	if reason := v.table.CheckPath(path); reason != "" {
 		return q, &badRequest{status: http.StatusBadRequest, text: reason}
@@ -264,7 +280,7 @@
 	if fl.licensee, n = h.Values("X-Licensee"); n != 1 || fl.licensee == "" {
 		return q, &badRequest{status: http.StatusBadRequest, text: "X-Licensee: one is wanted"}
 	}
-	l, ok := f.in.cfg.Licensees[fl.licensee]
+	l, ok := v.licensees[fl.licensee]
 	if !ok {
 		return q, &badRequest{status: http.StatusForbidden, text: "X-Licensee: is not known"}
 	}
@@ -359,7 +375,7 @@
 // answer words the final answer of the flight.
 func (c *client) answer() bool {
 	fl := &c.fl
-	rec := Record{Trace: fl.trace, Operation: fl.op.ID, Licensee: fl.licensee, Version: fl.op.Table().Number, Units: fl.units,
+	rec := Record{Trace: fl.trace, Operation: fl.op.ID, Licensee: fl.licensee, Version: fl.version.number, Units: fl.units,
 		Sent: fl.sent, Attempts: fl.attempts, Answer: fl.answer.String()}
 	var b, body []byte
 	length := 0
@@ -411,6 +427,11 @@
 		b = fmt.Appendf(b, "X-Mulleinmux-Version: %d\r\nX-Mulleinmux-Operation: %s\r\nX-Mulleinmux-Units: %d\r\nX-Mulleinmux-Attempts: %d\r\n",
 			rec.Version, rec.Operation, rec.Units, rec.Attempts)
 	}
+	if fl.age > tellAge { // cut off: what clients are told may be old
+		b = append(b, "X-Mulleinmux-Config-Age: "...)
+		b = appendSeconds(b, fl.age)
+		b = append(b, "\r\n"...)
+	}
 	if c.f.in.cfg.Observe != nil {
 		c.f.in.cfg.Observe(rec)
 	}
@@ -429,10 +450,15 @@
 	if e.close {
 		c.fl.head.Close = true
 	}
-	if e.status != http.StatusNoContent {
+	if e.status != http.StatusNoContent && e.wait == 0 {
 		c.f.in.bad.Add(1)
 	}
 	b := c.begin(e.status, http.StatusText(e.status))
+	if e.wait > 0 {
+		b = append(b, "Retry-After: "...)
+		b = appendSeconds(b, e.wait)
+		b = append(b, "\r\n"...)
+	}
 	if e.allow != "" {
 		b = httpwire.AppendField(b, "Allow", e.allow)
 	}
@@ -462,7 +488,7 @@
 }
 
 func (c *client) health() bool {
-	if c.f.ready.Load() {
+	if _, serves := c.f.in.Standing(time.Now()); serves && c.f.ready.Load() {
 		return c.finish(c.begin(http.StatusOK, "OK"), []byte("ready\n"), 6)
 	}
 	return c.finish(c.begin(http.StatusServiceUnavailable, "Service Unavailable"), []byte("not ready\n"), 10)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -219,8 +219,8 @@
 		c := dial(t, g.addr)
 		c.send(post("POST /visits", `{"installers": 7}`, "Idempotency-Key: k"+strconv.Itoa(i), "X-Trace-Id: t"+strconv.Itoa(i)))
 		first := h.next()
-		tab, _ := testTable(t, changed, 2+2*i)
-		if err := g.Install(tab, nil); err != nil {
+		tab, _ := testTable(t, changed)
+		if err := g.Install(g.cfg.Setup(uint64(2+2*i), tab, nil)); err != nil {
 			t.Fatal(err)
 		}
 		first.answer <- answerText(500, "", "") // it may have run
@@ -253,8 +253,8 @@
 		if r := c.ask(get("GET /slots?days=1")); r.status != 404 {
 			t.Errorf("an operation that has gone: %+v", r)
 		}
-		old, _ := testTable(t, description, 3+2*i)
-		if err := g.Install(old, nil); err != nil {
+		old, _ := testTable(t, description)
+		if err := g.Install(g.cfg.Setup(uint64(3+2*i), old, nil)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -268,8 +268,8 @@
 	c := dial(t, g.addr)
 	c.send(get("GET /slots?days=4"))
 	a := h.next()
-	tab, _ := testTable(t, changed, 2)
-	if err := g.Install(tab, nil); err != nil {
+	tab, _ := testTable(t, changed)
+	if err := g.Install(g.cfg.Setup(uint64(2), tab, nil)); err != nil {
 		t.Fatal(err)
 	}
 	a.answer <- answerText(200, "", "late")
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -199,19 +199,19 @@
 		{Name: "book", Worth: 9, Aim: 20 * time.Second, Deadline: 20 * time.Second}}
 }
 
-func testTable(t testing.TB, text string, number int) (*contract.Table, *openapi.Description) {
+func testTable(t testing.TB, text string) (*contract.Table, *openapi.Description) {
 	t.Helper()
 	tab, d, err := openapi.Compile("test.yaml", []byte(text), contract.Options{Classes: testClasses(), MostUnits: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
-	tab.Number = number
 	return tab, d
 }
 
 // running is an instance in this process.
 type running struct {
 	*Instance
+	cfg  *Config
 	addr string
 	stop context.CancelFunc
 	done chan error
@@ -230,7 +230,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tab, d := testTable(t, description, 1)
+	tab, d := testTable(t, description)
 	cfg := &Config{Name: "g", Settings: testSettings(), Classes: testClasses(), DrainFor: 10 * time.Millisecond,
 		Licensees: map[string]Licensee{"honest": {"wide", 1}, "small": {"tight", 2}}}
 	for _, name := range []string{"hall-a", "hall-b"} {
@@ -245,10 +245,10 @@
 	}
 	cfg.On(ln, nil)
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	r := &running{cfg: cfg, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
 	ready := make(chan *Instance, 1)
 	go func() {
-		r.done <- Run(ctx, cfg, tab, check, log.New(io.Discard, "", 0), func(in *Instance) { ready <- in })
+		r.done <- Run(ctx, cfg, cfg.Setup(1, tab, check), log.New(io.Discard, "", 0), func(in *Instance) { ready <- in })
 	}()
 	t.Cleanup(func() {
 		stop()
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -3,10 +3,13 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"math"
+	"net/netip"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,7 +39,13 @@
 	work    sync.WaitGroup
 
 	version atomic.Pointer[version] // in force
-	bad     atomic.Int64            // requests turned down before they were charged
+	follow  sync.WaitGroup          // followers of registers
+
+	// When a quorum last confirmed the version in force, by the monotonic clock since start;
+	// 0: not since the start. Only with Config.Agreed.
+	confirmed atomic.Int64
+	refused   atomic.Int64 // requests refused because of that
+	bad       atomic.Int64 // requests turned down before they were charged
 
 	mu       sync.Mutex
 	gw       *choice.Gateway
@@ -48,14 +57,23 @@
 	alarm    *time.Timer // at the earliest of timers
 	alarmAt  time.Duration
 	known    map[string]map[string]bool // servers by hall
-	counters map[string]*Counters       // by operation, over all versions
+	halls    map[string]*watch
+	counters map[string]*Counters // by operation, over all versions
 }
 
-// version is a description in force and the counters of its operations.
+// version is a setup in force and the counters of its operations.
 type version struct {
-	table *contract.Table
-	ops   []*Counters // by Operation.Index
-	check Checker     // nil: only what the cost depends on is checked
+	number    uint64
+	table     *contract.Table
+	ops       []*Counters // by Operation.Index
+	check     Checker     // nil: only what the cost depends on is checked
+	licensees map[string]Licensee
+}
+
+// watch is a follower of a hall's register.
+type watch struct {
+	register netip.AddrPort
+	stop     context.CancelFunc
 }
 
 // Counters count the requests of one operation.
@@ -77,7 +95,7 @@
 	Trace     string `json:"trace"` // X-Trace-Id
 	Operation string `json:"operation"`
 	Licensee  string `json:"licensee"`
-	Version   int    `json:"version"` // of the description that it was matched with
+	Version   uint64 `json:"version"` // of the setup that it was matched with
 	Units     int    `json:"units"`
 	Sent      bool   `json:"sent"` // an attempt was written whole: the units count
 	Attempts  int    `json:"attempts"`
@@ -91,6 +109,8 @@
 	trace    string // X-Trace-Id
 	head     httpwire.Head
 	body     []byte
+	version  *version      // in force when it was matched: it keeps it
+	age      time.Duration // of the version's last confirmation, then
 	op       *contract.Operation
 	counters *Counters
 	licensee string
@@ -126,30 +146,66 @@
 
 func (k answerKind) String() string { return [...]string{"served", "refused", "failed"}[k] }
 
-// newInstance makes an instance whose goroutines end with ctx.
-func newInstance(ctx context.Context, cfg *Config, table *contract.Table, check Checker, logger *log.Logger) (*Instance, error) {
+// unused is a class that no operation has: the module wants one before there is a table.
+var unused = []choice.Class{{Name: "/none"}}
+
+// newInstance makes an instance whose goroutines end with ctx. Without a table it refuses
+// all requests until one is installed.
+func newInstance(ctx context.Context, cfg *Config, setup Setup, logger *log.Logger) (*Instance, error) {
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
 	set := cfg.Settings
-	set.Classes = table.Classes
+	set.Classes, set.Plans = unused, nil
 	gw, err := choice.New(set, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
 	in := &Instance{cfg: cfg, log: logger, start: time.Now(), ctx: ctx, servers: newServers(cfg), gw: gw,
-		flights: map[string]*flight{}, known: map[string]map[string]bool{}, counters: map[string]*Counters{}}
+		flights: map[string]*flight{}, known: map[string]map[string]bool{}, counters: map[string]*Counters{}, halls: map[string]*watch{}}
 	in.alarm = time.AfterFunc(time.Hour, in.ring)
 	in.alarmAt = math.MaxInt64
-	in.version.Store(in.prepare(table, check))
-	return in, nil
+	in.version.Store(&version{table: &contract.Table{}})
+	return in, in.Install(setup)
 }
 
-// prepare makes a version of a table. Called under the mutex, or before any other has
-// the instance.
-func (in *Instance) prepare(table *contract.Table, check Checker) *version {
-	v := &version{table: table, check: check}
-	for _, op := range table.Operations {
+// Install puts a setup in force at one moment: requests that are matched from then on obey
+// it; those matched before keep theirs to their final answer. With an error nothing has
+// changed.
+func (in *Instance) Install(s Setup) error {
+	for i, h := range s.Halls {
+		if slices.ContainsFunc(s.Halls[:i], func(o Hall) bool { return o.Name == h.Name }) {
+			return fmt.Errorf("halls: %q stands twice", h.Name)
+		}
+	}
+	err := errors.New("the instance has ended")
+	in.event(func(now time.Duration, out choice.Actions) {
+		old := in.version.Load()
+		if s.Table == nil {
+			s.Table, s.Check = old.table, old.check
+		}
+		if err = in.gw.SetPlans(now, s.Plans); err != nil {
+			return
+		}
+		if s.Table != old.table {
+			if err = in.gw.SetClasses(s.Table.Classes); err != nil {
+				return
+			}
+		}
+		in.version.Store(in.prepare(s, old))
+		in.watchHalls(now, s.Halls, out)
+	})
+	return err
+}
+
+// prepare makes a version of a setup. Called under the mutex.
+func (in *Instance) prepare(s Setup, old *version) *version {
+	v := &version{number: s.Number, table: s.Table, check: s.Check, licensees: s.Licensees}
+	if s.Table == old.table {
+		v.ops = old.ops
+		return v
+	}
+	for _, op := range s.Table.Operations {
 		c := in.counters[op.ID]
 		if c == nil {
 			c = &Counters{}
@@ -160,18 +216,66 @@
 	return v
 }
 
-// Install puts a compiled description in force at one moment: requests that are matched
-// from then on obey it; those matched before keep theirs to their final answer.
-func (in *Instance) Install(table *contract.Table, check Checker) error {
-	var err error
-	in.event(func(now time.Duration, out choice.Actions) {
-		if err = in.gw.SetClasses(table.Classes); err == nil {
-			in.version.Store(in.prepare(table, check))
+// watchHalls follows the registers of these halls and of no others. The servers of a hall
+// that is no longer there are gone; those of one whose register has moved stay until the
+// new one tells. Called under the mutex.
+func (in *Instance) watchHalls(now time.Duration, halls []Hall, out choice.Actions) {
+	wanted := map[string]netip.AddrPort{}
+	for _, h := range halls {
+		wanted[h.Name] = h.Register
+	}
+	for name, w := range in.halls {
+		if at, ok := wanted[name]; ok && at == w.register {
+			continue
+		} else if !ok {
+			in.take(now, name, register.List{Full: true}, out)
+			delete(in.known, name)
 		}
-	})
-	return err
+		w.stop()
+		delete(in.halls, name)
+	}
+	for _, h := range halls {
+		if in.halls[h.Name] != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(in.ctx)
+		in.halls[h.Name] = &watch{h.Register, stop}
+		f := &register.Follower{Addr: h.Register, Silent: register.Silent,
+			Apply: func(l register.List) { in.list(ctx, h.Name, l) },
+			Logf:  func(format string, args ...any) { in.log.Printf("hall "+h.Name+": "+format, args...) }}
+		in.follow.Go(func() { f.Run(ctx) })
+	}
+}
+
+// Confirm tells that a quorum has confirmed at a time that the setup in force is the one
+// that is agreed on.
+func (in *Instance) Confirm(at time.Time) {
+	since := max(int64(at.Sub(in.start)), 1)
+	for was := in.confirmed.Load(); since > was && !in.confirmed.CompareAndSwap(was, since); was = in.confirmed.Load() {
+	}
 }
 
+// Standing tells how long ago the setup in force was confirmed, and whether requests are
+// served on it.
+func (in *Instance) Standing(now time.Time) (age time.Duration, serves bool) {
+	a := in.cfg.Agreed
+	if a == nil {
+		return 0, true
+	}
+	c := in.confirmed.Load()
+	if c == 0 {
+		return 0, false
+	}
+	age = now.Sub(in.start) - time.Duration(c)
+	return age, !a.Refuse || age <= a.StaleAfter
+}
+
+// Version is the number of the setup in force.
+func (in *Instance) Version() uint64 { return in.version.Load().number }
+
+// Unconfirmed is the number of requests refused because the setup was not confirmed.
+func (in *Instance) Unconfirmed() int64 { return in.refused.Load() }
+
 // Table is the description in force.
 func (in *Instance) Table() *contract.Table { return in.version.Load().table }
 
@@ -338,41 +442,49 @@
 	}
 }
 
-// list hands a hall's list on as changes: the lists of the other halls stay as they are.
-func (in *Instance) list(h Hall, l register.List) {
+// list hands a hall's list on, unless its watch has ended.
+func (in *Instance) list(ctx context.Context, hall string, l register.List) {
 	in.event(func(now time.Duration, out choice.Actions) {
-		known := in.known[h.Name]
-		if known == nil {
-			known = map[string]bool{}
-			in.known[h.Name] = known
+		if ctx.Err() == nil {
+			in.take(now, hall, l, out)
 		}
-		entries := make([]register.Instance, 0, len(l.Servers))
-		listed := map[string]bool{}
-		for _, s := range l.Servers {
-			s.ID = h.Name + "/" + s.ID
-			s.Zone = h.Name
-			listed[s.ID] = true
-			if known[s.ID] = true; s.State == choice.Removed {
-				delete(known, s.ID)
-			}
-			entries = append(entries, s)
+	})
+}
+
+// take hands a hall's list on as changes: the lists of the other halls stay as they are.
+// Called under the mutex.
+func (in *Instance) take(now time.Duration, hall string, l register.List, out choice.Actions) {
+	known := in.known[hall]
+	if known == nil {
+		known = map[string]bool{}
+		in.known[hall] = known
+	}
+	entries := make([]register.Instance, 0, len(l.Servers))
+	listed := map[string]bool{}
+	for _, s := range l.Servers {
+		s.ID = hall + "/" + s.ID
+		s.Zone = hall
+		listed[s.ID] = true
+		if known[s.ID] = true; s.State == choice.Removed {
+			delete(known, s.ID)
 		}
-		if l.Full {
-			for id := range known {
-				if !listed[id] {
-					delete(known, id)
-					entries = append(entries, register.Instance{Server: choice.Server{ID: id, State: choice.Removed, Zone: h.Name}})
-				}
+		entries = append(entries, s)
+	}
+	if l.Full {
+		for id := range known {
+			if !listed[id] {
+				delete(known, id)
+				entries = append(entries, register.Instance{Server: choice.Server{ID: id, State: choice.Removed, Zone: hall}})
 			}
 		}
-		stale := in.servers.update(entries)
-		in.after = append(in.after, func() { closeAll(stale) })
-		list := make([]choice.Server, len(entries))
-		for i, s := range entries {
-			list[i] = s.Server
-		}
-		in.gw.List(now, choice.ListChanges, list, out)
-	})
+	}
+	stale := in.servers.update(entries)
+	in.after = append(in.after, func() { closeAll(stale) })
+	list := make([]choice.Server, len(entries))
+	for i, s := range entries {
+		list[i] = s.Server
+	}
+	in.gw.List(now, choice.ListChanges, list, out)
 }
 
 // whisper hands a message of a peer on.
@@ -394,13 +506,18 @@
 	in.event(func(now time.Duration, out choice.Actions) { in.gw.Probed(now, id, result, report, out) })
 }
 
-// close ends the instance's events, then waits for its probes, whose context has ended.
+// close ends the instance's events, then waits for its probes, whose context has ended, and
+// the followers of its halls' registers.
 func (in *Instance) close() {
 	in.mu.Lock()
 	in.closed = true
 	in.alarm.Stop()
+	for _, w := range in.halls {
+		w.stop()
+	}
 	in.mu.Unlock()
 	in.work.Wait()
+	in.follow.Wait()
 }
 
 // timers are the module's timers, the earliest first.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,9 +11,7 @@
 	"sync"
 	"time"
 
-	"mulleinmux/contract"
 	"mulleinmux/internal/peers"
-	"mulleinmux/internal/register"
 )
 
 // Licensee is what the configuration says of a licensee.
@@ -38,14 +36,19 @@
 
 // Run runs an instance until ctx ends, then drains it: it takes requests for DrainFor
 // more, finishes what it has taken, within the longest deadline, and returns. begun is
-// called once the instance is ready.
-func Run(ctx context.Context, cfg *Config, table *contract.Table, check Checker, logger *log.Logger, begun func(*Instance)) error {
+// called once the instance listens. With Config.Agreed it is ready when a setup with a
+// table has been installed and confirmed, else at once.
+func Run(ctx context.Context, cfg *Config, setup Setup, logger *log.Logger, begun func(*Instance)) error {
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
-	in, err := newInstance(life, cfg, table, check, logger)
+	in, err := newInstance(life, cfg, setup, logger)
 	if err != nil {
 		return err
 	}
+	defer func() {
+		stop()
+		in.close()
+	}()
 	ln := cfg.listener
 	if ln == nil {
 		if ln, err = net.Listen("tcp", cfg.Listen.String()); err != nil {
@@ -69,19 +72,17 @@
 		defer in.peers.Close()
 		side.Go(func() { in.peers.Receive(in.whisper) })
 	}
-	for _, h := range cfg.Halls {
-		f := &register.Follower{Addr: h.Register, Silent: register.Silent,
-			Apply: func(l register.List) { in.list(h, l) },
-			Logf:  func(format string, args ...any) { logger.Printf("hall "+h.Name+": "+format, args...) }}
-		side.Go(func() { f.Run(life) })
-	}
 	side.Go(func() { in.servers.reap(life) })
 
 	f := &front{in: in, conns: map[*client]struct{}{}}
 	failed := make(chan error, 1)
 	side.Go(func() { failed <- f.serve(ln) })
 	f.ready.Store(true)
-	logger.Printf("%s: ready on %s, %d operations", cfg.Name, ln.Addr(), len(table.Operations))
+	if setup.Table != nil {
+		logger.Printf("%s: ready on %s, %d operations", cfg.Name, ln.Addr(), len(setup.Table.Operations))
+	} else {
+		logger.Printf("%s: listens on %s, and waits for what is agreed", cfg.Name, ln.Addr())
+	}
 	begun(in)
 	select {
 	case err := <-failed:
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -531,7 +531,7 @@
 	b = append(b, "X-Expires-In: "...)
 	b = appendSeconds(b, time.Until(until))
 	b = append(b, "\r\nX-Mulleinmux-Version: "...)
-	b = strconv.AppendInt(b, int64(fl.op.Table().Number), 10)
+	b = strconv.AppendUint(b, fl.version.number, 10)
 	b = append(b, "\r\n"...)
 	if len(fl.body) > 0 || h.Length >= 0 {
 		b = append(b, "Content-Length: "...)
--- /dev/null
+++ b/internal/lab/chaos.go
@@ -0,0 +1,62 @@
+package lab
+
+import (
+	"errors"
+	"log"
+	"math/rand/v2"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"mulleinmux/internal/fleet"
+	"mulleinmux/internal/raftnode"
+)
+
+// Shares of messages and syncs that a member under [Chaos] spoils.
+const (
+	chaosDrop     = 0.02
+	chaosRepeat   = 0.02
+	chaosDelay    = 0.04 // of up to chaosDelayMost: others overtake them
+	chaosSync     = 0.0004
+	chaosSyncLast = 100 // the first syncs go well, so that a member comes up at all
+
+	chaosDelayMost = 80 * time.Millisecond
+)
+
+// Chaos has a member's messages to others dropped, repeated, delayed and so reordered, and
+// syncs of its disk fail, by a seed.
+func Chaos(cfg *fleet.Config, seed uint64, logger *log.Logger) {
+	rng := rand.New(rand.NewPCG(seed, cfg.Member)) // used by the member's goroutine alone
+	cfg.Outgoing = func(send func(*pb.Message)) func(*pb.Message) {
+		return func(m *pb.Message) {
+			switch x := rng.Float64(); {
+			case x < chaosDrop:
+				return
+			case x < chaosDrop+chaosRepeat:
+				send(m)
+			case x < chaosDrop+chaosRepeat+chaosDelay:
+				time.AfterFunc(time.Duration(rng.Int64N(int64(chaosDelayMost))), func() { send(m) })
+				return
+			}
+			send(m)
+		}
+	}
+	cfg.Disk = func(d raftnode.Disk) raftnode.Disk { return &chaosDisk{Disk: d, rng: rng, log: logger} }
+}
+
+// chaosDisk fails to sync now and then.
+type chaosDisk struct {
+	raftnode.Disk
+	rng   *rand.Rand
+	log   *log.Logger
+	syncs int
+}
+
+var errSync = errors.New("fsync failed on purpose")
+
+func (d *chaosDisk) Save(hs *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot, sync bool) error {
+	if d.syncs++; sync && d.syncs > chaosSyncLast && d.rng.Float64() < chaosSync {
+		return errSync
+	}
+	return d.Disk.Save(hs, entries, snap, sync)
+}
--- /dev/null
+++ b/internal/lab/cluster.go
@@ -0,0 +1,974 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/fleet"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/raftnode"
+	"mulleinmux/internal/standin"
+)
+
+// The scenarios of this file run instances as processes of their own, which agree on their
+// configuration while operators change it and the members are killed, cut off and restarted.
+
+// Figures of these scenarios.
+const (
+	clusterName = "lab"
+	operators   = 3
+	operatorGap = 30 * time.Millisecond // between two changes of one operator, on average
+	memberTick  = 20 * time.Millisecond // elections come after 200 to 400 ms
+	startMost   = 20 * time.Second
+	lostLog     = time.Second     // of an access log that a killed instance may not have written
+	shortStale  = 2 * time.Second // staleness bound of the last member, which then refuses
+	settle      = 20 * time.Second
+)
+
+// cluster is a scenario with processes under way.
+type cluster struct {
+	w       *world
+	dir     string
+	members []*member
+	links   map[[2]int]*link // from, to
+	clients []*fleet.Client  // one for each operator
+	chaos   bool
+	rng     *rand.Rand
+
+	mu     sync.Mutex
+	orders []order
+	kills  int
+	gaps   []time.Duration // from the leader's kill to the next applied change
+}
+
+// member is one instance.
+type member struct {
+	id                 uint64
+	listen, admin, udp string
+	raft               string
+	cmd                *exec.Cmd
+	ended              chan error
+	runs               int
+
+	downMu sync.Mutex
+	down   []span // when it could not be expected to answer
+	killed []time.Time
+}
+
+type span struct{ from, to time.Time }
+
+// order is one ask of an operator.
+type order struct {
+	id          string
+	call, ret   time.Time
+	version     uint64
+	applied     bool
+	read, known bool
+}
+
+// free finds an address that nothing listens on.
+func free(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// playCluster plays a scenario with processes.
+func (w *world) playCluster(ctx context.Context) (v *Verdict, err error) {
+	c := &cluster{w: w, links: map[[2]int]*link{}, rng: rand.New(rand.NewPCG(w.opt.Seed, 0xc1)), chaos: w.scenario.Name == "chaos-config"}
+	if c.dir, err = os.MkdirTemp("", "mulleingate-lab-"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(c.dir)
+	halls, closeHalls, err := w.startHalls()
+	if err != nil {
+		return nil, err
+	}
+	defer closeHalls()
+	if err := c.prepare(); err != nil {
+		return nil, err
+	}
+	defer c.close()
+	for _, m := range c.members {
+		if err := c.start(m); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.agree(ctx, halls); err != nil {
+		return nil, err
+	}
+	for _, m := range c.members {
+		if err := c.awaitReady(ctx, m); err != nil {
+			return nil, err
+		}
+		m.up()
+	}
+	clients := &standin.Clients{Instances: w.addrs, Licensees: licensees(), Mix: w.scenario.mix(), Tries: 3, Deadline: 2 * time.Second, Seed: w.opt.Seed, NoResend: true}
+	playing, end := context.WithTimeout(ctx, w.opt.For)
+	defer end()
+	changing, stopChanging := context.WithCancel(ctx)
+	defer stopChanging()
+	var beside, ops sync.WaitGroup
+	for i := range operators {
+		ops.Go(func() { c.operate(changing, i) })
+	}
+	beside.Go(func() { w.scenario.cluster(playing, c) })
+	beside.Go(func() { c.progress(playing) })
+	began := time.Now()
+	tries := clients.Run(playing)
+	beside.Wait()
+	stopChanging()
+	ops.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	v = c.judge(ctx, tries, began)
+	return v, nil
+}
+
+// prepare makes certificates, links, files and addresses.
+func (c *cluster) prepare() error {
+	auth, err := raftnode.NewAuthority(clusterName)
+	if err != nil {
+		return err
+	}
+	certs := filepath.Join(c.dir, "certs")
+	if err := os.Mkdir(certs, 0o700); err != nil {
+		return err
+	}
+	if err := auth.Write(certs); err != nil {
+		return err
+	}
+	for i := range instances {
+		m := &member{id: uint64(i + 1)}
+		var e1, e2, e3, e4 error
+		m.listen, e1 = free("tcp")
+		m.admin, e2 = free("tcp")
+		m.raft, e3 = free("tcp")
+		m.udp, e4 = free("udp")
+		if err := errors.Join(e1, e2, e3, e4, auth.WriteMembers(certs, []uint64{m.id})); err != nil {
+			return err
+		}
+		c.members = append(c.members, m)
+		c.w.addrs = append(c.w.addrs, m.listen)
+	}
+	for i := range instances {
+		for j, to := range c.members {
+			if i == j {
+				continue
+			}
+			if c.links[[2]int{i, j}], err = newLink(to.raft); err != nil {
+				return err
+			}
+		}
+	}
+	for i, m := range c.members {
+		if err := os.WriteFile(filepath.Join(c.dir, m.file()), []byte(c.config(i)), 0o600); err != nil {
+			return err
+		}
+		if out, err := c.command("init", "--config", filepath.Join(c.dir, m.file()), "--new-cluster").CombinedOutput(); err != nil {
+			return fmt.Errorf("init: %w: %s", err, out)
+		}
+	}
+	for i := range operators {
+		name := fmt.Sprint("op", i)
+		if err := auth.WriteOperator(certs, name); err != nil {
+			return err
+		}
+		creds, err := raftnode.LoadNamed(certs, raftnode.OperatorFile(name))
+		if err != nil {
+			return err
+		}
+		at := []string{}
+		for k := range c.members { // each begins with another one
+			at = append(at, c.members[(i+k)%instances].admin)
+		}
+		c.clients = append(c.clients, fleet.NewClient(clusterName, creds, at...))
+	}
+	return nil
+}
+
+func (m *member) file() string { return fmt.Sprintf("gate-%d.toml", m.id) }
+
+// config words the file of a member.
+func (c *cluster) config(i int) string {
+	m := c.members[i]
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"gate-%d\"\nlisten = %q\nzone = %q\ninstance = %d\npeer_listen = %q\npeers = [", m.id, m.listen, hallName(i%2), i, m.udp)
+	for _, o := range c.members {
+		fmt.Fprintf(&b, "%q, ", o.udp)
+	}
+	fmt.Fprintf(&b, "]\naccess_log = \"access-%d.jsonl\"\n[limits]\ndrain_for = \"50ms\"\nanswer_slack = \"8ms\"\nmax_attempts = 5\n", m.id)
+	fmt.Fprintf(&b, "[servers]\ndrain_grace = \"250ms\"\ncold_from = 0.17\nramp_time = \"15s\"\nfall_multiple = 2.5\noverload_for = \"2s\"\n")
+	fmt.Fprintf(&b, "[cluster]\nname = %q\nnumber = %d\ndata = \"gate-%d.db\"\ncerts = \"certs\"\ntick = %q\n", clusterName, m.id, m.id, memberTick)
+	if i == instances-1 {
+		fmt.Fprintf(&b, "stale_after = %q\nwhen_stale = \"refuse\"\n", shortStale)
+	}
+	for j, o := range c.members {
+		raft := o.raft
+		if l := c.links[[2]int{i, j}]; l != nil {
+			raft = l.addr()
+		}
+		fmt.Fprintf(&b, "[[cluster.member]]\nnumber = %d\nraft = %q\nadmin = %q\n", o.id, raft, o.admin)
+	}
+	return b.String()
+}
+
+// command is mulleingate with arguments.
+func (c *cluster) command(args ...string) *exec.Cmd {
+	cmd := exec.Command(c.w.opt.Program, args...)
+	cmd.Env = append(os.Environ(), c.w.opt.Env...)
+	return cmd
+}
+
+func (c *cluster) start(m *member) error {
+	args := []string{"run", "--config", filepath.Join(c.dir, m.file())}
+	if m.runs++; c.chaos {
+		args = append(args, "--chaos", strconv.FormatUint(c.w.opt.Seed*1000+uint64(m.runs), 10))
+	}
+	m.cmd = c.command(args...)
+	m.cmd.Stdout, m.cmd.Stderr = io.Discard, c.w.opt.Log
+	// The instance must not outlive the lab.
+	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	m.setDown()
+	if err := m.cmd.Start(); err != nil {
+		return err
+	}
+	m.ended = make(chan error, 1)
+	cmd, ended := m.cmd, m.ended
+	go func() { ended <- cmd.Wait() }()
+	return nil
+}
+
+// setDown and up note when a member can't be expected to answer.
+func (m *member) setDown() {
+	m.downMu.Lock()
+	defer m.downMu.Unlock()
+	if n := len(m.down); n == 0 || !m.down[n-1].to.IsZero() {
+		m.down = append(m.down, span{from: time.Now()})
+	}
+}
+
+func (m *member) up() {
+	m.downMu.Lock()
+	defer m.downMu.Unlock()
+	if n := len(m.down); n > 0 && m.down[n-1].to.IsZero() {
+		m.down[n-1].to = time.Now()
+	}
+}
+
+// wasDown tells whether a member was down at any time of a span.
+func (m *member) wasDown(from, to time.Time) bool {
+	m.downMu.Lock()
+	defer m.downMu.Unlock()
+	return slices.ContainsFunc(m.down, func(s span) bool { return s.from.Before(to) && (s.to.IsZero() || from.Before(s.to)) })
+}
+
+// kill ends a member with SIGKILL.
+func (c *cluster) kill(m *member) {
+	m.setDown()
+	m.downMu.Lock()
+	m.killed = append(m.killed, time.Now())
+	m.downMu.Unlock()
+	m.cmd.Process.Kill()
+	<-m.ended
+	c.mu.Lock()
+	c.kills++
+	c.mu.Unlock()
+}
+
+// restart starts a member that is down, again where it ends by itself (its disk may fail),
+// and waits until it is ready.
+func (c *cluster) restart(ctx context.Context, m *member) error {
+	for {
+		if err := c.start(m); err != nil {
+			return err
+		}
+		if err := c.awaitReady(ctx, m); !errors.Is(err, errEnded) {
+			if err == nil {
+				m.up()
+			}
+			return err
+		}
+	}
+}
+
+var errEnded = errors.New("the instance has ended")
+
+// ready asks a member's /health/ready.
+func ready(ctx context.Context, m *member) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/health/ready", nil)
+	if err != nil {
+		return false
+	}
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *cluster) awaitReady(ctx context.Context, m *member) error {
+	for end := time.Now().Add(startMost); time.Now().Before(end); {
+		select {
+		case err := <-m.ended:
+			m.ended <- err
+			return fmt.Errorf("member %d: %w: %w", m.id, errEnded, err)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+		if ready(ctx, m) {
+			return nil
+		}
+	}
+	return fmt.Errorf("member %d does not become ready", m.id)
+}
+
+// close ends all processes.
+func (c *cluster) close() {
+	for _, m := range c.members {
+		if m.cmd != nil && m.cmd.Process != nil {
+			m.cmd.Process.Kill()
+			<-m.ended
+		}
+	}
+	for _, l := range c.links {
+		l.close()
+	}
+	for _, cl := range c.clients {
+		cl.Close()
+	}
+}
+
+func put(kind, name string, v any) fleetconfig.Change {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of figures
+	}
+	return fleetconfig.Change{Op: "put", Kind: kind, Name: name, Value: text}
+}
+
+// agree has the instances agree on what they serve at first.
+func (c *cluster) agree(ctx context.Context, halls []gateway.Hall) error {
+	p := &fleetconfig.Proposal{ID: "begin", Why: variantWhy(1)}
+	for _, k := range classes() {
+		p.Changes = append(p.Changes, put("class", k.Name, fleetconfig.Class{Worth: k.Worth, Late: k.Late, AimMs: k.Aim.Milliseconds(), DeadlineMs: k.Deadline.Milliseconds()}))
+	}
+	for _, pl := range settings(0).Plans {
+		p.Changes = append(p.Changes, put("plan", pl.Name, fleetconfig.Plan{Rate: pl.Rate, Burst: pl.Burst, CeilingRate: pl.CeilingRate, CeilingBurst: pl.CeilingBurst,
+			CeilingSlack: pl.CeilingSlack, Price: pl.Price, OverWorth: pl.OverWorth, OverCost: pl.OverCost}))
+	}
+	for _, l := range licensees() {
+		p.Changes = append(p.Changes, put("licensee", l.Name, fleetconfig.Licensee{Plan: l.Plan}))
+	}
+	for _, h := range halls {
+		p.Changes = append(p.Changes, put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String()}))
+	}
+	p.Changes = append(p.Changes, put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(1, false))}))
+	ctx, cancel := context.WithTimeout(ctx, startMost)
+	defer cancel()
+	for {
+		o, err := c.clients[0].Propose(ctx, p)
+		if err == nil && !o.Applied {
+			err = errors.New(o.Refused)
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the first configuration: %w", err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func variantWhy(n int) string { return "variant " + strconv.Itoa(n) }
+
+// variantOf is the variant of the description that is in force from a record on, or 0.
+func variantOf(r fleetconfig.Record) int {
+	if text, ok := strings.CutPrefix(r.Why, "variant "); ok {
+		n, _ := strconv.Atoi(text)
+		return n
+	}
+	return 0
+}
+
+// operate is one operator: it changes descriptions, plans and licensees at random moments,
+// some against the version it has read, some bad, and reads.
+func (c *cluster) operate(ctx context.Context, i int) {
+	rng := rand.New(rand.NewPCG(c.w.opt.Seed, uint64(100+i)))
+	cl := c.clients[i]
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(rng.ExpFloat64() * float64(operatorGap))):
+		}
+		o := order{id: fmt.Sprintf("op%d-%d", i, n), call: time.Now()}
+		p := &fleetconfig.Proposal{ID: o.id}
+		one, cancel := context.WithTimeout(ctx, 4*time.Second)
+		var err error
+		switch x := rng.Float64(); {
+		case x < 0.1:
+			var objects fleet.Objects
+			objects, err = cl.Objects(one, false)
+			o.version, o.read = objects.Version, true
+		case x < 0.2: // a description: three prices, and a class that is new
+			v := 2 + rng.IntN(20)
+			p.Why = variantWhy(v)
+			p.Changes = []fleetconfig.Change{put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(v, false))})}
+		case x < 0.3: // bad: refused by all alike
+			p.Changes = []fleetconfig.Change{put("licensee", "bad", fleetconfig.Licensee{Plan: "none"})}
+		case x < 0.5: // a plan that comes and goes
+			p.Changes = []fleetconfig.Change{put("plan", fmt.Sprint("trial-", rng.IntN(5)), fleetconfig.Plan{Rate: 1, Burst: 5, Price: 1})}
+		case x < 0.6:
+			p.Changes = []fleetconfig.Change{{Op: "remove", Kind: "plan", Name: fmt.Sprint("trial-", rng.IntN(5))}}
+		case x < 0.8:
+			p.Changes = []fleetconfig.Change{put("plan", "msingi", fleetconfig.Plan{Rate: 6, Burst: 20 + float64(rng.IntN(8)), Price: 0.88, OverWorth: 0.3})}
+		default: // against what it has read
+			var objects fleet.Objects
+			if objects, err = cl.Objects(one, false); err == nil {
+				p.Base = &objects.Version
+				p.Changes = []fleetconfig.Change{put("licensee", fmt.Sprint("new-", i), fleetconfig.Licensee{Plan: "kati"})}
+			}
+		}
+		if err == nil && !o.read {
+			for { // until its answer is known: the same id, so that it takes place once
+				var out fleetconfig.Outcome
+				out, err = cl.Propose(one, p)
+				o.version, o.applied = out.Version, out.Applied
+				if a, ok := errors.AsType[*fleet.AnswerError](err); err == nil || ok && a.Status == http.StatusConflict || one.Err() != nil {
+					break
+				}
+				select {
+				case <-one.Done():
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		}
+		cancel()
+		o.ret, o.known = time.Now(), err == nil
+		c.mu.Lock()
+		c.orders = append(c.orders, o)
+		c.mu.Unlock()
+	}
+}
+
+// applied counts the changes that operators know to be applied, and the last of them.
+func (c *cluster) applied() (n int, last time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.orders {
+		if o.applied {
+			n++
+			if o.ret.After(last) {
+				last = o.ret
+			}
+		}
+	}
+	return n, last
+}
+
+func (c *cluster) note(format string, args ...any) {
+	c.w.mu.Lock()
+	c.w.notes = append(c.w.notes, fmt.Sprintf(format, args...))
+	c.w.mu.Unlock()
+}
+
+// leader finds the member that leads, by its own word.
+func (c *cluster) leader(ctx context.Context) *member {
+	for ctx.Err() == nil {
+		for _, m := range c.members {
+			if s, err := c.status(ctx, m); err == nil && s.Leader == m.id {
+				return m
+			}
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+	return nil
+}
+
+func (c *cluster) status(ctx context.Context, m *member) (fleet.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return c.clients[0].StatusAt(ctx, m.admin)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// cutOff cuts a member off from all others, or heals its links.
+func (c *cluster) cutOff(m *member, cut bool) {
+	for way, l := range c.links {
+		if way[0] == int(m.id-1) || way[1] == int(m.id-1) {
+			l.setCut(cut)
+		}
+	}
+}
+
+// leaderLost kills the leader in the middle of changes, three times, and restarts it.
+func leaderLost(ctx context.Context, c *cluster) {
+	for range 3 {
+		pause(ctx, c.w.opt.For/6)
+		m := c.leader(ctx)
+		if m == nil || ctx.Err() != nil {
+			return
+		}
+		before, _ := c.applied()
+		c.kill(m)
+		at := time.Now()
+		for n, last := c.applied(); n <= before || !last.After(at); n, last = c.applied() {
+			if pause(ctx, 2*time.Millisecond); ctx.Err() != nil || time.Since(at) > 5*time.Second {
+				c.note("no change was applied within %v of the leader's kill", time.Since(at))
+				return
+			}
+		}
+		c.mu.Lock()
+		c.gaps = append(c.gaps, time.Since(at))
+		c.mu.Unlock()
+		pause(ctx, c.w.opt.For/12)
+		if err := c.restart(context.WithoutCancel(ctx), m); err != nil {
+			c.note("%v", err)
+			return
+		}
+	}
+}
+
+// minorityCut cuts off a member that then serves on and one that then refuses.
+func minorityCut(ctx context.Context, c *cluster) {
+	for _, i := range []int{0, instances - 1} {
+		m := c.members[i]
+		pause(ctx, c.w.opt.For/10)
+		c.cutOff(m, true)
+		if i == 0 {
+			pause(ctx, shortStale+500*time.Millisecond)
+			if age := c.toldAge(ctx, m); ctx.Err() == nil && age < shortStale.Seconds() {
+				c.note("member %d is cut off for %v and tells an age of %v s", m.id, shortStale, age)
+			}
+			if !ready(ctx, m) && ctx.Err() == nil {
+				c.note("member %d is cut off, may serve on and does not", m.id)
+			}
+		} else {
+			if !ready(ctx, m) && ctx.Err() == nil {
+				c.note("member %d refuses before its bound", m.id)
+			}
+			pause(ctx, shortStale+500*time.Millisecond)
+			if ready(ctx, m) && ctx.Err() == nil {
+				c.note("member %d serves past its bound", m.id)
+			}
+		}
+		c.cutOff(m, false)
+		healed := time.Now()
+		for ctx.Err() == nil {
+			if s, err := c.status(ctx, m); err == nil && s.Serves && s.AgeMs < 500 {
+				break
+			}
+			if pause(ctx, 5*time.Millisecond); time.Since(healed) > 3*time.Second {
+				c.note("member %d does not catch up after its links healed", m.id)
+				return
+			}
+		}
+	}
+}
+
+// toldAge asks a member for a slot and returns the configuration's age that it tells.
+func (c *cluster) toldAge(ctx context.Context, m *member) float64 {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/v1/installers/i1", nil)
+		if err != nil {
+			break
+		}
+		r.Close = true
+		r.Header.Set("X-Licensee", "kati-0")
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			resp.Body.Close()
+			if age, err := strconv.ParseFloat(resp.Header.Get("X-Mulleinmux-Config-Age"), 64); err == nil {
+				return age
+			}
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+	return -1
+}
+
+// rollingRestart restarts each member in turn, as for an update.
+func rollingRestart(ctx context.Context, c *cluster) {
+	for _, m := range c.members {
+		pause(ctx, c.w.opt.For/12)
+		m.setDown()
+		m.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case err := <-m.ended:
+			if m.ended <- err; err != nil {
+				c.note("member %d: %v", m.id, err)
+			}
+		case <-time.After(10 * time.Second):
+			c.note("member %d does not end", m.id)
+			return
+		}
+		if err := c.restart(context.WithoutCancel(ctx), m); err != nil {
+			c.note("%v", err)
+			return
+		}
+	}
+}
+
+// chaosConfig kills, cuts and heals by the seed until the time is over.
+func chaosConfig(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	until = until.Add(-c.w.opt.For / 6)
+	after := context.WithoutCancel(ctx)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		for _, m := range c.members { // one whose disk failed has ended
+			select {
+			case err := <-m.ended:
+				m.ended <- err
+				m.setDown()
+				if err := c.restart(after, m); err != nil {
+					c.note("%v", err)
+					return
+				}
+			default:
+			}
+		}
+		m := c.members[c.rng.IntN(instances)]
+		other := (int(m.id) + c.rng.IntN(instances-1)) % instances
+		switch c.rng.IntN(4) {
+		case 0:
+			c.kill(m)
+			pause(ctx, time.Duration(c.rng.IntN(400))*time.Millisecond)
+			if err := c.restart(after, m); err != nil {
+				c.note("%v", err)
+				return
+			}
+		case 1: // one-way
+			c.links[[2]int{int(m.id - 1), other}].setCut(true)
+			pause(ctx, time.Duration(300+c.rng.IntN(700))*time.Millisecond)
+			c.links[[2]int{int(m.id - 1), other}].setCut(false)
+		case 2:
+			c.cutOff(m, true)
+			pause(ctx, time.Duration(300+c.rng.IntN(700))*time.Millisecond)
+			c.cutOff(m, false)
+		default: // a kill while the others are cut from each other
+			l := c.links[[2]int{other, int(m.id - 1)}]
+			l.setCut(true)
+			pause(ctx, 200*time.Millisecond)
+			c.kill(c.members[other])
+			l.setCut(false)
+			if err := c.restart(after, c.members[other]); err != nil {
+				c.note("%v", err)
+				return
+			}
+		}
+		pause(ctx, time.Duration(100+c.rng.IntN(300))*time.Millisecond)
+	}
+}
+
+func (c *cluster) progress(ctx context.Context) {
+	for n := 1; ; n++ {
+		if pause(ctx, time.Second); ctx.Err() != nil {
+			return
+		}
+		if c.w.opt.Progress == nil {
+			continue
+		}
+		applied, _ := c.applied()
+		c.mu.Lock()
+		kills := c.kills
+		c.mu.Unlock()
+		c.w.opt.Progress(fmt.Sprintf("%s %ds of %v: %d changes agreed on, %d kills, %d requests at the halls", c.w.scenario.Name, n, c.w.opt.For, applied, kills, len(c.w.ledger.Arrivals())))
+	}
+}
+
+// judge waits until all members are of one mind and judges the run.
+func (c *cluster) judge(ctx context.Context, tries []standin.Try, began time.Time) *Verdict {
+	w := c.w
+	v := &Verdict{Scenario: w.scenario.Name, Seed: w.opt.Seed, Figures: map[string]float64{}, Rules: map[string]int{
+		"one_answer": 0, "no_effect_twice": 0, "drains": 0, "cold_servers": 0, "ceilings": 0,
+		"units": 0, "operations": 0, "versions": 0, "one_mind": 0, "changes": 0, "scenario": 0}}
+	j := &judge{v}
+	history := c.oneMind(ctx, j)
+	arrivals := w.ledger.Arrivals()
+	slices.SortStableFunc(arrivals, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
+	byTrace := map[string][]standin.Arrival{}
+	for _, a := range arrivals {
+		byTrace[a.Trace] = append(byTrace[a.Trace], a)
+	}
+	at := map[string]*member{}
+	for _, m := range c.members {
+		at[m.listen] = m
+	}
+	excused := 0
+	j.answers(tries, func(t standin.Try) bool {
+		down := at[t.Instance].wasDown(t.At, t.Ended)
+		if down {
+			excused++
+		}
+		return down
+	})
+	j.effects(arrivals, byTrace)
+	for _, s := range w.ledger.Strays() {
+		j.broken("operations", "the halls know no operation for %s", s)
+	}
+	for _, s := range w.ledger.Fallen() {
+		j.broken("cold_servers", "%s was pushed over", s)
+	}
+	j.ceilings(byTrace)
+	c.charged(j, byTrace, tries, at, history)
+	versionOrder(j, tries, byTrace)
+	c.judgeOrders(j, history)
+	for _, n := range w.notes {
+		j.broken("scenario", "%s", n)
+	}
+	j.figures(tries, len(arrivals), time.Since(began))
+	n, _ := c.applied()
+	v.Figures["changes"], v.Figures["kills"], v.Figures["no_answer_while_down"] = float64(n), float64(c.kills), float64(excused)
+	for i, g := range c.gaps {
+		v.Figures[fmt.Sprint("kill_to_change_ms_", i+1)] = math.Round(g.Seconds() * 1000)
+	}
+	v.OK = true
+	for _, n := range v.Rules {
+		v.OK = v.OK && n == 0
+	}
+	return v
+}
+
+// oneMind waits until all members have the same version and chain, and returns the history.
+func (c *cluster) oneMind(ctx context.Context, j *judge) []fleetconfig.Record {
+	for _, l := range c.links {
+		l.setCut(false)
+	}
+	ctx, cancel := context.WithTimeout(ctx, settle)
+	defer cancel()
+	for {
+		seen, same := "", 0
+		for _, m := range c.members {
+			select {
+			case err := <-m.ended: // its disk failed of late
+				if m.ended <- err; c.chaos {
+					m.setDown()
+					if err := c.start(m); err != nil {
+						j.broken("one_mind", "%v", err)
+					}
+				}
+			default:
+			}
+			s, err := c.status(ctx, m)
+			if err != nil || s.Installed != s.Version {
+				break
+			}
+			mind := fmt.Sprintf("%d %s", s.Version, s.Hash)
+			if same == 0 || mind == seen {
+				seen = mind
+				same++
+			}
+		}
+		if same == len(c.members) {
+			break
+		}
+		if pause(ctx, 20*time.Millisecond); ctx.Err() != nil {
+			j.broken("one_mind", "the members are not of one mind %v after the last change: the last seen is %s", settle, seen)
+			return nil
+		}
+	}
+	h, err := c.clients[0].History(ctx)
+	if err != nil {
+		j.broken("one_mind", "history: %v", err)
+	}
+	return h
+}
+
+// charged holds the instances' records against the halls and the history: each request that
+// reached a hall was charged once, at the price of the version that it was matched with.
+// Records that a killed instance did not get to write are missed.
+func (c *cluster) charged(j *judge, byTrace map[string][]standin.Arrival, tries []standin.Try, at map[string]*member, history []fleetconfig.Record) {
+	variants := map[uint64]int{}
+	now := 1
+	for _, r := range history {
+		if v := variantOf(r); v > 0 {
+			now = v
+		}
+		variants[r.Version] = now
+	}
+	records := map[string]gateway.Record{}
+	for _, m := range c.members {
+		f, err := os.Open(filepath.Join(c.dir, fmt.Sprintf("access-%d.jsonl", m.id)))
+		if err != nil {
+			j.broken("scenario", "%v", err)
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			var r gateway.Record
+			if json.Unmarshal(lines.Bytes(), &r) != nil || r.Trace == "" {
+				continue // the half of a line, of an instance that was killed
+			}
+			if _, twice := records[r.Trace]; twice {
+				j.broken("one_answer", "%s was answered twice by the instances", r.Trace)
+			}
+			records[r.Trace] = r
+		}
+		f.Close()
+	}
+	by := map[string]standin.Try{}
+	for _, t := range tries {
+		by[t.Trace] = t
+	}
+	missed := 0
+	for trace, as := range byTrace {
+		first := as[0]
+		r, ok := records[trace]
+		if t, asked := by[trace]; !ok && asked {
+			m := at[t.Instance]
+			m.downMu.Lock()
+			lost := slices.ContainsFunc(m.killed, func(k time.Time) bool { return t.At.Before(k) && k.Sub(t.Ended) < lostLog })
+			m.downMu.Unlock()
+			if missed++; !lost && time.Since(t.Ended) > lostLog {
+				j.broken("units", "%s (%s) reached %s and was charged by no instance", trace, first.Operation, first.Hall)
+			}
+			continue
+		} else if !asked {
+			continue // the lab's own
+		}
+		variant, known := variants[r.Version]
+		want := changingPrice(variant, first.Operation, first.Units)
+		j.v.UnitsDeclared += want
+		j.v.UnitsCounted += r.Units
+		switch {
+		case !known:
+			j.broken("versions", "%s was matched with version %d, which is not in the history", trace, r.Version)
+		case !r.Sent || r.Operation != first.Operation:
+			j.broken("operations", "%s was charged as %s (sent: %v) and reached %s as %s", trace, r.Operation, r.Sent, first.Hall, first.Operation)
+		case r.Units != want:
+			j.broken("units", "%s (%s, version %d, variant %d) was charged %d units; %d are right", trace, r.Operation, r.Version, variant, r.Units, want)
+		}
+		for _, a := range as {
+			if uint64(a.Version) != r.Version {
+				j.broken("versions", "%s was matched with version %d and sent on with %d", trace, r.Version, a.Version)
+			}
+		}
+	}
+	j.v.Figures["records_lost_with_kills"] = float64(missed)
+}
+
+// versionOrder checks, on the halls' record, that no instance routes a request with an older
+// version than one that it had answered a client on before the request began.
+func versionOrder(j *judge, tries []standin.Try, byTrace map[string][]standin.Arrival) {
+	type event struct {
+		at      time.Time
+		trace   string
+		version int
+		ended   bool
+	}
+	byInstance := map[string][]event{}
+	for _, t := range tries {
+		as := byTrace[t.Trace]
+		if len(as) == 0 {
+			continue
+		}
+		for _, a := range as {
+			byInstance[t.Instance] = append(byInstance[t.Instance], event{t.At, t.Trace, a.Version, false})
+		}
+		if t.Served {
+			byInstance[t.Instance] = append(byInstance[t.Instance], event{t.Ended, t.Trace, as[len(as)-1].Version, true})
+		}
+	}
+	for name, es := range byInstance {
+		slices.SortStableFunc(es, func(a, b event) int { return a.at.Compare(b.at) })
+		newest := 0
+		for _, e := range es {
+			if e.ended {
+				newest = max(newest, e.version)
+			} else if e.version < newest {
+				j.broken("versions", "%s was routed with version %d at %s, which had answered on %d", e.trace, e.version, name, newest)
+			}
+		}
+	}
+}
+
+// judgeOrders checks operators' asks: what was answered as applied is in the history, once
+// and as the version told; asks are in the order of real time.
+func (c *cluster) judgeOrders(j *judge, history []fleetconfig.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(history) == 0 {
+		return
+	}
+	version := map[string]uint64{}
+	for _, r := range history {
+		if _, twice := version[r.ID]; twice {
+			j.broken("changes", "%s stands twice in the history", r.ID)
+		}
+		version[r.ID] = r.Version
+	}
+	type event struct {
+		at  time.Time
+		o   order
+		ret bool
+	}
+	var es []event
+	for _, o := range c.orders {
+		if !o.known {
+			continue
+		}
+		if o.applied && version[o.id] != o.version && o.version >= history[0].Version {
+			j.broken("changes", "%s was answered as version %d; the history has it as %d (0: lost)", o.id, o.version, version[o.id])
+		}
+		es = append(es, event{o.call, o, false}, event{o.ret, o, true})
+	}
+	slices.SortStableFunc(es, func(a, b event) int { return a.at.Compare(b.at) })
+	newest := uint64(0)
+	floor := map[string]uint64{}
+	for _, e := range es {
+		if !e.ret {
+			floor[e.o.id] = newest
+			continue
+		}
+		if e.o.version < floor[e.o.id] || e.o.applied && e.o.version == floor[e.o.id] {
+			j.broken("changes", "%s was answered version %d after another ask had ended on %d", e.o.id, e.o.version, floor[e.o.id])
+		}
+		newest = max(newest, e.o.version)
+	}
+}
--- a/internal/lab/contract.go
+++ b/internal/lab/contract.go
@@ -70,9 +70,8 @@
 			continue
 		}
 		number++
-		table.Number = number
-		for _, in := range w.instances {
-			if err := in.Install(table, nil); err != nil {
+		for i, in := range w.instances {
+			if err := in.Install(w.configs[i].Setup(uint64(number), table, nil)); err != nil {
 				w.mu.Lock()
 				w.notes = append(w.notes, err.Error())
 				w.mu.Unlock()
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -99,7 +99,7 @@
 		if len(c.as) > 0 {
 			byTrace["a"] = c.as
 		}
-		j.answers([]standin.Try{c.try})
+		j.answers([]standin.Try{c.try}, func(standin.Try) bool { return false })
 		j.effects(c.as, byTrace)
 		j.costs(byTrace, map[string]gateway.Record{"a": c.rec})
 		for rule, n := range j.v.Rules {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -30,6 +30,8 @@
 	Seed     uint64
 	Progress func(line string) // nil: none
 	Log      io.Writer         // of the instances; nil: dropped
+	Program  string            // mulleingate, for scenarios with processes
+	Env      []string          // added to its environment
 
 	breakRule func(*world) // a test breaks a rule on purpose
 }
@@ -40,7 +42,8 @@
 	mix         func() []standin.Ask
 	faults      standin.Faults
 	price       func(version int, operation string, units int) int
-	during      func(context.Context, *world) // runs beside the clients, until ctx ends
+	during      func(context.Context, *world)   // runs beside the clients, until ctx ends
+	cluster     func(context.Context, *cluster) // likewise, with instances as processes that agree
 }
 
 // Scenarios are all that can be played.
@@ -53,6 +56,10 @@
 		{Name: "contract-change", About: "the same while the description changes ten times, twice to a bad one", mix: mixedMix,
 			price: changingPrice, during: changeContract,
 			faults: standin.Faults{Error: 0.01, ErrorIdle: 0.01, Reset: 0.01, Silent: 0.004, Refuse: 0.02}},
+		{Name: "leader-lost", About: "processes that agree; the leader is killed three times in the middle of changes", mix: mixedMix, price: sameUnits, cluster: leaderLost},
+		{Name: "minority-cut", About: "processes that agree; one is cut off and serves on, one is cut off and refuses past its bound", mix: mixedMix, price: sameUnits, cluster: minorityCut},
+		{Name: "rolling-restart", About: "processes that agree; each is restarted in turn", mix: mixedMix, price: sameUnits, cluster: rollingRestart},
+		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
 
@@ -63,6 +70,7 @@
 	ledger    *standin.Ledger
 	halls     []*standin.Hall
 	instances []*gateway.Instance
+	configs   []*gateway.Config
 	addrs     []string
 	compile   contract.Options
 
@@ -134,32 +142,22 @@
 	}
 	w := &world{opt: opt, scenario: Scenarios()[i], ledger: &standin.Ledger{}}
 	w.compile = contract.Options{Classes: classes(), MostUnits: 50}
+	if w.scenario.cluster != nil {
+		return w.playCluster(ctx)
+	}
 	return w.play(ctx)
 }
 
 func (w *world) play(ctx context.Context) (*Verdict, error) {
-	var halls []gateway.Hall
-	for i := range 2 {
-		h, err := standin.NewHall(hallName(i), routes(w.scenario.price), standin.Figures{Cores: 2, Queue: 60, Memory: 4 * time.Second,
-			ColdFrom: 0.17, Ramp: 15 * time.Second, FallMultiple: 2.5, FallWindow: 2 * time.Second,
-			Faults: w.scenario.faults, Seed: w.opt.Seed}, w.ledger)
-		if err != nil {
-			return nil, err
-		}
-		defer h.Close()
-		w.halls = append(w.halls, h)
-		for n := range perHall {
-			if _, err := h.Start(fmt.Sprintf("s%d", n), false); err != nil {
-				return nil, err
-			}
-		}
-		halls = append(halls, gateway.Hall{Name: h.Name, Register: h.Register.Addr()})
+	halls, closeHalls, err := w.startHalls()
+	if err != nil {
+		return nil, err
 	}
+	defer closeHalls()
 	table, _, err := openapi.Compile("booking.yaml", deploy.Booking, w.compile)
 	if err != nil {
 		return nil, fmt.Errorf("the embedded description: %w", err)
 	}
-	table.Number = 1
 	life, stop := context.WithCancel(ctx)
 	defer stop()
 	ended, err := w.start(life, halls, table)
@@ -192,6 +190,33 @@
 	return w.judge(tries, began), nil
 }
 
+// startHalls starts the halls and their servers.
+func (w *world) startHalls() (halls []gateway.Hall, closeAll func(), err error) {
+	closeAll = func() {
+		for _, h := range w.halls {
+			h.Close()
+		}
+	}
+	for i := range 2 {
+		h, err := standin.NewHall(hallName(i), routes(w.scenario.price), standin.Figures{Cores: 2, Queue: 60, Memory: 4 * time.Second,
+			ColdFrom: 0.17, Ramp: 15 * time.Second, FallMultiple: 2.5, FallWindow: 2 * time.Second,
+			Faults: w.scenario.faults, Seed: w.opt.Seed}, w.ledger)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		w.halls = append(w.halls, h)
+		for n := range perHall {
+			if _, err := h.Start(fmt.Sprintf("s%d", n), false); err != nil {
+				closeAll()
+				return nil, nil, err
+			}
+		}
+		halls = append(halls, gateway.Hall{Name: h.Name, Register: h.Register.Addr()})
+	}
+	return halls, closeAll, nil
+}
+
 // start starts the instances and returns once all are ready.
 func (w *world) start(ctx context.Context, halls []gateway.Hall, table *contract.Table) (ended chan error, err error) {
 	var lns []net.Listener
@@ -220,9 +245,10 @@
 		cfg := &gateway.Config{Name: fmt.Sprintf("gate-%d", i), Seed: w.opt.Seed + uint64(i), Halls: halls, Peers: addrs,
 			Settings: settings(i), Classes: classes(), Licensees: known, Observe: w.observe, DrainFor: 50 * time.Millisecond}
 		cfg.On(lns[i], conns[i])
+		w.configs = append(w.configs, cfg)
 		logger := log.New(w.opt.Log, cfg.Name+" ", log.LstdFlags|log.Lmicroseconds)
 		go func() {
-			ended <- gateway.Run(ctx, cfg, table, nil, logger, func(in *gateway.Instance) { ready <- in })
+			ended <- gateway.Run(ctx, cfg, cfg.Setup(1, table, nil), logger, func(in *gateway.Instance) { ready <- in })
 		}()
 	}
 	for range instances {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -10,6 +10,9 @@
 // the unit.
 func TestScenarios(t *testing.T) {
 	for _, s := range Scenarios() {
+		if s.cluster != nil { // played with the program, by its own tests
+			continue
+		}
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
 			v, err := Play(context.Background(), Options{Scenario: s.Name, For: 4 * time.Second, Seed: 7})
--- /dev/null
+++ b/internal/lab/link.go
@@ -0,0 +1,118 @@
+package lab
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// link is the way from one member to another: a forwarder on loopback that can be cut. The
+// bytes of a member's messages go one way, so that a cut is one-way.
+type link struct {
+	ln  net.Listener
+	to  string
+	cut atomic.Bool
+	mu  sync.Mutex
+	all map[net.Conn]struct{}
+	end sync.WaitGroup
+}
+
+func newLink(to string) (*link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &link{ln: ln, to: to, all: map[net.Conn]struct{}{}}
+	l.end.Go(l.serve)
+	return l, nil
+}
+
+func (l *link) addr() string { return l.ln.Addr().String() }
+
+// setCut cuts the link or heals it. Connections on a cut link fall silent, as on a network
+// that loses all packets; they end when it heals.
+func (l *link) setCut(cut bool) {
+	if l.cut.Swap(cut) && !cut {
+		l.closeAll()
+	}
+}
+
+func (l *link) closeAll() {
+	l.mu.Lock()
+	for c := range l.all {
+		c.Close()
+	}
+	l.mu.Unlock()
+}
+
+func (l *link) close() {
+	l.ln.Close()
+	l.closeAll()
+	l.end.Wait()
+}
+
+func (l *link) hold(c net.Conn) func() {
+	l.mu.Lock()
+	l.all[c] = struct{}{}
+	l.mu.Unlock()
+	return func() {
+		c.Close()
+		l.mu.Lock()
+		delete(l.all, c)
+		l.mu.Unlock()
+	}
+}
+
+func (l *link) serve() {
+	for {
+		c, err := l.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond) // out of descriptors: one may come free
+			continue
+		}
+		l.end.Go(func() {
+			defer l.hold(c)()
+			if l.cut.Load() { // nothing answers
+				io.Copy(io.Discard, c)
+				return
+			}
+			d, err := net.DialTimeout("tcp", l.to, time.Second)
+			if err != nil {
+				return
+			}
+			defer l.hold(d)()
+			back := make(chan struct{})
+			go func() {
+				defer close(back)
+				l.pass(c, d)
+				c.Close()
+			}()
+			l.pass(d, c)
+			d.Close()
+			<-back
+		})
+	}
+}
+
+// pass copies until an end closes. What comes while the link is cut is lost, and with it the
+// connection, once the link heals.
+func (l *link) pass(to, from net.Conn) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && !l.cut.Load() {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/lab/verdict.go
+++ b/internal/lab/verdict.go
@@ -81,7 +81,7 @@
 		}
 		records[r.Trace] = r
 	}
-	j.answers(tries)
+	j.answers(tries, func(standin.Try) bool { return false })
 	j.effects(arrivals, byTrace)
 	j.costs(byTrace, records)
 	for _, s := range w.ledger.Strays() {
@@ -103,8 +103,9 @@
 	return v
 }
 
-// answers checks that each try of a client had one whole answer, its own and in time.
-func (j *judge) answers(tries []standin.Try) {
+// answers checks that each try of a client had one whole answer, its own and in time. A try
+// without one is excused where its instance was down.
+func (j *judge) answers(tries []standin.Try, excused func(standin.Try) bool) {
 	for _, t := range tries {
 		j.v.Requests++
 		switch {
@@ -116,6 +117,7 @@
 			j.v.Failed++
 		}
 		switch {
+		case t.Answers == 0 && excused(t):
 		case t.Answers == 0:
 			j.v.Unanswered++
 			j.broken("one_answer", "%s (%s) had no answer", t.Trace, t.Operation)
@@ -209,7 +211,7 @@
 			j.broken("units", "%s: the instance knows of %d attempts of %d", trace, r.Attempts, len(as))
 		}
 		for _, a := range as {
-			if a.Version != r.Version {
+			if uint64(a.Version) != r.Version {
 				j.broken("versions", "%s was matched with version %d and sent on with %d", trace, r.Version, a.Version)
 			}
 		}
@@ -319,6 +321,11 @@
 	for _, name := range slices.Sorted(maps.Keys(v.Rules)) {
 		fmt.Fprintf(&b, "%-18s %d violations\n", name, v.Rules[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(v.Figures)) {
+		if !strings.HasPrefix(name, "served_") {
+			fmt.Fprintf(&b, "%-24s %v\n", name, v.Figures[name])
+		}
+	}
 	fmt.Fprintf(&b, "\n%-20s %8s %8s %10s %10s\n", "operation", "sent", "attempts", "declared", "counted")
 	for _, o := range v.Operations {
 		fmt.Fprintf(&b, "%-20s %8d %8d %10d %10d\n", o.Operation, o.Sent, o.Attempts, o.Declared, o.Counted)
--- a/internal/raftnode/certs.go
+++ b/internal/raftnode/certs.go
@@ -13,6 +13,8 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -57,6 +59,10 @@
 
 // Issue makes a member's certificate and key, in PEM.
 func (a *Authority) Issue(member uint64) (certificate, key []byte, err error) {
+	return a.issue(memberName(a.Cluster, member))
+}
+
+func (a *Authority) issue(name string) (certificate, key []byte, err error) {
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, nil, err
@@ -65,7 +71,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	t := &x509.Certificate{SerialNumber: n, Subject: pkix.Name{CommonName: memberName(a.Cluster, member)}, NotBefore: time.Now().Add(-time.Hour),
+	t := &x509.Certificate{SerialNumber: n, Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
 		NotAfter: time.Now().AddDate(certificateYears, 0, 0), KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
 	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &k.PublicKey, a.key)
@@ -130,20 +136,39 @@
 // WriteMembers writes a certificate and a key for each member, as [Authority.Write] does.
 func (a *Authority) WriteMembers(dir string, members []uint64) error {
 	for _, m := range members {
-		certificate, key, err := a.Issue(m)
-		if err != nil {
-			return err
-		}
-		if err := writeNew(dir, fmt.Sprintf("member-%d-key.pem", m), key, 0o600); err != nil {
-			return err
-		}
-		if err := writeNew(dir, fmt.Sprintf("member-%d.pem", m), certificate, 0o644); err != nil {
+		if err := a.write(dir, memberFile(m), memberName(a.Cluster, m)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// WriteOperator writes a certificate and a key with which an operator may ask instances.
+func (a *Authority) WriteOperator(dir, name string) error {
+	if name == "" || strings.ContainsAny(name, "/\\") {
+		return fmt.Errorf("operator %q: a name without slashes is wanted", name)
+	}
+	return a.write(dir, OperatorFile(name), operatorName(a.Cluster, name))
+}
+
+func (a *Authority) write(dir, file, name string) error {
+	certificate, key, err := a.issue(name)
+	if err != nil {
+		return err
+	}
+	if err := writeNew(dir, file+"-key.pem", key, 0o600); err != nil {
+		return err
+	}
+	return writeNew(dir, file+".pem", certificate, 0o644)
+}
+
+func memberFile(member uint64) string { return fmt.Sprintf("member-%d", member) }
+
+// OperatorFile is the name of an operator's files, without what tells certificate and key.
+func OperatorFile(name string) string { return "operator-" + name }
+
+func operatorName(cluster, name string) string { return cluster + "/operator/" + name }
+
 // LoadAuthority reads an authority back, to issue a certificate for a further member.
 func LoadAuthority(dir string) (*Authority, error) {
 	pair, err := tls.LoadX509KeyPair(filepath.Join(dir, authorityFile), filepath.Join(dir, authorityKeyFile))
@@ -159,10 +184,15 @@
 }
 
 // LoadCredentials reads a member's credentials from a folder.
-func LoadCredentials(dir string, member uint64) (c Credentials, err error) {
-	c.Certificate, err = tls.LoadX509KeyPair(filepath.Join(dir, fmt.Sprintf("member-%d.pem", member)), filepath.Join(dir, fmt.Sprintf("member-%d-key.pem", member)))
+func LoadCredentials(dir string, member uint64) (Credentials, error) {
+	return LoadNamed(dir, memberFile(member))
+}
+
+// LoadNamed reads credentials by the name of their files, such as [OperatorFile] gives.
+func LoadNamed(dir, file string) (c Credentials, err error) {
+	c.Certificate, err = tls.LoadX509KeyPair(filepath.Join(dir, file+".pem"), filepath.Join(dir, file+"-key.pem"))
 	if err != nil {
-		return c, fmt.Errorf("member %d: %w", member, err)
+		return c, fmt.Errorf("%s: %w", file, err)
 	}
 	text, err := os.ReadFile(filepath.Join(dir, authorityFile))
 	if err != nil {
@@ -174,3 +204,60 @@
 	}
 	return c, nil
 }
+
+// Holder is who a certificate was issued to.
+type Holder struct {
+	Cluster  string
+	Member   uint64 // 0: an operator
+	Operator string
+}
+
+// HolderOf reads who holds a certificate.
+func HolderOf(cert *x509.Certificate) (h Holder, err error) {
+	name := cert.Subject.CommonName
+	cluster, rest, ok := cutLast(name, '/')
+	if before, ok := strings.CutSuffix(cluster, "/operator"); ok {
+		return Holder{Cluster: before, Operator: rest}, nil
+	}
+	h.Cluster = cluster
+	if h.Member, err = strconv.ParseUint(rest, 10, 64); !ok || err != nil || h.Member == 0 || name != memberName(cluster, h.Member) {
+		return h, fmt.Errorf("certificate of %q, which is neither a member's nor an operator's", name)
+	}
+	return h, nil
+}
+
+// Holder is who these credentials were issued to.
+func (c Credentials) Holder() (Holder, error) {
+	if len(c.Certificate.Certificate) == 0 {
+		return Holder{}, errors.New("no certificate")
+	}
+	cert, err := x509.ParseCertificate(c.Certificate.Certificate[0])
+	if err != nil {
+		return Holder{}, err
+	}
+	return HolderOf(cert)
+}
+
+// ErrAuthority says that the other side's certificate is not by this cluster's authority.
+var ErrAuthority = errors.New("its certificate is not by this cluster's authority")
+
+// TLS is a configuration for both sides: each shows its certificate, and checks that the
+// other's is by the authority. Host names play no part: who the other side is must be read
+// from its certificate.
+func (c Credentials) TLS() *tls.Config {
+	return &tls.Config{Certificates: []tls.Certificate{c.Certificate}, ClientAuth: tls.RequireAnyClientCert, MinVersion: tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyPeerCertificate checks the authority, without a host name
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			if len(raw) == 0 {
+				return errors.New("no certificate")
+			}
+			leaf, err := x509.ParseCertificate(raw[0])
+			if err != nil {
+				return err
+			}
+			if _, err = leaf.Verify(x509.VerifyOptions{Roots: c.Authority, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}); err != nil {
+				return fmt.Errorf("%w: %w", ErrAuthority, err)
+			}
+			return nil
+		}}
+}
--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -55,6 +55,7 @@
 var (
 	ErrNoLeader = errors.New("no leader is known: a quorum of members is needed")
 	ErrStopped  = errors.New("the member has stopped")
+	ErrRemoved  = errors.New("this member was removed from the cluster: its number is not used again")
 	ErrLost     = errors.New("the leader changed meanwhile: it is not known whether the proposal will be applied; repeat it with the same id")
 )
 
@@ -67,6 +68,7 @@
 	state   *fleetconfig.State
 	applied uint64
 	snapAt  uint64 // index of the last snapshot
+	snapNow bool   // the members have changed: a new one takes no snapshot that lacks it
 	conf    *pb.ConfState
 
 	ready   bool // a quorum has confirmed, since the start, a version that is applied here
@@ -173,6 +175,28 @@
 // Members are the voters and learners of the configuration in force.
 func (c *Core) Members() (voters, learners []uint64) { return c.conf.GetVoters(), c.conf.GetLearners() }
 
+// holds tells whether a member is one of the configuration in force.
+func (c *Core) holds(id uint64) bool {
+	for _, ids := range [][]uint64{c.conf.GetVoters(), c.conf.GetVotersOutgoing(), c.conf.GetLearners(), c.conf.GetLearnersNext()} {
+		if slices.Contains(ids, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Behind is how many entries a member is known to lack of those committed; only the leader
+// knows.
+func (c *Core) Behind(id uint64) (entries uint64, known bool) {
+	s := c.rn.Status()
+	p, ok := s.Progress[id]
+	if !ok || p.Match == 0 {
+		return 0, false
+	}
+	commit := s.HardState.GetCommit()
+	return commit - min(p.Match, commit), true
+}
+
 // Index is the index of the last entry applied.
 func (c *Core) Index() uint64 { return c.applied }
 
@@ -273,6 +297,9 @@
 	c.changes[id] = done
 }
 
+// ForgetChange ends the waiting for a change of members.
+func (c *Core) ForgetChange(id string) { delete(c.changes, id) }
+
 // Transfer asks the leader to hand its lead to another member.
 func (c *Core) Transfer(to uint64) { c.rn.TransferLeader(to) }
 
@@ -389,7 +416,11 @@
 		if err := proto.Unmarshal(e.GetData(), &cc); err != nil {
 			return fmt.Errorf("entry %d: change of members: %w", index, err)
 		}
-		c.conf = c.rn.ApplyConfChange(&cc)
+		was := c.holds(c.cfg.ID)
+		c.conf, c.snapNow = c.rn.ApplyConfChange(&cc), true
+		if was && !c.holds(c.cfg.ID) {
+			return ErrRemoved
+		}
 		if done := c.changes[string(cc.GetContext())]; done != nil {
 			delete(c.changes, string(cc.GetContext()))
 			done(nil)
@@ -425,9 +456,10 @@
 
 // snapshot takes one when enough was applied since the last, and drops what it covers.
 func (c *Core) snapshot() error {
-	if c.applied-c.snapAt < c.cfg.SnapshotEvery {
+	if c.applied-c.snapAt < c.cfg.SnapshotEvery && !(c.snapNow && c.applied > c.snapAt) {
 		return nil
 	}
+	c.snapNow = false
 	data, err := c.state.Snapshot()
 	if err != nil {
 		return err
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -22,6 +22,11 @@
 	Tick        time.Duration     // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
 	Peers       map[uint64]string // addresses of all members
 	Logger      *log.Logger
+
+	// Changed, if set, is called after the state has changed. It must not block.
+	Changed func()
+	// Outgoing, if set, stands between the member and its network: what it does not hand on is lost.
+	Outgoing func(send func(*pb.Message)) func(*pb.Message)
 }
 
 // Node is a member on real time, sockets and disk. Its methods may be called from any
@@ -30,6 +35,7 @@
 	cfg    NodeConfig
 	core   *Core
 	net    *transport
+	send   func(*pb.Message)
 	events chan func()
 	stop   context.CancelFunc
 	ended  chan struct{}
@@ -67,6 +73,12 @@
 				})
 			})
 		}}
+	if n.send = n.net.send; cfg.Outgoing != nil {
+		n.send = cfg.Outgoing(n.net.send)
+	}
+	if cfg.Changed != nil {
+		core.Applied = func(uint64, string, fleetconfig.Outcome) { cfg.Changed() }
+	}
 	n.net.start(ctx)
 	n.net.peers(cfg.Peers)
 	go n.run(ctx)
@@ -104,7 +116,7 @@
 		for i := 0; i < batchMost && len(n.events) > 0; i++ {
 			(<-n.events)()
 		}
-		if err := n.core.Work(n.net.send); err != nil {
+		if err := n.core.Work(n.send); err != nil {
 			n.cfg.Logger.Printf("member %d stops: %v", n.cfg.ID, err)
 			n.err = err
 			return
@@ -139,7 +151,7 @@
 		err error
 	}
 	pause := 4 * n.cfg.Tick
-	var last error
+	last, away := error(ErrNoLeader), false // away: it may have reached a leader
 	for {
 		got := make(chan result, 1)
 		var once sync.Once
@@ -158,19 +170,23 @@
 			if !errors.Is(r.err, ErrNoLeader) && !errors.Is(r.err, ErrLost) {
 				return fleetconfig.Outcome{}, r.err
 			}
-			last = r.err
+			last, away = r.err, away || errors.Is(r.err, ErrLost)
 			select {
 			case <-ctx.Done():
 			case <-time.After(pause):
 			}
 		case <-again.C:
-			last = ErrLost
+			last, away = ErrLost, true
 		case <-ctx.Done():
 			again.Stop()
+			away = true
 		}
 		if ctx.Err() != nil {
 			n.do(context.Background(), func() { n.core.Forget(p.ID) })
-			return fleetconfig.Outcome{}, fmt.Errorf("%w: %w", errors.Join(last, ErrLost), ctx.Err())
+			if away {
+				last = ErrLost
+			}
+			return fleetconfig.Outcome{}, fmt.Errorf("%w: %w", last, ctx.Err())
 		}
 	}
 }
@@ -236,3 +252,104 @@
 		return s, ErrStopped
 	}
 }
+
+// Freeze returns the configuration as applied here, without asking others.
+func (n *Node) Freeze(ctx context.Context) (*fleetconfig.State, error) {
+	var s *fleetconfig.State
+	err := n.ask(ctx, func() { s = n.core.State().Freeze() })
+	return s, err
+}
+
+// ask runs f on the member's goroutine and waits for its end.
+func (n *Node) ask(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if !n.do(ctx, func() {
+		f()
+		close(done)
+	}) {
+		return errors.Join(ErrStopped, ctx.Err())
+	}
+	select {
+	case <-done:
+		return nil
+	case <-n.ended:
+		return ErrStopped
+	}
+}
+
+// Peers sets the addresses of all members.
+func (n *Node) Peers(addrs map[uint64]string) { n.net.peers(addrs) }
+
+// Members changes the members: change is asked for what is still to be done, given voters
+// and learners, until it has nothing left. Several at once are a joint change. It is safe
+// to ask again for a change whose answer was lost.
+func (n *Node) Members(ctx context.Context, change func(voters, learners []uint64) []*pb.ConfChangeSingle) error {
+	for round := 0; ; round++ {
+		var left []*pb.ConfChangeSingle
+		got := make(chan error, 1)
+		id := fmt.Sprintf("%d-%d-%d", n.cfg.ID, time.Now().UnixNano(), round)
+		if err := n.ask(ctx, func() {
+			v, l := n.core.Members()
+			if left = change(v, l); len(left) > 0 {
+				var once sync.Once
+				n.core.Change(id, left, func(err error) { once.Do(func() { got <- err }) })
+			}
+		}); err != nil {
+			return err
+		}
+		if len(left) == 0 {
+			return nil
+		}
+		// One that was lost, or that another change was under way for, is asked for again.
+		again := time.NewTimer(time.Duration(n.core.cfg.ElectionTicks) * n.cfg.Tick)
+		var err error
+		select {
+		case err = <-got:
+			if err != nil && !errors.Is(err, ErrNoLeader) {
+				again.Stop()
+				return err
+			}
+			if err != nil {
+				<-again.C
+			}
+		case <-again.C:
+		case <-ctx.Done():
+		}
+		again.Stop()
+		n.do(context.Background(), func() { n.core.ForgetChange(id) })
+		if ctx.Err() != nil {
+			if err != nil {
+				return fmt.Errorf("%w: %w", err, ctx.Err())
+			}
+			return fmt.Errorf("no quorum has taken the change so far: %w", ctx.Err())
+		}
+	}
+}
+
+// Behind is [Core.Behind].
+func (n *Node) Behind(ctx context.Context, member uint64) (entries uint64, known bool, err error) {
+	err = n.ask(ctx, func() { entries, known = n.core.Behind(member) })
+	return entries, known, err
+}
+
+// Transfer has the leader hand its lead to a voter and waits until it has, as seen here.
+func (n *Node) Transfer(ctx context.Context, to uint64) error {
+	for {
+		var leader uint64
+		if err := n.ask(ctx, func() {
+			if leader = n.core.Leader(); leader != to && leader != 0 {
+				n.core.Transfer(to)
+			}
+		}); err != nil {
+			return err
+		}
+		if leader == to {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("member %d does not lead yet: %w", to, ctx.Err())
+		case <-time.After(2 * n.cfg.Tick):
+		}
+	}
+}
--- a/internal/raftnode/transport.go
+++ b/internal/raftnode/transport.go
@@ -18,8 +18,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// A connection carries frames one way: a length (4 bytes, big-endian) and a message as a
-// protocol buffer. The one who dials sends. Each side knows the other by its certificate:
+// A connection carries frames one way: a word (4 bytes, big-endian) with a kind in its upper
+// four bits and a length in the others, and so many bytes. A message is a protocol buffer. A
+// snapshot's message comes in parts, between which others pass, so that a long one holds no
+// heartbeat up. The one who dials sends. Each side knows the other by its certificate:
 // the common name is memberName(cluster, id), signed by the cluster's authority, so that a
 // member of another cluster behind a swapped address is turned away at the handshake.
 
@@ -35,6 +37,14 @@
 	redialLeast    = 50 * time.Millisecond
 	redialMost     = time.Second
 	acceptMost     = 64 // connections of peers at once
+	partSize       = 256 << 10
+)
+
+// Kinds of frames.
+const (
+	frameMessage  = iota // a message
+	framePart            // of a snapshot's message
+	frameLastPart        // its end
 )
 
 // memberName is the common name in a member's certificate.
@@ -100,25 +110,6 @@
 	return s, "", false
 }
 
-// chain checks a certificate against the authority without a host name.
-func (t *transport) chain(raw [][]byte, _ [][]*x509.Certificate) error {
-	if len(raw) == 0 {
-		return errors.New("no certificate")
-	}
-	leaf, err := x509.ParseCertificate(raw[0])
-	if err != nil {
-		return err
-	}
-	_, err = leaf.Verify(x509.VerifyOptions{Roots: t.creds.Authority, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
-	return err
-}
-
-func (t *transport) config() *tls.Config {
-	return &tls.Config{Certificates: []tls.Certificate{t.creds.Certificate}, ClientCAs: t.creds.Authority, ClientAuth: tls.RequireAnyClientCert,
-		InsecureSkipVerify:    true, // chain checks the authority, verify the member
-		VerifyPeerCertificate: t.chain, MinVersion: tls.VersionTLS13}
-}
-
 // start serves until ctx ends.
 func (t *transport) start(ctx context.Context) {
 	t.ctx, t.links, t.conns = ctx, map[uint64]*link{}, map[net.Conn]struct{}{}
@@ -236,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := tls.Client(nc, t.config())
+	c := tls.Client(nc, t.creds.TLS())
 	nc.SetDeadline(time.Now().Add(handshakeLimit))
 	if err = c.HandshakeContext(ctx); err == nil {
 		_, err = t.verify(c.ConnectionState(), l.to)
@@ -264,45 +255,78 @@
 		<-gone
 	}()
 	out := bufio.NewWriterSize(c, 64<<10)
-	var head [4]byte
+	frame := func(kind int, text []byte) error {
+		c.SetWriteDeadline(time.Now().Add(frameLimit))
+		if _, err := out.Write(binary.BigEndian.AppendUint32(nil, uint32(kind)<<28|uint32(len(text)))); err != nil {
+			return err
+		}
+		_, err := out.Write(text)
+		return err
+	}
+	var snap *pb.Message // under way
+	var rest []byte      // of it
+	defer func() {
+		if snap != nil {
+			t.sent(snap, false)
+		}
+	}()
 	for {
 		var m *pb.Message
-		select {
-		case m = <-l.queue:
-		case <-gone:
-			return errors.New("the connection has ended")
-		case <-ctx.Done():
-			return ctx.Err()
+		if snap == nil && len(l.queue) == 0 {
+			if err := out.Flush(); err != nil {
+				return err
+			}
+			select {
+			case m = <-l.queue:
+			case <-gone:
+				return errors.New("the connection has ended")
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		} else {
+			select {
+			case m = <-l.queue:
+			case <-gone:
+				return errors.New("the connection has ended")
+			default:
+			}
 		}
-		for m != nil {
+		if m != nil {
 			l.took(proto.Size(m))
 			text, err := proto.Marshal(m)
 			if err == nil && len(text) > maxFrame {
 				err = fmt.Errorf("message of %d bytes", len(text))
 			}
-			if err == nil {
-				c.SetWriteDeadline(time.Now().Add(frameLimit))
-				binary.BigEndian.PutUint32(head[:], uint32(len(text)))
-				_, err = out.Write(head[:])
-			}
-			if err == nil {
-				_, err = out.Write(text)
-			}
-			next := (*pb.Message)(nil)
-			if err == nil {
-				select {
-				case next = <-l.queue:
-				default:
-					err = out.Flush()
-				}
-			}
-			if err != nil || m.GetType() == pb.MsgSnap {
-				t.sent(m, err == nil)
+			switch {
+			case err == nil && m.GetType() != pb.MsgSnap:
+				err = frame(frameMessage, text)
+			case err == nil && snap == nil:
+				snap, rest = m, text
+			case m.GetType() == pb.MsgSnap: // a second one meanwhile
+				t.sent(m, false)
 			}
 			if err != nil {
+				t.sent(m, false)
 				return err
 			}
-			m = next
+		}
+		if snap == nil {
+			continue
+		}
+		kind, n := framePart, partSize
+		if len(rest) <= n {
+			kind, n = frameLastPart, len(rest)
+		}
+		err := frame(kind, rest[:n])
+		if err == nil {
+			err = out.Flush()
+		}
+		if err != nil {
+			return err
+		}
+		if rest = rest[n:]; kind == frameLastPart {
+			t.sent(snap, true)
+			snap = nil
 		}
 	}
 }
@@ -342,7 +366,7 @@
 
 // read hands on what a member sends, which must be in its own name.
 func (t *transport) read(nc net.Conn) error {
-	c := tls.Server(nc, t.config())
+	c := tls.Server(nc, t.creds.TLS())
 	nc.SetDeadline(time.Now().Add(handshakeLimit))
 	if err := c.HandshakeContext(t.ctx); err != nil {
 		return err
@@ -354,14 +378,15 @@
 	nc.SetDeadline(time.Time{})
 	in := bufio.NewReaderSize(c, 64<<10)
 	var head [4]byte
-	var text []byte
+	var text, snap []byte // snap: the parts so far
 	for {
 		if _, err := io.ReadFull(in, head[:]); err != nil {
 			return err
 		}
-		n := int(binary.BigEndian.Uint32(head[:]))
-		if n > maxFrame {
-			return fmt.Errorf("member %d sends a frame of %d bytes", from, n)
+		word := binary.BigEndian.Uint32(head[:])
+		kind, n := int(word>>28), int(word&(1<<28-1))
+		if n > maxFrame || kind > frameLastPart || kind != frameMessage && (n > partSize || len(snap)+n > maxFrame) {
+			return fmt.Errorf("member %d sends a frame of kind %d with %d bytes", from, kind, n)
 		}
 		nc.SetReadDeadline(time.Now().Add(frameLimit))
 		// Memory follows what has come, not what the length promises.
@@ -375,8 +400,15 @@
 			text = text[:len(text)+part]
 		}
 		nc.SetReadDeadline(time.Time{})
+		whole := text
+		if kind != frameMessage {
+			if snap = append(snap, text...); kind == framePart {
+				continue
+			}
+			whole, snap = snap, nil
+		}
 		m := &pb.Message{}
-		if err := proto.Unmarshal(text, m); err != nil {
+		if err := proto.Unmarshal(whole, m); err != nil {
 			return fmt.Errorf("member %d: %w", from, err)
 		}
 		if m.GetFrom() != from || m.GetTo() != t.me {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -36,6 +36,7 @@
 type Try struct {
 	Trace, Operation, Licensee string
 	First                      string // trace of the first try
+	Instance                   string // address of the instance asked
 	Units                      int    // declared, as the asker counts; -1: not known
 	At, Ended                  time.Time
 	Answers                    int // final answers that came
@@ -53,6 +54,7 @@
 	Tries     int           // at most, for one request
 	Deadline  time.Duration // over all tries
 	Seed      uint64
+	NoResend  bool // instances are killed: a connection that ends without an answer may have been one that was at work
 
 	mu    sync.Mutex
 	tries []Try
@@ -118,7 +120,7 @@
 		if left < 50*time.Millisecond {
 			return
 		}
-		t := Try{Trace: fmt.Sprintf("%s.%d", name, try), First: name + ".0", Operation: ask.Operation, Licensee: l.Name, At: time.Now()}
+		t := Try{Trace: fmt.Sprintf("%s.%d", name, try), First: name + ".0", Operation: ask.Operation, Licensee: l.Name, Instance: c.Instances[rng.IntN(len(c.Instances))], At: time.Now()}
 		var b strings.Builder
 		body := fill.Replace(ask.Body)
 		fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: booking.example.org\r\nX-Trace-Id: %s\r\nX-Licensee: %s\r\nX-Expires-In: %.3f\r\n",
@@ -132,7 +134,7 @@
 			fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(body))
 		}
 		b.WriteString("\r\n" + body)
-		retryAfter := c.send(&t, c.Instances[rng.IntN(len(c.Instances))], b.String(), until)
+		retryAfter := c.send(&t, t.Instance, b.String(), until)
 		t.Ended = time.Now()
 		c.mu.Lock()
 		c.tries = append(c.tries, t)
@@ -167,7 +169,7 @@
 		}
 		if err != nil {
 			w.Close()
-			if kept && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+			if kept && !c.NoResend && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
 				continue // closed between requests: sent once more on a new one
 			}
 			if ne, ok := errors.AsType[net.Error](err); !ok || !ne.Timeout() {
