--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1266,6 +1266,17 @@
 	if len(g.set.Classes) != 3 || len(g.lat) != 3 {
 		t.Errorf("%d places after twenty changes", len(g.set.Classes))
 	}
+	// A class that comes back while a request of its first time is under way has two places; the plans may
+	// change meanwhile.
+	g.Request(t0, newRequest(9, "b", "wide", 7), r)
+	for _, cs := range [][]Class{{class("c", time.Second)}, {class("b", time.Second), class("c", time.Second), class("e", time.Second)}} {
+		if err := g.SetClasses(cs); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.SetPlans(t0, s.Plans); err != nil {
+			t.Error(err)
+		}
+	}
 	if err := g.SetClasses([]Class{class("x", time.Second), class("x", time.Second)}); err == nil || len(g.class) != 3 {
 		t.Errorf("a name twice: %v, %v", err, g.class)
 	}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -184,13 +184,18 @@
 		if s.Table == nil {
 			s.Table, s.Check = old.table, old.check
 		}
-		if err = in.gw.SetPlans(now, s.Plans); err != nil {
+		classes := s.Table.Classes
+		if len(classes) == 0 {
+			classes = unused
+		}
+		if err = in.gw.CheckTables(classes, s.Plans); err != nil {
 			return
 		}
-		if s.Table != old.table {
-			if err = in.gw.SetClasses(s.Table.Classes); err != nil {
-				return
-			}
+		if err = in.gw.SetPlans(now, s.Plans); err == nil && s.Table != old.table {
+			err = in.gw.SetClasses(classes)
+		}
+		if err != nil {
+			return
 		}
 		in.version.Store(in.prepare(s, old))
 		in.watchHalls(now, s.Halls, out)
