A member with an old copy of its file is found out; hard cases of the cluster as tests

An instance restored from a backup under its number may have forgotten votes. Peers remember how often a member started and don't hear an older copy; a member that is told of entries it has lost ends with a plain error where the engine panicked.

--- a/cmd/mulleingate/cluster.go
+++ b/cmd/mulleingate/cluster.go
@@ -17,6 +17,7 @@
 	Config     string `help:"The instance's file." required:"" type:"path"`
 	NewCluster bool   `help:"The members that the file has begin a new cluster." xor:"how" required:""`
 	Join       bool   `help:"This member joins a cluster that runs: see config members add." xor:"how" required:""`
+	Adopt      bool   `help:"The file was moved here and is the newest of its member: never an old copy." xor:"how" required:""`
 }
 
 func (c *initCmd) Run(e *env) error {
@@ -25,6 +26,13 @@
 		return usage{err}
 	}
 	cfg := fleetConfig(c.Config, f)
+	if c.Adopt {
+		if err := raftnode.Adopt(cfg.Data, cfg.Cluster, cfg.Member); err != nil {
+			return usage{err}
+		}
+		fmt.Fprintf(e.stdout, "%s: is taken for the newest of member %d\n", cfg.Data, cfg.Member)
+		return nil
+	}
 	if err := fleet.Init(cfg, c.Join); errors.Is(err, fs.ErrExist) || errors.Is(err, fs.ErrNotExist) {
 		return usage{err}
 	} else if err != nil {
@@ -63,7 +71,7 @@
 		lab.Chaos(cfg, c.Chaos, logger)
 	}
 	err = fleet.Run(e.ctx, cfg, &f.Config, logger, func(*fleet.Fleet) {})
-	if errors.Is(err, fleet.ErrNoFile) || errors.Is(err, raftnode.ErrForeign) || errors.Is(err, raftnode.ErrDamaged) {
+	if errors.Is(err, fleet.ErrNoFile) || errors.Is(err, raftnode.ErrForeign) || errors.Is(err, raftnode.ErrDamaged) || errors.Is(err, raftnode.ErrRestored) {
 		return usage{err}
 	}
 	return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -135,7 +135,7 @@
 		addrs[id] = m.Raft
 	}
 	f.node, err = raftnode.Start(raftnode.NodeConfig{Config: raftnode.Config{ID: cfg.Member, Validate: Validate}, Cluster: cfg.Cluster,
-		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed}, disk, ln)
+		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Starts: bolt.Starts(), Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed}, disk, ln)
 	if err != nil {
 		ln.Close()
 		admin.Close()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,8 @@
 	"time"
 
 	"mulleinmux/choice"
+
+	"mulleinmux/contract"
 )
 
 // What is matched goes on byte for byte, under the version that it was matched with, and
@@ -566,3 +569,69 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// Halls, licensees and plans change while the instance runs: a hall that goes takes its
+// servers along, one that comes is used, a licensee's new plan holds from its next request,
+// and what can't be leaves all as it was.
+func TestSetupChanges(t *testing.T) {
+	h := newHalls(t)
+	h.server("hall-a", "s0")
+	h.server("hall-b", "s1")
+	g := start(t, h, 2, nil)
+	c := dial(t, g.addr)
+	ask := func(want string) {
+		t.Helper()
+		for range 8 {
+			c.send(get("GET /slots?days=1"))
+			a := h.next()
+			a.answer <- answerText(200, "", "ok")
+			if r := c.read(); r.status != 200 || want != "" && !strings.HasPrefix(a.server, want) {
+				t.Fatalf("%+v at %s, want %s", r, a.server, want)
+			}
+		}
+	}
+	ask("")
+	install := func(number uint64, change func(*Setup)) error {
+		s := g.cfg.Setup(number, nil, nil)
+		change(&s)
+		return g.Install(s)
+	}
+	if err := install(2, func(s *Setup) { s.Halls = s.Halls[1:] }); err != nil || g.Version() != 2 {
+		t.Fatal(err)
+	}
+	ask("hall-b")
+	if err := install(3, func(s *Setup) { s.Halls = s.Halls[:1] }); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.AwaitServers(context.Background(), 1, patience); err != nil {
+		t.Fatal(err)
+	}
+	ask("hall-a")
+	for name, change := range map[string]func(*Setup){
+		"a hall twice":  func(s *Setup) { s.Halls = append(s.Halls, s.Halls[0]) },
+		"a plan twice":  func(s *Setup) { s.Plans = append(s.Plans, s.Plans[0]) },
+		"a place gone":  func(s *Setup) { s.Plans = s.Plans[:1] },
+		"a class twice": func(s *Setup) { s.Table = &contract.Table{Classes: append(testClasses2(), testClasses2()...)} },
+		"a bad quota":   func(s *Setup) { s.Plans = []choice.Plan{{Name: "wide", Rate: -1}, s.Plans[1]} },
+		"another order": func(s *Setup) { s.Halls, s.Plans = nil, nil },
+	} {
+		if err := install(9, change); err == nil || g.Version() != 3 {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	ask("hall-a")
+	// The licensee moves to a plan of three units.
+	if err := install(4, func(s *Setup) {
+		s.Halls = s.Halls[:1]
+		s.Licensees = map[string]Licensee{"honest": {"tight", 1}}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if r := c.ask(get("GET /slots?days=7")); r.status != 429 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func testClasses2() []choice.Class {
+	return []choice.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}
+}
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"mulleinmux/deploy"
+	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/openapi"
 	"mulleinmux/internal/standin"
@@ -198,3 +201,104 @@
 	}
 	return path + "/.."
 }
+
+// The checks of scenarios with processes find what they are for.
+func TestClusterJudge(t *testing.T) {
+	t0 := time.Unix(1e9, 0)
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	try := func(trace, instance string, from, to int) standin.Try {
+		return standin.Try{Trace: trace, Instance: instance, At: at(from), Ended: at(to), Answers: 1, Served: true, Status: 200}
+	}
+	arrived := func(trace string, version int) []standin.Arrival {
+		return []standin.Arrival{{Trace: trace, Version: version}}
+	}
+	for name, c := range map[string]struct {
+		tries    []standin.Try
+		versions map[string]int
+		broken   int
+	}{
+		"newer after older":       {[]standin.Try{try("a", "x", 0, 10), try("b", "x", 20, 30)}, map[string]int{"a": 1, "b": 2}, 0},
+		"older after newer":       {[]standin.Try{try("a", "x", 0, 10), try("b", "x", 20, 30)}, map[string]int{"a": 2, "b": 1}, 1},
+		"at another instance":     {[]standin.Try{try("a", "x", 0, 10), try("b", "y", 20, 30)}, map[string]int{"a": 2, "b": 1}, 0},
+		"begun before the answer": {[]standin.Try{try("a", "x", 0, 10), try("b", "x", 5, 30)}, map[string]int{"a": 2, "b": 1}, 0},
+	} {
+		j := &judge{&Verdict{Rules: map[string]int{}}}
+		by := map[string][]standin.Arrival{}
+		for trace, v := range c.versions {
+			by[trace] = arrived(trace, v)
+		}
+		if versionOrder(j, c.tries, by); j.v.Rules["versions"] != c.broken {
+			t.Errorf("%s: %v", name, j.v.Rules)
+		}
+	}
+	history := []fleetconfig.Record{{Version: 1, ID: "a"}, {Version: 2, ID: "b"}}
+	asked := func(id string, from, to int, version uint64, applied bool) order {
+		return order{id: id, call: at(from), ret: at(to), version: version, applied: applied, known: true}
+	}
+	for name, c := range map[string]struct {
+		orders  []order
+		history []fleetconfig.Record
+		broken  int
+	}{
+		"in order":           {[]order{asked("a", 0, 1, 1, true), asked("b", 2, 3, 2, true), asked("r", 4, 5, 2, false)}, history, 0},
+		"lost":               {[]order{asked("c", 0, 1, 2, true)}, history, 1},
+		"told wrong":         {[]order{asked("a", 0, 1, 2, true)}, history, 1},
+		"stale read":         {[]order{asked("b", 0, 1, 2, true), asked("r", 2, 3, 1, false)}, history, 1},
+		"against real time":  {[]order{asked("b", 0, 1, 2, true), asked("a", 2, 3, 1, true)}, history, 1},
+		"at once":            {[]order{asked("b", 0, 4, 2, true), asked("a", 2, 3, 1, true)}, history, 0},
+		"twice in the chain": {nil, append(history, fleetconfig.Record{Version: 3, ID: "a"}), 1},
+	} {
+		j := &judge{&Verdict{Rules: map[string]int{}}}
+		if (&cluster{orders: c.orders}).judgeOrders(j, c.history); j.v.Rules["changes"] != c.broken {
+			t.Errorf("%s: %v %v", name, j.v.Rules, j.v.Examples)
+		}
+	}
+	m := &member{}
+	m.setDown()
+	if !m.wasDown(time.Now(), time.Now().Add(time.Second)) {
+		t.Error("a member that is down is held to answer")
+	}
+	if m.up(); m.wasDown(time.Now().Add(time.Second), time.Now().Add(2*time.Second)) {
+		t.Error("a member that is up is excused")
+	}
+}
+
+// What an instance charged is held against the version that it was matched with; only what
+// a killed instance can't have written is missed.
+func TestClusterCharges(t *testing.T) {
+	t0 := time.Now().Add(-time.Minute)
+	history := []fleetconfig.Record{{Version: 1, Why: variantWhy(1)}, {Version: 2, Why: variantWhy(3)}, {Version: 3, Why: "a plan"}}
+	by := map[string][]standin.Arrival{"a": {{Trace: "a", Operation: "getDayReport", Units: 5, Version: 3}}}
+	tries := []standin.Try{{Trace: "a", Instance: "x", At: t0, Ended: t0.Add(time.Millisecond)}}
+	right := changingPrice(3, "getDayReport", 5)
+	for name, c := range map[string]struct {
+		line   string
+		killed []time.Time
+		broken string
+	}{
+		"right":               {fmt.Sprintf(`{"trace":"a","operation":"getDayReport","version":3,"units":%d,"sent":true}`, right), nil, ""},
+		"another price":       {fmt.Sprintf(`{"trace":"a","operation":"getDayReport","version":3,"units":%d,"sent":true}`, right+1), nil, "units"},
+		"another version":     {fmt.Sprintf(`{"trace":"a","operation":"getDayReport","version":2,"units":%d,"sent":true}`, right), nil, "versions"},
+		"no such version":     {fmt.Sprintf(`{"trace":"a","operation":"getDayReport","version":9,"units":%d,"sent":true}`, right), nil, "versions"},
+		"another operation":   {fmt.Sprintf(`{"trace":"a","operation":"getSlot","version":3,"units":%d,"sent":true}`, right), nil, "operations"},
+		"not charged":         {"", nil, "units"},
+		"killed meanwhile":    {"", []time.Time{t0.Add(100 * time.Millisecond)}, ""},
+		"killed long after":   {"", []time.Time{t0.Add(10 * time.Second)}, "units"},
+		"killed before it":    {"", []time.Time{t0.Add(-time.Second)}, "units"},
+		"half a line of it":   {`{"trace":"a","oper`, nil, "units"},
+		"answered twice over": {strings.Repeat(fmt.Sprintf(`{"trace":"a","operation":"getDayReport","version":3,"units":%d,"sent":true}`+"\n", right), 2), nil, "one_answer"},
+	} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, "access-1.jsonl"), []byte(c.line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		m := &member{id: 1, killed: c.killed}
+		j := &judge{&Verdict{Rules: map[string]int{}, Figures: map[string]float64{}}}
+		(&cluster{dir: dir, members: []*member{m}}).charged(j, by, tries, map[string]*member{"x": m}, history)
+		for _, rule := range []string{"units", "versions", "operations", "one_answer"} {
+			if (j.v.Rules[rule] > 0) != (rule == c.broken) {
+				t.Errorf("%s: %v", name, j.v.Rules)
+			}
+		}
+	}
+}
--- a/internal/raftnode/bolt.go
+++ b/internal/raftnode/bolt.go
@@ -7,6 +7,8 @@
 	"hash/crc32"
 	"os"
 	"runtime/debug"
+	"slices"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -17,7 +19,8 @@
 // The file of a member is a bbolt database with three buckets. Each value but those of
 // meta is a CRC-32C (Castagnoli) of the rest, big-endian, and a protocol buffer.
 //
-//	meta  format (4 bytes), cluster (text), member (8 bytes)
+//	meta  format (4 bytes), cluster (text), member (8 bytes), starts (8 bytes: how often the
+//	      file was opened), written (8 bytes: Unix time of the last change, in ns)
 //	state hard: HardState; snapshot: Snapshot; last: an Entry with the index of the log's
 //	      last, so that a tail that is not there is missed
 //	log   index (8 bytes, big-endian): Entry
@@ -28,9 +31,15 @@
 	keyHard     = []byte("hard")
 	keySnapshot = []byte("snapshot")
 	keyLast     = []byte("last")
+	keyStarts   = []byte("starts")
+	keyWritten  = []byte("written")
 	castagnoli  = crc32.MakeTable(crc32.Castagnoli)
 )
 
+// restoredAfter is how much later than its last write a file's status may have changed (its
+// ctime, which nobody can set).
+const restoredAfter = 30 * time.Second
+
 // boltFormat is the newest format of the file that this program knows.
 const boltFormat = 1
 
@@ -39,18 +48,35 @@
 var (
 	ErrDamaged = errors.New("the file is damaged: move it away and let this member join again under a new number")
 	ErrForeign = errors.New("the file belongs to another member or cluster")
+	// ErrRestored says that a file was put in its place after it was last written: an old
+	// copy may lack votes and entries that the member has promised to others.
+	ErrRestored = errors.New("the file was changed or put here after its member last wrote it: if it is an old copy, let this member join again under a new number; if it is the newest, moved here, say so with mulleingate init --adopt")
 )
 
 // BoltDisk is a [Disk] in one file.
 type BoltDisk struct {
-	db *bbolt.DB
+	db     *bbolt.DB
+	starts uint64
 }
 
 // OpenBolt opens a member's file, or makes one. A file that is damaged in any part, or that
 // belongs to another member or cluster, is an error.
-func OpenBolt(path, cluster string, member uint64) (d *BoltDisk, err error) {
+func OpenBolt(path, cluster string, member uint64) (*BoltDisk, error) {
+	return openBolt(path, cluster, member, false)
+}
+
+// Adopt takes a file that was moved for the newest of its member, which then opens.
+func Adopt(path, cluster string, member uint64) error {
+	d, err := openBolt(path, cluster, member, true)
+	if err != nil {
+		return err
+	}
+	return d.Close()
+}
+
+func openBolt(path, cluster string, member uint64, adopt bool) (d *BoltDisk, err error) {
 	defer damage(&err, path)()
-	_, statErr := os.Stat(path)
+	info, statErr := os.Stat(path)
 	isNew := errors.Is(statErr, os.ErrNotExist)
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
 	if errors.Is(err, bbolt.ErrTimeout) {
@@ -67,6 +93,19 @@
 		err = d.create(cluster, member)
 	} else {
 		err = d.verify(cluster, member)
+		if err == nil && !adopt {
+			err = d.original(info)
+		}
+	}
+	if err == nil {
+		err = d.update(func(tx *bbolt.Tx) error {
+			m := tx.Bucket(bucketMeta)
+			if text := m.Get(keyStarts); len(text) == 8 {
+				d.starts = binary.BigEndian.Uint64(text)
+			}
+			d.starts++
+			return m.Put(keyStarts, binary.BigEndian.AppendUint64(nil, d.starts))
+		})
 	}
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
@@ -86,6 +125,42 @@
 	}
 }
 
+// original tells whether a file is where its member wrote it last.
+func (d *BoltDisk) original(info os.FileInfo) error {
+	st, ok := info.Sys().(*syscall.Stat_t)
+	if !ok {
+		return nil // no such system: peers' memory of the member's starts is what is left
+	}
+	var written []byte
+	if err := d.db.View(func(tx *bbolt.Tx) error {
+		written = slices.Clone(tx.Bucket(bucketMeta).Get(keyWritten))
+		return nil
+	}); err != nil {
+		return err
+	}
+	if len(written) != 8 {
+		return ErrDamaged
+	}
+	last, changed := time.Unix(0, int64(binary.BigEndian.Uint64(written))), time.Unix(st.Ctim.Unix())
+	if changed.Sub(last) > restoredAfter {
+		return fmt.Errorf("written %s, changed %s: %w", last.UTC().Format(time.RFC3339), changed.UTC().Format(time.RFC3339), ErrRestored)
+	}
+	return nil
+}
+
+// Starts is how often the file was opened, this time included.
+func (d *BoltDisk) Starts() uint64 { return d.starts }
+
+// update is a transaction that notes when it was.
+func (d *BoltDisk) update(f func(tx *bbolt.Tx) error) error {
+	return d.db.Update(func(tx *bbolt.Tx) error {
+		if err := f(tx); err != nil {
+			return err
+		}
+		return tx.Bucket(bucketMeta).Put(keyWritten, binary.BigEndian.AppendUint64(nil, uint64(time.Now().UnixNano())))
+	})
+}
+
 func (d *BoltDisk) create(cluster string, member uint64) error {
 	return d.db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{bucketMeta, bucketState, bucketLog} {
@@ -181,7 +256,7 @@
 	if !sync {
 		return nil
 	}
-	return d.db.Update(func(tx *bbolt.Tx) error {
+	return d.update(func(tx *bbolt.Tx) error {
 		state, log := tx.Bucket(bucketState), tx.Bucket(bucketLog)
 		if snap != nil {
 			if err := seal(state, keySnapshot, snap); err != nil {
@@ -222,12 +297,12 @@
 
 // SaveSnapshot keeps a snapshot of the member's own.
 func (d *BoltDisk) SaveSnapshot(snap *pb.Snapshot) error {
-	return d.db.Update(func(tx *bbolt.Tx) error { return seal(tx.Bucket(bucketState), keySnapshot, snap) })
+	return d.update(func(tx *bbolt.Tx) error { return seal(tx.Bucket(bucketState), keySnapshot, snap) })
 }
 
 // Compact drops entries up to an index.
 func (d *BoltDisk) Compact(index uint64) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
+	return d.update(func(tx *bbolt.Tx) error {
 		return cut(tx.Bucket(bucketLog), func(i uint64) bool { return i <= index })
 	})
 }
--- a/internal/raftnode/bolt_test.go
+++ b/internal/raftnode/bolt_test.go
@@ -1,12 +1,15 @@
 package raftnode
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
+	"go.etcd.io/bbolt"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -152,3 +155,41 @@
 	}
 	t.Logf("%d flips found of %d", found, len(text)/67)
 }
+
+// A file whose status changed long after its member last wrote it was put there: it is an old
+// copy, as far as can be known, until an operator says that it was only moved.
+func TestBoltRestored(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "raft.db")
+	d := open(t, path)
+	if err := errors.Join(d.Save(hard(3, 2, 0), nil, nil, true), d.Close()); err != nil {
+		t.Fatal(err)
+	}
+	if d = open(t, path); d.Starts() != 2 {
+		t.Errorf("%d starts", d.Starts())
+	}
+	// As if all of this had been written an hour ago and the file put here now.
+	if err := d.db.Update(func(tx *bbolt.Tx) error {
+		return tx.Bucket(bucketMeta).Put(keyWritten, binary.BigEndian.AppendUint64(nil, uint64(time.Now().Add(-time.Hour).UnixNano())))
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenBolt(path, "c", 1); !errors.Is(err, ErrRestored) {
+		t.Fatalf("an old copy opens: %v", err)
+	}
+	if err := Adopt(path, "c", 2); !errors.Is(err, ErrForeign) {
+		t.Errorf("another member's file is adopted: %v", err)
+	}
+	if err := Adopt(path, "c", 1); err != nil {
+		t.Fatal(err)
+	}
+	d = open(t, path)
+	if k, err := d.Load(); err != nil || k.HardState.GetVote() != 2 {
+		t.Errorf("%+v, %v", k, err)
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -55,6 +55,7 @@
 var (
 	ErrNoLeader = errors.New("no leader is known: a quorum of members is needed")
 	ErrStopped  = errors.New("the member has stopped")
+	ErrForgot   = errors.New("the member's file lacks what it has promised to others, as an old copy does: let it join again under a new number")
 	ErrRemoved  = errors.New("this member was removed from the cluster: its number is not used again")
 	ErrLost     = errors.New("the leader changed meanwhile: it is not known whether the proposal will be applied; repeat it with the same id")
 )
@@ -230,10 +231,19 @@
 	if c.failed != nil || raft.IsLocalMsg(m.GetType()) {
 		return
 	}
+	defer c.caught()
 	// What can't be in place (from a removed member, or a late one) is dropped.
 	_ = c.rn.Step(m)
 }
 
+// caught has a panic of the engine, which finds that its log lacks what was committed, stop
+// the member with a plain error.
+func (c *Core) caught() {
+	if p := recover(); p != nil {
+		c.fail(fmt.Errorf("%w (%v)", ErrForgot, p))
+	}
+}
+
 // Propose has a proposal applied, if it passes the check here. done is called with its
 // outcome once it is applied here, or with an error.
 func (c *Core) Propose(p *fleetconfig.Proposal, done func(fleetconfig.Outcome, error)) {
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	Config
 	Cluster     string // its name; a member of another one is never taken in
 	Credentials Credentials
+	Starts      uint64            // of its file: see [BoltDisk.Starts]; 0: not known
 	Tick        time.Duration     // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
 	Peers       map[uint64]string // addresses of all members
 	Logger      *log.Logger
@@ -59,7 +61,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, core: core, events: make(chan func(), eventQueue), stop: stop, ended: make(chan struct{})}
-	n.net = &transport{cluster: cfg.Cluster, me: cfg.ID, creds: cfg.Credentials, ln: ln, logf: cfg.Logger.Printf,
+	n.net = &transport{cluster: cfg.Cluster, me: cfg.ID, creds: cfg.Credentials, hello: hello{cfg.Starts, rand.Uint64()}, ln: ln, logf: cfg.Logger.Printf,
 		heard: func(m *pb.Message) { n.do(ctx, func() { core.Step(m) }) },
 		sent: func(m *pb.Message, ok bool) {
 			// Told from the transport's goroutines, and from the member's own while it sends.
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -11,6 +11,7 @@
 	"io/fs"
 	"log"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -95,7 +96,7 @@
 	}
 	slices.Sort(voters)
 	n, err := Start(NodeConfig{Config: Config{ID: id, Voters: voters, SnapshotEvery: r.every, KeepEntries: 20}, Cluster: "test", Credentials: creds,
-		Tick: r.tick, Peers: r.addrs, Logger: log.New(io.Discard, "", 0)}, disk, ln)
+		Tick: r.tick, Peers: r.addrs, Starts: disk.Starts(), Logger: log.New(io.Discard, "", 0)}, disk, ln)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -241,7 +242,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+		return append(append(binary.BigEndian.AppendUint32(nil, frameHello<<28|16), hello{}.encode()...), append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)...)
 	}
 	vote := &pb.Message{Type: pb.MsgVote.Enum(), From: proto.Uint64(3), To: proto.Uint64(1), Term: proto.Uint64(1 << 40)}
 	for name, c := range map[string]struct {
@@ -254,6 +255,7 @@
 		"in another's name":   {r.auth, 2, frame(vote)},
 		"a frame without end": {r.auth, 2, binary.BigEndian.AppendUint32(nil, 1<<31)},
 		"noise":               {r.auth, 2, []byte{0, 0, 0, 3, 0xff, 0xff, 0xff}},
+		"no hello":            {r.auth, 3, frame(vote)[20:]},
 	} {
 		creds, err := c.auth.Credentials(c.id)
 		if err != nil {
@@ -277,6 +279,94 @@
 	}
 }
 
+// A member that comes back with an older copy of its file is not heard: it could vote again in
+// a term in which it has voted. Once it comes with its own, it is.
+func TestOldCopy(t *testing.T) {
+	r := newReal(t, 3)
+	r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	id := r.status(1).Leader%3 + 1 // a follower
+	other := 6 - id - r.status(1).Leader
+	r.kill(id)
+	path := filepath.Join(r.dir, fmt.Sprint(id, ".db"))
+	old, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.start(id)
+	r.await("ready again", func(s Status) bool { return s.Ready })
+	r.propose(other, planPut("a", 1))
+	r.kill(id)
+	newest, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.start(id)
+	// Its leader tells it of entries that it has acknowledged and no longer has.
+	select {
+	case <-r.nodes[id].Ended():
+		if err := r.nodes[id].Err(); !errors.Is(err, ErrForgot) {
+			t.Errorf("ends with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("a member with an old copy goes on")
+	}
+	// Without being told, it is not heard all the same: its peers remember.
+	net := r.nodes[other].net
+	for _, h := range []hello{{1, 5}, {2, 99}} {
+		if err := net.knows(id, h.encode()); err == nil {
+			t.Error("an old copy is heard")
+		}
+	}
+	if err := net.knows(id, hello{4, 99}.encode()); err != nil {
+		t.Errorf("a new start is not heard: %v", err)
+	}
+	delete(net.seen, id)
+	if o := r.propose(other, planPut("b", 1)); !o.Applied {
+		t.Errorf("the others: %+v", o)
+	}
+	r.kill(id)
+	if err := os.WriteFile(path, newest, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.start(id)
+	r.await("ready with its own file", func(s Status) bool { return s.Ready && s.Version == 2 })
+}
+
+// Two clusters of one name whose addresses were swapped: neither hears the other, and both go
+// on when the addresses are right again.
+func TestSwappedClusters(t *testing.T) {
+	a, b := newReal(t, 3), newReal(t, 3)
+	a.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	b.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	a.propose(1, planPut("a", 1))
+	b.propose(1, planPut("b", 1))
+	b.propose(1, planPut("b2", 2))
+	swap := func(x, y map[uint64]string) {
+		for id := range a.nodes {
+			a.nodes[id].Peers(x)
+			b.nodes[id].Peers(y)
+		}
+	}
+	swap(b.addrs, a.addrs)
+	for end := time.Now().Add(40 * a.tick); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for id := range a.nodes {
+			if x, y := a.status(id), b.status(id); x.Version > 1 || y.Version > 2 {
+				t.Fatalf("versions %d and %d", x.Version, y.Version)
+			}
+		}
+	}
+	swap(a.addrs, b.addrs)
+	if o := a.propose(2, planPut("a2", 1)); o.Version != 2 {
+		t.Errorf("%+v", o)
+	}
+	if o := b.propose(2, planPut("b3", 1)); o.Version != 3 {
+		t.Errorf("%+v", o)
+	}
+}
+
 // A change of 8 MB goes through, and one over the most is refused with its size.
 func TestLargeChange(t *testing.T) {
 	r := newRealAt(t, 3, 100*time.Millisecond, 200) // an election must not come while 8 MB are written and read
@@ -300,6 +390,34 @@
 	}
 }
 
+// A snapshot of many parts brings a member up that the log no longer reaches.
+func TestSnapshotInParts(t *testing.T) {
+	r := newRealAt(t, 3, 40*time.Millisecond, 30)
+	r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	id := r.status(1).Leader%3 + 1
+	other := 6 - id - r.status(1).Leader
+	r.kill(id)
+	text, err := json.Marshal(fleetconfig.Description{File: "f", Text: strings.Repeat("x", 10*partSize)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.propose(other, &fleetconfig.Proposal{ID: "long", Changes: []fleetconfig.Change{{Op: "put", Kind: "description", Name: "d", Value: text}}})
+	for i := range 60 { // past a snapshot and what is kept behind it
+		r.propose(other, planPut(fmt.Sprint("a", i), i))
+	}
+	r.start(id)
+	r.await("ready and of one mind", func(s Status) bool { return s.Ready && s.Version == 61 && s.Hash == r.status(other).Hash })
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := r.nodes[id].Freeze(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, ok := s.Get("description", "d"); !ok || len(got) < 10*partSize {
+		t.Errorf("%d bytes of the long change", len(got))
+	}
+}
+
 // Certificates are written once and read back; a further member's comes from the same
 // authority.
 func TestCertificates(t *testing.T) {
--- a/internal/raftnode/sim_test.go
+++ b/internal/raftnode/sim_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -546,3 +547,151 @@
 		t.Errorf("%v", hashes)
 	}
 }
+
+// calmCluster is a cluster without faults of its own, with a leader.
+func calmCluster(t *testing.T, seed uint64) (c *cluster, leader *member) {
+	c = newCluster(t, seed, 3)
+	c.calm = true
+	return c, c.leads()
+}
+
+// leads steps until one member leads and all others follow it, of those that are not cut off.
+func (c *cluster) leads() *member {
+	for range 2000 {
+		c.step()
+		for _, m := range c.members {
+			if m.core != nil && m.core.Leader() == m.id && m.core.Ready() {
+				return m
+			}
+		}
+	}
+	c.fatalf("no leader")
+	return nil
+}
+
+// put has a change applied at a member.
+func (c *cluster) put(m *member, id string) {
+	done := false
+	m.core.Propose(planPut(id, 1), func(o fleetconfig.Outcome, err error) {
+		if err != nil || !o.Applied {
+			c.fatalf("%s: %+v, %v", id, o, err)
+		}
+		done = true
+	})
+	c.work(m)
+	for range 200 {
+		if done {
+			return
+		}
+		c.step()
+	}
+	c.fatalf("%s is not applied", id)
+}
+
+func (c *cluster) cutOff(m *member, cut bool) {
+	for _, o := range c.members {
+		c.cut[[2]uint64{m.id, o.id}], c.cut[[2]uint64{o.id, m.id}] = cut, cut
+	}
+}
+
+func other(c *cluster, than ...*member) *member {
+	for _, m := range c.members {
+		if !slices.Contains(than, m) {
+			return m
+		}
+	}
+	return nil
+}
+
+// A member that was removed while it was cut off does not know it, and calls elections once
+// it can be heard again: the leader stays, in its term, and changes go on.
+func TestRemovedCallsElections(t *testing.T) {
+	c, leader := calmCluster(t, 11)
+	gone := other(c, leader)
+	c.cutOff(gone, true)
+	removed := false
+	leader.core.Change("remove", []*pb.ConfChangeSingle{{Type: pb.ConfChangeRemoveNode.Enum(), NodeId: proto.Uint64(gone.id)}}, func(err error) {
+		if err != nil {
+			c.fatalf("%v", err)
+		}
+		removed = true
+	})
+	c.work(leader)
+	for range 200 {
+		c.step()
+	}
+	if !removed {
+		c.fatalf("the member is not removed")
+	}
+	term := leader.core.rn.BasicStatus().GetTerm()
+	c.cutOff(gone, false)
+	for i := range 10 {
+		for range 60 {
+			c.step()
+		}
+		c.put(leader, fmt.Sprint("a", i))
+	}
+	if now := leader.core.rn.BasicStatus().GetTerm(); now != term || leader.core.Leader() != leader.id {
+		c.fatalf("term %d became %d, leader %d", term, now, leader.core.Leader())
+	}
+	if v, _ := gone.core.Members(); len(v) != 3 {
+		c.fatalf("the removed member knows it")
+	}
+}
+
+// A member that was cut off until the log behind it was compacted gets a snapshot when the
+// cut heals, and serves on what it then has.
+func TestHealsAfterCompaction(t *testing.T) {
+	c, leader := calmCluster(t, 12)
+	late := other(c, leader)
+	c.cutOff(late, true)
+	had := late.core.Index()
+	for i := range 60 {
+		c.put(leader, fmt.Sprint("a", i))
+	}
+	if first, err := leader.core.mem.FirstIndex(); err != nil || first <= had+1 {
+		c.fatalf("the log begins at %d, the late member ends at %d", first, had)
+	}
+	if late.core.Index() > had+1 {
+		c.fatalf("the cut member has got to %d", late.core.Index())
+	}
+	c.cutOff(late, false)
+	for i := 0; late.core.State().Hash() != leader.core.State().Hash(); i++ {
+		if c.step(); i > 500 {
+			c.fatalf("the late member has version %d of %d", late.core.State().Version(), leader.core.State().Version())
+		}
+	}
+	c.put(late, "through the late one")
+}
+
+// A leader that was cut off and deposed, and does not know it, confirms no read, and takes no
+// change; what others have agreed on meanwhile stands.
+func TestDeposedLeader(t *testing.T) {
+	c, old := calmCluster(t, 13)
+	c.put(old, "before")
+	c.cutOff(old, true)
+	var read, proposed bool
+	old.core.Read(func(err error) { read = err == nil })
+	old.core.Propose(planPut("lost", 9), func(o fleetconfig.Outcome, err error) { proposed = err == nil && o.Version == 2 })
+	c.work(old)
+	next := other(c, old)
+	for range 400 {
+		if c.step(); next.core.Leader() != old.id && next.core.Leader() != 0 {
+			break
+		}
+	}
+	c.put(next, "after")
+	if read || proposed {
+		c.fatalf("the deposed leader has confirmed a read (%v) or a change (%v)", read, proposed)
+	}
+	c.cutOff(old, false)
+	for i := 0; old.core.State().Hash() != next.core.State().Hash(); i++ {
+		if c.step(); i > 500 {
+			c.fatalf("the deposed leader does not follow")
+		}
+	}
+	// Its read may be answered now: with all that was agreed on.
+	if v := old.core.State().Version(); v < 2 || proposed {
+		c.fatalf("version %d, proposed %v", v, proposed)
+	}
+}
--- a/internal/raftnode/transport.go
+++ b/internal/raftnode/transport.go
@@ -45,8 +45,19 @@
 	frameMessage  = iota // a message
 	framePart            // of a snapshot's message
 	frameLastPart        // its end
+	frameHello           // the first: hello
 )
 
+// hello tells how often a member's file was opened, and which process this is. A member whose
+// file is older than one that it came with before has forgotten what it promised since.
+type hello struct {
+	starts, process uint64
+}
+
+func (h hello) encode() []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, h.starts), h.process)
+}
+
 // memberName is the common name in a member's certificate.
 func memberName(cluster string, id uint64) string { return fmt.Sprintf("%s/%d", cluster, id) }
 
@@ -61,6 +72,7 @@
 	cluster string
 	me      uint64
 	creds   Credentials
+	hello   hello // starts 0: not known
 	ln      net.Listener
 	heard   func(*pb.Message)            // from a verified member
 	sent    func(m *pb.Message, ok bool) // told for snapshots and for messages that could not go out
@@ -69,6 +81,7 @@
 	mu    sync.Mutex
 	links map[uint64]*link
 	conns map[net.Conn]struct{} // accepted
+	seen  map[uint64]hello      // the newest of each member
 	ctx   context.Context
 	all   sync.WaitGroup
 }
@@ -113,6 +126,7 @@
 // start serves until ctx ends.
 func (t *transport) start(ctx context.Context) {
 	t.ctx, t.links, t.conns = ctx, map[uint64]*link{}, map[net.Conn]struct{}{}
+	t.seen = map[uint64]hello{}
 	t.all.Go(t.accept)
 	t.all.Go(func() {
 		<-ctx.Done()
@@ -128,6 +142,21 @@
 // wait returns when all has ended.
 func (t *transport) wait() { t.all.Wait() }
 
+// knows takes in a member's hello, unless its file is older than one that it had.
+func (t *transport) knows(from uint64, text []byte) error {
+	if len(text) != 16 {
+		return fmt.Errorf("member %d: malformed hello", from)
+	}
+	h := hello{binary.BigEndian.Uint64(text), binary.BigEndian.Uint64(text[8:])}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.seen[from]; h.starts > 0 && (h.starts < s.starts || h.starts == s.starts && h.process != s.process) {
+		return fmt.Errorf("member %d comes with an old copy of its file and may have forgotten votes: it is not heard; replace it under a new number", from)
+	}
+	t.seen[from] = h
+	return nil
+}
+
 // peers sets the addresses of the other members.
 func (t *transport) peers(addrs map[uint64]string) {
 	t.mu.Lock()
@@ -263,6 +292,9 @@
 		_, err := out.Write(text)
 		return err
 	}
+	if err := frame(frameHello, t.hello.encode()); err != nil {
+		return err
+	}
 	var snap *pb.Message // under way
 	var rest []byte      // of it
 	defer func() {
@@ -379,13 +411,13 @@
 	in := bufio.NewReaderSize(c, 64<<10)
 	var head [4]byte
 	var text, snap []byte // snap: the parts so far
-	for {
+	for first := true; ; first = false {
 		if _, err := io.ReadFull(in, head[:]); err != nil {
 			return err
 		}
 		word := binary.BigEndian.Uint32(head[:])
 		kind, n := int(word>>28), int(word&(1<<28-1))
-		if n > maxFrame || kind > frameLastPart || kind != frameMessage && (n > partSize || len(snap)+n > maxFrame) {
+		if n > maxFrame || kind > frameHello || first != (kind == frameHello) || kind != frameMessage && (n > partSize || len(snap)+n > maxFrame) {
 			return fmt.Errorf("member %d sends a frame of kind %d with %d bytes", from, kind, n)
 		}
 		nc.SetReadDeadline(time.Now().Add(frameLimit))
@@ -400,6 +432,12 @@
 			text = text[:len(text)+part]
 		}
 		nc.SetReadDeadline(time.Time{})
+		if kind == frameHello {
+			if err := t.knows(from, text); err != nil {
+				return err
+			}
+			continue
+		}
 		whole := text
 		if kind != frameMessage {
 			if snap = append(snap, text...); kind == framePart {
