--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -17,6 +17,7 @@
 	Procs   []int         `help:"Processors of the front, one measurement each." default:"1"`
 	Rounds  int           `help:"Measurements of each; the medians count." default:"3"`
 	Profile string        `help:"File for a CPU profile of the gateway's last measurement." type:"path"`
+	Changes time.Duration `help:"Measure instead what a change of the agreed configuration at each such gap costs an instance."`
 	JSON    bool          `help:"Print all results as JSON."`
 }
 
@@ -28,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Changes != 0 {
+		return c.changes(e, self)
+	}
 	var all []bench.Result
 	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
 		all = append(all, r)
@@ -63,6 +67,31 @@
 	return nil
 }
 
+// changes measures what changes of the agreed configuration cost.
+func (c *benchCmd) changes(e *env, self string) error {
+	if c.Changes < time.Millisecond {
+		return usage{fmt.Errorf("--changes: %v is below 1ms", c.Changes)}
+	}
+	var all []bench.Result
+	opt := bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}
+	if err := bench.Changes(e.ctx, opt, c.Changes, func(r bench.Result, changes int) {
+		all = append(all, r)
+		fmt.Fprintf(e.stderr, "%-8s %8.0f requests/s, %6.1f us CPU a request, p50 %.0f us, p99 %.0f us, %d other answers, %d changes\n", r.Front, r.PerS, r.CPU, r.P50, r.P99, r.Other, changes)
+	}); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(e.stdout, all)
+	}
+	var ratios []float64
+	for i := 0; i+1 < len(all); i += 2 {
+		ratios = append(ratios, all[i+1].PerS/all[i].PerS)
+	}
+	slices.Sort(ratios)
+	fmt.Fprintf(e.stdout, "with a change every %v: %.3f of the requests/s without (median of %d, from %.3f to %.3f)\n", c.Changes, ratios[len(ratios)/2], len(ratios), ratios[0], ratios[len(ratios)-1])
+	return nil
+}
+
 type partCmd struct {
 	Part string `arg:""`
 }
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -162,7 +161,7 @@
 func (s *State) Classes() []Class { return classesOf(s.objects) }
 
 func classesOf(objects map[string]json.RawMessage) (cs []Class) {
-	for _, k := range slices.Sorted(maps.Keys(objects)) {
+	for _, k := range keysOf(objects, "class") {
 		if name, ok := strings.CutPrefix(k, "class/"); ok {
 			var c Class
 			if json.Unmarshal(objects[k], &c) == nil {
@@ -185,12 +184,21 @@
 	return defaultMostUnits
 }
 
-// consistent checks that what objects refer to is there. touched are the kinds changed.
+// consistent checks that what objects refer to is there. touched are the kinds and the
+// objects changed: only what depends on those is looked at, in one order.
 func (s *State) consistent(objects map[string]json.RawMessage, touched map[string]bool) error {
-	for _, k := range slices.Sorted(maps.Keys(objects)) {
+	var keys []string
+	for k := range objects {
+		kind, _, _ := strings.Cut(k, "/")
+		if touched[k] || kind == "licensee" && touched["plan"] || kind == "description" {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
 		kind, name, _ := strings.Cut(k, "/")
 		switch {
-		case kind == "licensee" && (touched["licensee"] || touched["plan"]):
+		case kind == "licensee":
 			var l Licensee
 			if err := json.Unmarshal(objects[k], &l); err != nil {
 				return err
@@ -198,7 +206,7 @@
 			if _, ok := objects[key("plan", l.Plan)]; !ok {
 				return fmt.Errorf("licensee %s: plan %q is not there: put it first, or in the same proposal", name, l.Plan)
 			}
-		case kind == "member" && touched["member"]:
+		case kind == "member":
 			if n, err := strconv.ParseUint(name, 10, 64); err != nil || n == 0 || strconv.FormatUint(n, 10) != name {
 				return fmt.Errorf("member %s: name: a number from 1 is wanted", name)
 			}
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -126,20 +126,28 @@
 // by their place.
 func (s *State) Places() []string { return slices.Clone(s.places) }
 
-// Freeze returns the configuration as it is now, without the outcomes of proposals. It
-// stays as it is while s goes on, and may be read by others.
+// Freeze returns the configuration as it is now, without the history and the outcomes of
+// proposals. It stays as it is while s goes on, and may be read by others.
 func (s *State) Freeze() *State {
-	return &State{validate: s.validate, version: s.version, hash: s.hash, objects: s.objects, places: slices.Clone(s.places),
-		outcomes: map[string]Outcome{}, history: s.History()}
+	return &State{validate: s.validate, version: s.version, hash: s.hash, objects: s.objects, places: slices.Clone(s.places), outcomes: map[string]Outcome{}}
 }
 
 // Each calls f for each object of a kind, by name.
 func (s *State) Each(kind string, f func(name string, value json.RawMessage)) {
-	for _, k := range slices.Sorted(maps.Keys(s.objects)) {
-		if of, name, _ := strings.Cut(k, "/"); of == kind {
-			f(name, s.objects[k])
+	for _, k := range keysOf(s.objects, kind) {
+		f(k[len(kind)+1:], s.objects[k])
+	}
+}
+
+// keysOf returns the keys of a kind's objects in their order.
+func keysOf(objects map[string]json.RawMessage, kind string) (keys []string) {
+	for k := range objects {
+		if len(k) > len(kind) && k[len(kind)] == '/' && k[:len(kind)] == kind {
+			keys = append(keys, k)
 		}
 	}
+	slices.Sort(keys)
+	return keys
 }
 
 func key(kind, name string) string { return kind + "/" + name }
@@ -263,7 +271,7 @@
 			return nil, fmt.Errorf("%s: kind: one of %s is wanted", at, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
 		}
 		k := key(c.Kind, c.Name)
-		touched[c.Kind] = true
+		touched[c.Kind], touched[k] = true, true
 		switch c.Op {
 		case "put":
 			value, err := kind(c.Value)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -28,9 +28,9 @@
 	"syscall"
 	"time"
 
-	"mulleinmux/choice"
 	"mulleinmux/contract"
 	"mulleinmux/deploy"
+	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/httpwire"
 	"mulleinmux/internal/openapi"
@@ -68,9 +68,14 @@
 
 // Part names a part that a process plays, with what it is told.
 type Part struct {
-	Role    string   `json:"role"` // "halls", "gateway" or "reverseproxy"
+	Role    string   `json:"role"` // "halls", "gateway", "reverseproxy" or "member"
 	Servers []string `json:"servers,omitempty"`
 	Profile string   `json:"profile,omitempty"`
+
+	// Of a member.
+	Member  uint64                        `json:"member,omitempty"`
+	Dir     string                        `json:"dir,omitempty"` // with certificates
+	Members map[uint64]fleetconfig.Member `json:"members,omitempty"`
 }
 
 // Play plays a part until standard input ends. It prints the addresses where it listens,
@@ -89,6 +94,8 @@
 		addrs, err = halls()
 	case "gateway":
 		addrs, err = startGateway(ctx, p.Servers)
+	case "member":
+		addrs, err = startMember(ctx, &p)
 	case "reverseproxy":
 		addrs, err = startReverseProxy(p.Servers)
 	default:
@@ -189,11 +196,7 @@
 		return nil, err
 	}
 	cfg := &gateway.Config{Name: "gate", Halls: []gateway.Hall{{Name: "hall-a", Register: reg.Addr()}}, Classes: classes,
-		Licensees: map[string]gateway.Licensee{}, Settings: choice.Settings{Instances: 1, Zone: "hall-a", MaxAttempts: 5, Cancel: true,
-			RetryAfter: true, MaxRetryAfter: 2 * time.Second, Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond, Probes: true,
-			Report: choice.ReportAnswers, MostUnits: 50, ColdFrom: 0.17, RampTime: 15 * time.Second, FallMultiple: 2.5, OverloadFor: 2 * time.Second,
-			DrainGrace: 250 * time.Millisecond, PriceCross: 0.01, PriceProbe: 0.01,
-			Plans: []choice.Plan{{Name: "kubwa", Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}}}}
+		Licensees: map[string]gateway.Licensee{}, Settings: settings()}
 	for i := range 100 {
 		name := fmt.Sprint("licensee-", i)
 		cfg.Licensees[name] = gateway.Licensee{Plan: "kubwa", Customer: gateway.CustomerOf(name)}
--- /dev/null
+++ b/internal/bench/changes.go
@@ -0,0 +1,208 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/deploy"
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/fleet"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/raftnode"
+	"mulleinmux/internal/standin"
+)
+
+const (
+	clusterSize = 3
+	agreeMost   = 20 * time.Second // until the first configuration is in force
+)
+
+// startMember starts an instance that agrees with others on what it serves.
+func startMember(ctx context.Context, p *Part) ([]string, error) {
+	creds, err := raftnode.LoadCredentials(p.Dir, p.Member)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &fleet.Config{Cluster: "bench", Member: p.Member, Data: filepath.Join(p.Dir, fmt.Sprint(p.Member, ".db")), Credentials: creds, Members: p.Members}
+	if err := fleet.Init(cfg, false); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	gate := &gateway.Config{Name: fmt.Sprint("gate-", p.Member), Settings: settings()}
+	gate.Settings.Plans = nil
+	gate.On(ln, nil)
+	begun, ended := make(chan *fleet.Fleet, 1), make(chan error, 1)
+	go func() {
+		ended <- fleet.Run(ctx, cfg, gate, log.New(os.Stderr, "", 0), func(f *fleet.Fleet) { begun <- f })
+	}()
+	select {
+	case err := <-ended:
+		return nil, err
+	case <-begun:
+		return []string{ln.Addr().String()}, nil
+	}
+}
+
+// settings are those of an instance under measurement.
+func settings() choice.Settings {
+	return choice.Settings{Instances: 1, Zone: "hall-a", MaxAttempts: 5, Cancel: true,
+		RetryAfter: true, MaxRetryAfter: 2 * time.Second, Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond, Probes: true,
+		Report: choice.ReportAnswers, MostUnits: 50, ColdFrom: 0.17, RampTime: 15 * time.Second, FallMultiple: 2.5, OverloadFor: 2 * time.Second,
+		DrainGrace: 250 * time.Millisecond, PriceCross: 0.01, PriceProbe: 0.01,
+		Plans: []choice.Plan{{Name: "kubwa", Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}}}
+}
+
+// Changes measures one of three instances that agree, by turns without changes of what is
+// agreed on and with one at each gap. tell gets the results, "still" and "changing", and how
+// many changes took place during the latter.
+func Changes(ctx context.Context, opt Options, gap time.Duration, tell func(r Result, changes int)) (err error) {
+	dir, err := os.MkdirTemp("", "mulleingate-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	auth, err := raftnode.NewAuthority("bench")
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(auth.Write(dir), auth.WriteOperator(dir, "op")); err != nil {
+		return err
+	}
+	back, err := begin(ctx, opt.Self, 0, Part{Role: "halls"})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, back.end()) }()
+	reg, err := standin.NewRegister()
+	if err != nil {
+		return err
+	}
+	defer reg.Close()
+	for i, s := range back.addrs {
+		reg.Put(standin.Entry{InstanceID: fmt.Sprint("s", i), HostPort: s, Zone: "hall-a", MachineType: "k", Lifecycle: "up", Weight: 1})
+	}
+	members, at := map[uint64]fleetconfig.Member{}, []string{}
+	for id := uint64(1); id <= clusterSize; id++ {
+		var addrs [2]string
+		for i := range addrs {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			addrs[i] = ln.Addr().String()
+			ln.Close()
+		}
+		members[id] = fleetconfig.Member{Raft: addrs[0], Admin: addrs[1]}
+		at = append([]string{addrs[1]}, at...) // operators ask the last one first
+		if err := auth.WriteMembers(dir, []uint64{id}); err != nil {
+			return err
+		}
+	}
+	var front *process
+	for id := uint64(1); id <= clusterSize; id++ {
+		procs := 1
+		if id == 1 {
+			procs = opt.Procs[0]
+		}
+		part := Part{Role: "member", Member: id, Dir: dir, Members: members}
+		if id == 1 {
+			part.Profile = opt.Profile
+		}
+		p, err := begin(ctx, opt.Self, procs, part)
+		if err != nil {
+			return err
+		}
+		defer func() { p.end() }()
+		if id == 1 {
+			front = p
+		}
+	}
+	creds, err := raftnode.LoadNamed(dir, raftnode.OperatorFile("op"))
+	if err != nil {
+		return err
+	}
+	cl := fleet.NewClient("bench", creds, at...)
+	defer cl.Close()
+	if err := agree(ctx, cl, reg.Addr().String()); err != nil {
+		return err
+	}
+	for range opt.Rounds {
+		r, err := measure(opt, "still", opt.Procs[0], front.addrs, front)
+		if err != nil {
+			return err
+		}
+		tell(r, 0)
+		changing, stop := context.WithCancel(ctx)
+		done := make(chan int, 1)
+		go func() { done <- change(changing, cl, gap) }()
+		r, err = measure(opt, "changing", opt.Procs[0], front.addrs, front)
+		stop()
+		n := <-done
+		if err != nil {
+			return err
+		}
+		tell(r, n)
+	}
+	return nil
+}
+
+func put(kind, name string, v any) fleetconfig.Change {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of figures
+	}
+	return fleetconfig.Change{Op: "put", Kind: kind, Name: name, Value: text}
+}
+
+// agree has the instances agree on the bench's configuration and waits until it is in force.
+func agree(ctx context.Context, cl *fleet.Client, register string) error {
+	p := &fleetconfig.Proposal{ID: "first", Changes: []fleetconfig.Change{
+		put("class", "slot-check", fleetconfig.Class{Worth: 3, AimMs: 2000, DeadlineMs: 4000}), put("class", "visit-book", fleetconfig.Class{Worth: 9, AimMs: 2000, DeadlineMs: 4000}),
+		put("plan", "kubwa", fleetconfig.Plan{Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}),
+		put("hall", "hall-a", fleetconfig.Hall{Register: register}),
+		put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(deploy.Booking)})}}
+	for i := range 100 {
+		p.Changes = append(p.Changes, put("licensee", fmt.Sprint("licensee-", i), fleetconfig.Licensee{Plan: "kubwa"}))
+	}
+	ctx, cancel := context.WithTimeout(ctx, agreeMost)
+	defer cancel()
+	for {
+		o, err := cl.Propose(ctx, p)
+		if err == nil {
+			return cl.AwaitEverywhere(ctx, o.Version)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// change changes a licensee at each gap until ctx ends, and counts.
+func change(ctx context.Context, cl *fleet.Client, gap time.Duration) (n int) {
+	tick := time.NewTicker(gap)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return n
+		case <-tick.C:
+		}
+		p := &fleetconfig.Proposal{ID: fmt.Sprint(time.Now().UnixNano()), Changes: []fleetconfig.Change{put("licensee", fmt.Sprint("other-", i%50), fleetconfig.Licensee{Plan: "kubwa"})}}
+		if _, err := cl.Propose(ctx, p); err == nil {
+			n++
+		}
+	}
+}
--- a/internal/fleet/setup.go
+++ b/internal/fleet/setup.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -45,12 +46,14 @@
 
 // of returns the setup of a state.
 func (u *setups) of(s *fleetconfig.State, full bool) (out gateway.Setup, err error) {
-	descriptions := fleetconfig.Read[fleetconfig.Description](s, "description")
-	if len(descriptions) == 0 {
+	key, n := binary.AppendVarint(nil, int64(s.MostUnits())), 0
+	s.Each("description", func(_ string, text json.RawMessage) { key, n = append(key, text...), n+1 })
+	s.Each("class", func(name string, text json.RawMessage) { key = append(append(key, name...), text...) })
+	if n == 0 {
 		return out, errNothing
 	}
-	if len(descriptions) > 1 {
-		return out, fmt.Errorf("%d descriptions are agreed on, and one is served: remove the others", len(descriptions))
+	if n > 1 {
+		return out, fmt.Errorf("%d descriptions are agreed on, and one is served: remove the others", n)
 	}
 	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
 	for _, name := range slices.Sorted(maps.Keys(halls)) {
@@ -60,13 +63,9 @@
 		}
 		out.Halls = append(out.Halls, gateway.Hall{Name: name, Register: at})
 	}
-	for _, d := range descriptions {
-		key, err := json.Marshal([]any{d, s.Classes(), s.MostUnits()})
-		if err != nil {
-			return out, err
-		}
-		if bytes.Equal(key, u.key) {
-			break
+	if !bytes.Equal(key, u.key) {
+		var d fleetconfig.Description
+		for _, d = range fleetconfig.Read[fleetconfig.Description](s, "description") {
 		}
 		table, doc, err := openapi.Compile(d.File, []byte(d.Text), compileOptions(s.Classes(), s.MostUnits()))
 		if err != nil {
