--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -388,7 +388,13 @@
 	if rd.HardState == nil && len(rd.Entries) == 0 && snap == nil {
 		return nil
 	}
-	if err := c.disk.Save(rd.HardState, rd.Entries, snap, rd.MustSync || snap != nil); err != nil {
+	hs, sync := rd.HardState, rd.MustSync || snap != nil
+	if hs == nil && sync { // a commit index that came alone goes along, so that a restart knows it
+		if last, _, err := c.mem.InitialState(); err == nil && !raft.IsEmptyHardState(last) {
+			hs = last
+		}
+	}
+	if err := c.disk.Save(hs, rd.Entries, snap, sync); err != nil {
 		return fmt.Errorf("saving: %w", err)
 	}
 	if snap != nil {
