--- a/fleetconfig/state_test.go
+++ b/fleetconfig/state_test.go
@@ -205,3 +205,77 @@
 		_ = a.Restore(entry)
 	})
 }
+
+// A proposer's clock decides nothing: one that jumps back an hour changes neither order nor
+// outcome, and stands in the history as it was told.
+func TestClockDecidesNothing(t *testing.T) {
+	run := func(ms ...int64) *State {
+		s := New(nil)
+		for i, at := range ms {
+			entry, err := Encode(&Proposal{ID: fmt.Sprint(i), AtMs: at, Changes: []Change{{Op: "put", Kind: "plan", Name: fmt.Sprint("p", i), Value: json.RawMessage(`{"rate":1,"burst":1,"price":1}`)}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, o, err := s.Apply(entry); err != nil || !o.Applied || o.Version != uint64(i+1) {
+				t.Fatalf("%+v, %v", o, err)
+			}
+		}
+		return s
+	}
+	a, b := run(1_000, 2_000, 3_000), run(3_600_000, 0, 7_200_000)
+	if fmt.Sprint(a.Places()) != fmt.Sprint(b.Places()) || a.Version() != b.Version() {
+		t.Errorf("%v, %v", a.Places(), b.Places())
+	}
+	if h := b.History(); h[0].AtMs != 3_600_000 || h[1].AtMs != 0 {
+		t.Errorf("%+v", h)
+	}
+}
+
+// Places of plans are the same for all that applied the same entries, survive a snapshot, and
+// are never given up.
+func TestPlaces(t *testing.T) {
+	s := New(nil)
+	apply := func(id, op, name string) Outcome {
+		c := Change{Op: op, Kind: "plan", Name: name}
+		if op == "put" {
+			c.Value = json.RawMessage(`{"rate":1,"burst":1,"price":1}`)
+		}
+		entry, err := Encode(&Proposal{ID: id, Changes: []Change{c}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, o, err := s.Apply(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o
+	}
+	apply("1", "put", "z")
+	apply("2", "put", "a")
+	frozen := s.Freeze()
+	apply("3", "remove", "z")
+	apply("4", "put", "m")
+	text, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = New(nil)
+	if err := s.Restore(text); err != nil {
+		t.Fatal(err)
+	}
+	apply("5", "put", "z")
+	if got := fmt.Sprint(s.Places()); got != "[z a m]" {
+		t.Errorf("places %s", got)
+	}
+	if _, ok := frozen.Get("plan", "z"); !ok || frozen.Version() != 2 || fmt.Sprint(frozen.Places()) != "[z a]" {
+		t.Errorf("what was frozen has changed: %v", frozen.Places())
+	}
+	for i := range maxPlaces {
+		if o := apply(fmt.Sprint("p", i), "put", fmt.Sprint("p", i)); o.Applied != (i < maxPlaces-3) {
+			t.Fatalf("place %d: %+v", i+4, o)
+		}
+	}
+	if o := apply("again", "put", "a"); !o.Applied {
+		t.Errorf("a plan that has its place: %+v", o)
+	}
+}
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -450,6 +451,27 @@
 	}
 }
 
+// A member whose clock is an hour behind the one that made the certificates takes them.
+func TestClockBehind(t *testing.T) {
+	auth, err := NewAuthority("c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	creds, err := auth.Credentials(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(creds.Certificate.Certificate[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, off := range []time.Duration{-59 * time.Minute, time.Hour, 24 * time.Hour} {
+		if _, err := leaf.Verify(x509.VerifyOptions{Roots: creds.Authority, CurrentTime: time.Now().Add(off), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}); err != nil {
+			t.Errorf("at %v: %v", off, err)
+		}
+	}
+}
+
 // BenchmarkCommit is a change over three members on loopback beside one synced commit of
 // the same file system, with one operator and with 64.
 func BenchmarkCommit(b *testing.B) {
--- a/internal/raftnode/sim_test.go
+++ b/internal/raftnode/sim_test.go
@@ -695,3 +695,43 @@
 		c.fatalf("version %d, proposed %v", v, proposed)
 	}
 }
+
+// A leader is lost after a proposal is on its disk and before anyone else has it: the
+// proposal comes to nothing there, is applied once when its client repeats it, and the old
+// leader gives its entry up when it comes back.
+func TestLostBeforeCommit(t *testing.T) {
+	c, old := calmCluster(t, 14)
+	c.put(old, "before")
+	c.cutOff(old, true)
+	old.core.Propose(planPut("once", 7), func(o fleetconfig.Outcome, err error) {
+		if err == nil {
+			c.fatalf("answered without a quorum: %+v", o)
+		}
+	})
+	c.work(old)
+	last, err := old.core.mem.LastIndex()
+	if err != nil || old.disk.log[last] == nil {
+		c.fatalf("the proposal is not on the leader's disk: index %d, %v", last, err)
+	}
+	c.kill(old)
+	next := other(c, old)
+	for range 400 {
+		if c.step(); next.core.Leader() != old.id && next.core.Leader() != 0 {
+			break
+		}
+	}
+	c.put(next, "meanwhile")
+	c.put(next, "once")
+	c.put(next, "once")
+	c.cutOff(old, false)
+	old.down = c.tick
+	for i := 0; old.core == nil || old.core.State().Hash() != next.core.State().Hash(); i++ {
+		if c.step(); i > 500 {
+			c.fatalf("the old leader does not follow")
+		}
+	}
+	h := old.core.State().History()
+	if len(h) != 3 || h[1].ID != "meanwhile" || h[2].ID != "once" {
+		c.fatalf("history %+v", h)
+	}
+}
--- a/internal/standin/hall.go
+++ b/internal/standin/hall.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -216,11 +217,11 @@
 	}
 	s.mu.Unlock()
 	h.ledger.add(a)
-	status := 0
+	var status atomic.Int64 // end may be called while the answer is written
 	end := func() {
 		h.ledger.change(func() {
 			if a.Ended.IsZero() {
-				a.Ended, a.Status = time.Now(), status
+				a.Ended, a.Status = time.Now(), int(status.Load())
 			}
 		})
 	}
@@ -235,7 +236,7 @@
 	chance := h.chance(a.Trace)
 	f := &h.fig.Faults
 	neverRan := func(code int) {
-		status = code
+		status.Store(int64(code))
 		w.Header().Set("X-Never-Ran", "1")
 		w.WriteHeader(code)
 	}
@@ -278,17 +279,17 @@
 	}
 	switch {
 	case chance(1) < f.ErrorIdle, chance(2) < f.Error:
-		status = http.StatusInternalServerError
-		http.Error(w, "fault", status)
+		status.Store(http.StatusInternalServerError)
+		http.Error(w, "fault", http.StatusInternalServerError)
 	case chance(3) < f.Reset:
 		panic(http.ErrAbortHandler)
 	case chance(4) < f.Silent:
 		<-r.Context().Done()
 	default:
-		status = http.StatusOK
+		status.Store(http.StatusOK)
 		if r.Method == http.MethodDelete {
-			status = http.StatusNoContent
-			w.WriteHeader(status)
+			status.Store(http.StatusNoContent)
+			w.WriteHeader(http.StatusNoContent)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
