--- /dev/null
+++ b/sites/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package sites
+
+const raceEnabled = false
--- /dev/null
+++ b/sites/sim_test.go
@@ -0,0 +1,413 @@
+package sites
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The simulated world: instances with their views, halls that remember keys for a while,
+// clients that repeat at any instance, an agreement on epochs, and faults by a seed. After
+// each event it is checked that no key had its effect at two halls.
+
+const (
+	simLease  = 500 * time.Millisecond
+	simLife   = 2 * time.Second
+	simMemory = 4 * time.Second
+	simLength = 30 * time.Second
+	simFaults = 24 * time.Second // then all heals
+	simTell   = 20 * time.Millisecond
+)
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+type simInstance struct {
+	id          uint64
+	keys        *Keys
+	incarnation uint64
+	epoch       int           // applied, as an index of the agreed ones
+	cut         bool          // from the agreement and the others
+	down        bool          // its process is dead
+	asleep      time.Duration // it does nothing until then
+	skew        time.Duration // its clock's offset
+}
+
+type sim struct {
+	t         testing.TB
+	seed      uint64
+	rng       *rand.Rand
+	now       time.Duration
+	queue     events
+	n         int
+	instances []*simInstance
+	agreed    []Homes
+	halls     map[string]map[uint64]time.Duration // keys remembered, since when
+	effects   map[uint64]string                   // hall of a key's effect
+	served    int
+	refused   int
+	lateNo    int // refused though all had healed long ago
+	doubles   int
+	most      int
+	healed    time.Duration // when the last fault ended; 0: it has not
+	quiet     bool          // violations are counted and not reported
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	s.n++
+	heap.Push(&s.queue, event{s.now + max(d, 0), s.n, do})
+}
+
+func (s *sim) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(s.rng.Int64N(int64(b-a)))
+}
+
+func (s *sim) clock(i *simInstance) time.Duration { return s.now + i.skew }
+
+func newSim(t testing.TB, seed uint64) *sim {
+	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), halls: map[string]map[uint64]time.Duration{"a": {}, "b": {}}, effects: map[uint64]string{}, most: 1 << 20}
+	if seed%5 == 0 {
+		s.most = 40 // the ledger fills up
+	}
+	s.agreed = []Homes{{Epoch: 1, Halls: []Hall{{"a", true}, {"b", true}}, Instances: []uint64{1, 2, 3, 4}}}
+	for id := uint64(1); id <= 4; id++ {
+		i := &simInstance{id: id, epoch: -1, skew: time.Duration(s.rng.Int64N(int64(2 * time.Hour)))}
+		s.instances = append(s.instances, i)
+		s.start(i)
+	}
+	return s
+}
+
+func (s *sim) start(i *simInstance) {
+	i.incarnation++
+	k, err := New(Config{Me: i.id, Incarnation: i.incarnation, Lease: simLease, Life: simLife, Memory: simMemory, Most: s.most}, s.clock(i))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	i.keys, i.epoch, i.down = k, -1, false
+	inc := i.incarnation
+	alive := func() bool { return !i.down && i.incarnation == inc }
+	// It learns epochs and has them confirmed.
+	var learn func()
+	learn = func() {
+		if !alive() {
+			return
+		}
+		if asked := s.clock(i); !i.cut && s.now >= i.asleep {
+			latest := len(s.agreed) - 1
+			s.at(s.between(time.Millisecond, 30*time.Millisecond), func() {
+				if !alive() || s.now < i.asleep {
+					return
+				}
+				for ; i.epoch < latest; i.epoch++ {
+					k.Install(s.clock(i), s.agreed[i.epoch+1])
+				}
+				k.Confirm(asked)
+			})
+		}
+		s.at(s.between(40*time.Millisecond, 80*time.Millisecond), learn)
+	}
+	learn()
+	var tell func()
+	tell = func() {
+		if !alive() {
+			return
+		}
+		if s.now >= i.asleep {
+			m := k.Tell(s.clock(i))
+			for _, o := range s.instances {
+				if lost := s.now < simFaults && s.rng.Float64() < 0.002; o != i && !lost && !i.cut {
+					s.at(s.between(time.Millisecond, 20*time.Millisecond), func() {
+						if !o.down && !o.cut && s.now >= o.asleep && i.incarnation == inc {
+							o.keys.Hear(s.clock(o), m)
+						}
+					})
+				}
+			}
+		}
+		s.at(simTell, tell)
+	}
+	tell()
+}
+
+// client tries a key at one instance after the other, within its life.
+func (s *sim) client(key uint64) {
+	until := s.now + simLife - 100*time.Millisecond
+	var try func(left int)
+	try = func(left int) {
+		if left == 0 || s.now >= until {
+			return
+		}
+		i := s.instances[s.rng.IntN(len(s.instances))]
+		again := func() { s.at(s.between(time.Millisecond, 400*time.Millisecond), func() { try(left - 1) }) }
+		if i.down || s.now < i.asleep {
+			again()
+			return
+		}
+		v := i.keys.Route(s.clock(i), key)
+		if v.Hall == "" {
+			s.refused++
+			if s.healed > 0 && s.now > s.healed+simLease+simLife+time.Second {
+				s.lateNo++
+			}
+			again()
+			return
+		}
+		// The module takes its time to pick a server; the attempt may no longer be let through.
+		k, inc := i.keys, i.incarnation
+		s.at(s.between(0, 20*time.Millisecond), func() {
+			if i.down || i.incarnation != inc || s.now < i.asleep || !k.Send(s.clock(i), key, v.Hall) {
+				again()
+				return
+			}
+			fate := s.rng.Float64() // lost on the way, answered, or its answer lost
+			s.at(s.between(0, 300*time.Millisecond), func() {
+				ran := fate > 0.1 && s.now < until+100*time.Millisecond // the hall drops what has expired
+				if ran {
+					s.run(v.Hall, key)
+				}
+				s.at(s.between(0, 200*time.Millisecond), func() {
+					if !i.down && i.incarnation == inc {
+						k.Ended(key, !ran && fate > 0.05)
+					}
+					if ran && fate > 0.3 {
+						s.served++
+					} else {
+						again()
+					}
+				})
+			})
+		})
+	}
+	try(8)
+}
+
+// run has a hall run a request, unless it remembers its key.
+func (s *sim) run(hall string, key uint64) {
+	if at, ok := s.halls[hall][key]; ok && s.now-at < simMemory {
+		return
+	}
+	s.halls[hall][key] = s.now
+	if before, ok := s.effects[key]; ok {
+		s.doubles++
+		if !s.quiet {
+			s.t.Errorf("seed %d, %v: key %d had its effect at %s and at %s", s.seed, s.now, key, before, hall)
+		}
+		return
+	}
+	s.effects[key] = hall
+}
+
+// faults changes homes and breaks things.
+func (s *sim) faults() {
+	if s.now > simFaults {
+		s.healed = s.now
+		for _, i := range s.instances {
+			if i.cut, i.asleep = false, 0; i.down {
+				s.start(i)
+			}
+		}
+		last := s.agreed[len(s.agreed)-1]
+		s.agreed = append(s.agreed, Homes{last.Epoch + 1, []Hall{{"a", true}, {"b", true}}, last.Instances})
+		return
+	}
+	i := s.instances[s.rng.IntN(len(s.instances))]
+	switch x := s.rng.Float64(); {
+	case x < 0.4: // a hall closes or opens
+		last := s.agreed[len(s.agreed)-1]
+		halls := []Hall{{"a", s.rng.Float64() < 0.7}, {"b", s.rng.Float64() < 0.7}}
+		s.agreed = append(s.agreed, Homes{last.Epoch + 1, halls, last.Instances})
+		// Faults come together: what makes a hall close strikes instances as well.
+		switch y := s.rng.Float64(); {
+		case y < 0.25 && !i.down:
+			s.at(s.between(0, 100*time.Millisecond), func() { i.down = true })
+			s.at(s.between(110*time.Millisecond, 600*time.Millisecond), func() {
+				if i.down {
+					s.start(i)
+				}
+			})
+		case y < 0.5:
+			i.cut = true
+			s.at(s.between(100*time.Millisecond, 4*time.Second), func() { i.cut = false })
+		}
+	case x < 0.55:
+		i.cut = true
+		s.at(s.between(100*time.Millisecond, 4*time.Second), func() { i.cut = false })
+	case x < 0.7: // a pause; what it wakes to is old
+		i.asleep = s.now + s.between(100*time.Millisecond, 3*time.Second)
+	case x < 0.85 && !i.down:
+		i.down = true
+		s.at(s.between(50*time.Millisecond, 3*time.Second), func() {
+			if i.down {
+				s.start(i)
+			}
+		})
+	}
+	s.at(s.between(100*time.Millisecond, 2*time.Second), s.faults)
+}
+
+func (s *sim) play() {
+	var arrive func()
+	key := uint64(0)
+	arrive = func() {
+		key++
+		s.client(key * 0x9e3779b97f4a7c15)
+		if s.now < simLength {
+			s.at(s.between(time.Millisecond, 20*time.Millisecond), arrive)
+		}
+	}
+	arrive()
+	s.at(2*time.Second, s.faults)
+	for s.queue.Len() > 0 && s.now < simLength+5*time.Second {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// Over 1,000 seeds no key has its effect at two halls, and all are served again soon after the
+// last fault.
+func TestSeeds(t *testing.T) {
+	seeds := uint64(1000)
+	if testing.Short() || raceEnabled {
+		seeds = 60
+	}
+	served, refused := 0, 0
+	for seed := uint64(1); seed <= seeds && !t.Failed(); seed++ {
+		s := newSim(t, seed)
+		s.play()
+		served, refused = served+s.served, refused+s.refused
+		if s.served < 300 {
+			t.Errorf("seed %d: %d served", seed, s.served)
+		}
+		if s.lateNo > 0 && s.most > 1000 {
+			t.Errorf("seed %d: %d refused after all had healed", seed, s.lateNo)
+		}
+	}
+	t.Logf("%d seeds: %d served, %d refused", seeds, served, refused)
+}
+
+// The same seed plays the same.
+func TestReplay(t *testing.T) {
+	figures := func() string {
+		s := newSim(t, 17)
+		s.play()
+		return fmt.Sprint(s.served, s.refused, len(s.effects), s.n)
+	}
+	if a, b := figures(), figures(); a != b {
+		t.Errorf("%s, then %s", a, b)
+	}
+}
+
+func testKeys(t *testing.T, instances ...uint64) (*Keys, Homes) {
+	t.Helper()
+	k, err := New(Config{Me: 1, Incarnation: 1, Lease: simLease, Life: simLife, Memory: simMemory, Most: 100}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := Homes{Epoch: 1, Halls: []Hall{{"a", true}, {"b", true}}, Instances: instances}
+	k.Install(0, h)
+	return k, h
+}
+
+// An instance alone does not know what the process before it sent: it waits until no client
+// repeats that. A key past a hall's memory is not sent again. A key that never ran moves on.
+func TestAlone(t *testing.T) {
+	k, h := testKeys(t, 1)
+	now := simLease / 2
+	k.Confirm(now)
+	if v := k.Route(now, 7); v.Hall != "" || v.Wait <= 0 {
+		t.Errorf("right after its start: %+v", v)
+	}
+	now = simLife + time.Millisecond
+	k.Confirm(now)
+	v := k.Route(now, 7)
+	if v.Hall == "" || !k.Send(now, 7, v.Hall) {
+		t.Fatalf("%+v", v)
+	}
+	other := map[string]string{"a": "b", "b": "a"}[v.Hall]
+	if k.Send(now, 7, other) {
+		t.Error("the key is let through to the other hall")
+	}
+	k.Ended(7, true)
+	if k.Len() != 0 {
+		t.Error("a key that never ran is remembered")
+	}
+	k.Send(now, 7, v.Hall)
+	k.Ended(7, false)
+	now += simMemory + time.Millisecond
+	k.Confirm(now)
+	if v := k.Route(now, 7); v.Hall != "" {
+		t.Errorf("past its hall's memory: %+v", v)
+	}
+	h.Epoch, h.Halls = 2, []Hall{{v.Hall, false}, {other, true}}
+	k.Install(now, h)
+	k.Confirm(now)
+	if v := k.Route(now, 7); v.Hall != "" {
+		t.Errorf("a key that may have run at a closed hall: %+v", v)
+	}
+	k.Install(now, Homes{Epoch: 1})
+	if k.homes.Epoch != 2 {
+		t.Error("an older epoch is taken")
+	}
+	for _, c := range []Config{{}, {Lease: 1, Life: 2, Memory: 1, Most: 1}} {
+		if _, err := New(c, 0); err == nil {
+			t.Errorf("%+v is taken", c)
+		}
+	}
+}
+
+// BenchmarkKeys is a routed and noted key with a million remembered; bytes a key are told.
+func BenchmarkKeys(b *testing.B) {
+	k, err := New(Config{Me: 1, Incarnation: 1, Lease: time.Hour, Life: time.Hour, Memory: time.Hour, Most: 1 << 20}, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	now := 2*time.Hour + time.Second
+	k.Install(0, Homes{Epoch: 1, Halls: []Hall{{"hall-a", true}, {"hall-b", true}}, Instances: []uint64{1}})
+	k.Confirm(now)
+	for i := range uint64(1_000_000) {
+		key := i * 0x9e3779b97f4a7c15
+		if !k.Send(now, key, k.Route(now, key).Hall) {
+			b.Fatal("not let through")
+		}
+		k.Ended(key, false)
+		if i%1000 == 0 {
+			k.Tell(now)
+		}
+	}
+	k.Tell(now)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "bytes/key")
+	b.ReportAllocs()
+	for i := uint64(0); b.Loop(); i++ {
+		key := i % 1_000_000 * 0x9e3779b97f4a7c15
+		if k.Route(now, key).Hall == "" {
+			b.Fatal("not routed")
+		}
+	}
+}
