A booking's key has a home hall: instances ask sites, and tell each other what they sent

A repeated visit-book that reaches the other hall is not dropped there. In a cluster, keyed requests now go to their key's home by agreed epochs of homes (a hall's 'closed' in the agreed configuration); words about sent keys go over the members' links; choice keeps a request to a zone.

--- a/choice/api.go
+++ b/choice/api.go
@@ -149,6 +149,7 @@
 	Units    float64       // that it draws from the quota
 	Spread   int           // number of gateways the customer comes in through
 	First    int           // number of the first of these; the others follow, counted round
+	Zone     string        // it may go to servers of this zone alone; empty: to any
 }
 
 // Result is how an attempt ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -596,7 +596,7 @@
 		j := i + g.rng.IntN(len(g.servers)-i)
 		g.servers[i], g.servers[j] = g.servers[j], g.servers[i]
 		s := g.servers[i]
-		if !s.takes() || !g.maySend(r, s) || !g.coldRoom(s, r.class) {
+		if r.Zone != "" && s.Zone != r.Zone || !s.takes() || !g.maySend(r, s) || !g.coldRoom(s, r.class) {
 			continue
 		}
 		cost := g.cost(s)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1282,6 +1282,22 @@
 	}
 }
 
+// A request that is kept to a zone goes to its servers alone, and to none where it has none.
+func TestZoneOnly(t *testing.T) {
+	s := Settings{Instances: 1, MaxAttempts: 3, Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		Plans: []Plan{{Name: "wide", Rate: 1e6, Burst: 1e6, Price: 1}}}
+	g, r := newGate(t, s, Server{ID: "x", Kind: "k", Zone: "a"}, Server{ID: "y", Kind: "k", Zone: "b"})
+	for i := range 20 {
+		q := newRequest(i, "a", "wide", 7)
+		q.Zone = []string{"a", "b", "c"}[i%3]
+		want := []string{"send " + q.ID + " x", "send " + q.ID + " y", "refuse " + q.ID}[i%3]
+		if g.Request(t0, q, r); r.last() != want {
+			t.Errorf("%s, want %s", r.last(), want)
+		}
+		g.Outcome(t0, Outcome{ID: q.ID, Result: OK, Closed: true, Took: ms}, r)
+	}
+}
+
 // A plan's new figures, and a customer's move to another plan, leave what was spent spent.
 func TestPlansChange(t *testing.T) {
 	s := Settings{Instances: 2, MaxAttempts: 3, Peers: true, Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
--- a/cmd/mulleingate/cluster.go
+++ b/cmd/mulleingate/cluster.go
@@ -56,7 +56,7 @@
 
 func fleetConfig(config string, f *gatefile.File) *fleet.Config {
 	c := f.Cluster
-	return &fleet.Config{Cluster: c.Name, Member: c.Member, Data: beside(config, c.Data), Members: c.Members, Tick: c.Tick}
+	return &fleet.Config{Cluster: c.Name, Member: c.Member, Data: beside(config, c.Data), Members: c.Members, Tick: c.Tick, KeysAnywhere: c.KeysAnywhere}
 }
 
 // member runs an instance as a member of a cluster.
--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -30,12 +30,13 @@
 }
 
 type labCmd struct {
-	Scenario string        `help:"Scenario to play; see --list." default:"calm"`
-	For      time.Duration `help:"How long clients send." default:"20s"`
-	Seed     uint64        `help:"Seed of clients and faults." default:"1"`
-	JSON     bool          `help:"Print the verdict as JSON."`
-	List     bool          `help:"List the scenarios."`
-	Logs     string        `help:"File for the instances' logs." type:"path"`
+	Scenario     string        `help:"Scenario to play; see --list." default:"calm"`
+	For          time.Duration `help:"How long clients send." default:"20s"`
+	Seed         uint64        `help:"Seed of clients and faults." default:"1"`
+	JSON         bool          `help:"Print the verdict as JSON."`
+	List         bool          `help:"List the scenarios."`
+	KeysAnywhere bool          `help:"Without the guard of keys: hall-closes then shows double bookings."`
+	Logs         string        `help:"File for the instances' logs." type:"path"`
 }
 
 // env is what a command needs of the world.
@@ -62,7 +63,7 @@
 	if c.For < time.Second || c.For > time.Hour {
 		return usage{fmt.Errorf("--for: %v is outside 1s to 1h", c.For)}
 	}
-	opt := lab.Options{Scenario: c.Scenario, For: c.For, Seed: c.Seed,
+	opt := lab.Options{Scenario: c.Scenario, For: c.For, Seed: c.Seed, KeysAnywhere: c.KeysAnywhere,
 		Progress: func(line string) { fmt.Fprintln(e.stderr, line) }}
 	if !known(c.Scenario) {
 		return usage{fmt.Errorf("--scenario: %q is unknown: see mulleingate lab --list", c.Scenario)}
--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -120,6 +120,7 @@
 		{[]string{"check", memberWith("m2.toml", `raft = "127.0.0.1:7102"`, `raft = "127.0.0.1"`)}, 2, []string{"cluster.member[1].raft", "no address"}},
 		{[]string{"check", memberWith("m3.toml", `"serve"`, `"maybe"`)}, 2, []string{"cluster.when_stale", "maybe"}},
 		{[]string{"check", memberWith("m4.toml", `zone = "hall-a"`, "zone = \"hall-a\"\ndescription = \"x.yaml\"")}, 2, []string{"description", "agreed on by the cluster"}},
+		{[]string{"check", memberWith("m6.toml", `"home"`, `"here"`)}, 2, []string{"cluster.keys", "here"}},
 		{[]string{"check", memberWith("m5.toml", "number = 2", "number = 1")}, 2, []string{"cluster.member[1].number", "stands twice"}},
 		{[]string{"run", "--config", member}, 2, []string{"member-1.db", "mulleingate init"}},
 		{[]string{"init", "--config", member}, 2, []string{"--new-cluster", "--join"}},
--- a/contract/charge.go
+++ b/contract/charge.go
@@ -76,6 +76,22 @@
 // errMissing is told of a parameter that is not there.
 var errMissing = errors.New("is missing")
 
+// KeyOf returns the key of a keyed operation's request that was charged, path being that of
+// its line; empty for others.
+func (o *Operation) KeyOf(r Request, path string) string {
+	switch o.Key.In {
+	case Nowhere:
+		return ""
+	case InPath:
+		return path
+	}
+	key, err := o.Key.read(r, false)
+	if err != nil {
+		return "" // Charge has refused it
+	}
+	return key
+}
+
 // Charge returns the units of a request, and checks that a keyed one has its key. What
 // it reads, a hall must read in the same way: a name that stands twice, in two
 // spellings, or a number in any but the plain form is a [*Refusal].
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -30,7 +30,8 @@
 
 // Hall is a site's servers.
 type Hall struct {
-	Register string `json:"register"` // address with a port
+	Register string `json:"register"`         // address with a port
+	Closed   bool   `json:"closed,omitempty"` // keyed requests have their home elsewhere
 }
 
 // Class is what requests of a class are worth, and the figures of operations that declare
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -86,6 +86,7 @@
 	version  uint64
 	hash     [sha256.Size]byte          // of all entries so far, refused ones too
 	objects  map[string]json.RawMessage // replaced as a whole by each change
+	homes    uint64                     // version of the last change of a hall
 	places   []string                   // of plans, in the order in which they were first put
 	outcomes map[string]Outcome
 	ids      []string // of outcomes, the oldest first
@@ -126,10 +127,13 @@
 // by their place.
 func (s *State) Places() []string { return slices.Clone(s.places) }
 
+// Homes is the version of the last change of a hall: an epoch of homes.
+func (s *State) Homes() uint64 { return s.homes }
+
 // Freeze returns the configuration as it is now, without the history and the outcomes of
 // proposals. It stays as it is while s goes on, and may be read by others.
 func (s *State) Freeze() *State {
-	return &State{validate: s.validate, version: s.version, hash: s.hash, objects: s.objects, places: slices.Clone(s.places), outcomes: map[string]Outcome{}}
+	return &State{validate: s.validate, version: s.version, hash: s.hash, objects: s.objects, places: slices.Clone(s.places), homes: s.homes, outcomes: map[string]Outcome{}}
 }
 
 // Each calls f for each object of a kind, by name.
@@ -216,6 +220,9 @@
 		s.version++
 		s.objects = objects
 		for _, c := range p.Changes {
+			if c.Kind == "hall" {
+				s.homes = s.version
+			}
 			if c.Op == "put" && c.Kind == "plan" && !slices.Contains(s.places, c.Name) {
 				s.places = append(s.places, c.Name)
 			}
@@ -315,6 +322,7 @@
 	Hash     string                     `json:"hash"`
 	Objects  map[string]json.RawMessage `json:"objects"`
 	Places   []string                   `json:"places"`
+	Homes    uint64                     `json:"homes"`
 	IDs      []string                   `json:"ids"`
 	Outcomes []Outcome                  `json:"outcomes"` // in the order of IDs
 	History  []Record                   `json:"history"`
@@ -322,7 +330,7 @@
 
 // Snapshot words the state. The same state gives the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, IDs: s.ids, History: s.kept()}
+	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, Homes: s.homes, IDs: s.ids, History: s.kept()}
 	for _, id := range s.ids {
 		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
 	}
@@ -348,7 +356,7 @@
 	if err != nil || len(hash) != sha256.Size || len(snap.IDs) != len(snap.Outcomes) || form.Format < 1 {
 		return fmt.Errorf("snapshot: %w", ErrMalformed)
 	}
-	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, places: snap.Places, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
+	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, places: snap.Places, homes: snap.Homes, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
 	copy(s.hash[:], hash)
 	if s.objects == nil {
 		s.objects = map[string]json.RawMessage{}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,18 +28,20 @@
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/openapi"
 	"mulleinmux/internal/raftnode"
+	"mulleinmux/sites"
 )
 
 // Config is what a member is told at its start.
 type Config struct {
-	Cluster     string
-	Member      uint64
-	Data        string // its file
-	Credentials raftnode.Credentials
-	Members     map[uint64]fleetconfig.Member // to begin with; those agreed on take their place
-	Listen      string                        // for the other members; Members has it where empty
-	Admin       string                        // for operators; likewise
-	Tick        time.Duration                 // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
+	Cluster      string
+	Member       uint64
+	Data         string // its file
+	Credentials  raftnode.Credentials
+	Members      map[uint64]fleetconfig.Member // to begin with; those agreed on take their place
+	Listen       string                        // for the other members; Members has it where empty
+	Admin        string                        // for operators; likewise
+	KeysAnywhere bool                          // keyed requests have no home: see package sites
+	Tick         time.Duration                 // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
 
 	// For the lab's faults, nil elsewhere.
 	Disk     func(raftnode.Disk) raftnode.Disk
@@ -116,6 +118,9 @@
 	if cfg.Disk != nil {
 		disk = cfg.Disk(bolt)
 	}
+	if !cfg.KeysAnywhere {
+		gate.Keys = &sites.Config{Me: cfg.Member, Incarnation: bolt.Starts(), Lease: keyLease, Life: keyLife, Memory: keyMemory, Most: keysMost}
+	}
 	if gate.Agreed == nil {
 		gate.Agreed = &gateway.Agreed{}
 	}
@@ -135,7 +140,7 @@
 		addrs[id] = m.Raft
 	}
 	f.node, err = raftnode.Start(raftnode.NodeConfig{Config: raftnode.Config{ID: cfg.Member, Validate: Validate}, Cluster: cfg.Cluster,
-		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Starts: bolt.Starts(), Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed}, disk, ln)
+		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Starts: bolt.Starts(), Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed, Word: f.hearKeys}, disk, ln)
 	if err != nil {
 		ln.Close()
 		admin.Close()
@@ -165,6 +170,9 @@
 		return err
 	}
 	side.Go(func() { f.follow(life) })
+	if gate.Keys != nil {
+		side.Go(func() { f.tellKeys(life) })
+	}
 	begun(f)
 	select {
 	case err := <-ended:
@@ -216,6 +224,7 @@
 // confirmation is a state that a quorum has confirmed to be the newest at a time.
 type confirmation struct {
 	at    time.Time
+	homes uint64 // epoch
 	state *fleetconfig.State
 }
 
@@ -229,7 +238,7 @@
 		for ctx.Err() == nil {
 			c := confirmation{at: time.Now()}
 			one, cancel := context.WithTimeout(ctx, 2*time.Second)
-			err := f.node.Read(one, func(s *fleetconfig.State) { c.state = s.Freeze() })
+			err := f.node.Read(one, func(s *fleetconfig.State) { c.state, c.homes = s.Freeze(), s.Homes() })
 			cancel()
 			if err == nil {
 				select {
@@ -255,10 +264,14 @@
 		case c := <-confirmed:
 			if f.install(c.state) {
 				f.in.Confirm(c.at)
+				if f.gate.Keys != nil && f.takeHomes(ctx) >= c.homes {
+					f.in.ConfirmHomes(c.at)
+				}
 			}
 		case <-f.wake:
 			if s, err := f.node.Freeze(ctx); err == nil {
 				f.install(s)
+				f.takeHomes(ctx)
 			}
 		case now := <-stale.C:
 			if age, serves := f.in.Standing(now); age > 2*time.Second && now.Sub(told) > staleLog {
--- a/internal/gatefile/fleet.go
+++ b/internal/gatefile/fleet.go
@@ -56,8 +56,8 @@
 		}
 		out.Objects[kind][name] = text
 	}
-	for _, h := range c.Halls {
-		put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String()})
+	for i, h := range c.Halls {
+		put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String(), Closed: in.Halls[i].Closed})
 	}
 	for _, k := range c.Classes {
 		put("class", k.Name, fleetconfig.Class{Worth: k.Worth, Late: k.Late, AimMs: k.Aim.Milliseconds(), DeadlineMs: k.Deadline.Milliseconds()})
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -36,6 +36,8 @@
 	Data, Certs string // file and folder, as written
 	Tick        time.Duration
 	Members     map[uint64]fleetconfig.Member
+
+	KeysAnywhere bool
 }
 
 // duration is a struct so that a bare number is no duration.
@@ -88,6 +90,7 @@
 		Tick       duration `toml:"tick"`
 		StaleAfter duration `toml:"stale_after"`
 		WhenStale  string   `toml:"when_stale"`
+		Keys       string   `toml:"keys"`
 		Members    []struct {
 			Number uint64 `toml:"number"`
 			Raft   string `toml:"raft"`
@@ -103,6 +106,7 @@
 	Halls       []struct {
 		Name     string `toml:"name"`
 		Register string `toml:"register"`
+		Closed   bool   `toml:"closed"`
 	} `toml:"hall"`
 	Classes []struct {
 		Name     string   `toml:"name"`
@@ -309,6 +313,13 @@
 	default:
 		r.bad("cluster.when_stale", "%q is unknown: \"serve\" or \"refuse\" is wanted", c.WhenStale)
 	}
+	switch c.Keys {
+	case "", "home":
+	case "anywhere":
+		k.KeysAnywhere = true
+	default:
+		r.bad("cluster.keys", "%q is unknown: \"home\" or \"anywhere\" is wanted", c.Keys)
+	}
 	out.Config.Agreed = agreed
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,7 @@
 
 	"mulleinmux/choice"
 	"mulleinmux/contract"
+	"mulleinmux/sites"
 )
 
 // Hall is a site's servers, which a register of their own lists.
@@ -40,6 +41,9 @@
 	// (see [Instance.Confirm]): instances agree on it.
 	Agreed *Agreed
 
+	// Keys, if set, keeps a keyed request to the hall that package sites gives it.
+	Keys *sites.Config
+
 	MaxClients     int           // connections of clients
 	MaxServers     int           // connections to servers
 	ConnectTimeout time.Duration // for a connection to a server
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -300,10 +301,22 @@
 		}
 	}
 	fl.units = units
+	if fl.homed = f.in.keys != nil && op.Key.In != contract.Nowhere; fl.homed {
+		fl.key = keyNumber(fl.licensee, op.KeyOf(contract.Request{Query: query, Head: h, Body: fl.body}, path))
+	}
 	return choice.Request{Class: op.Class.Name, Plan: l.Plan, Customer: l.Customer, Grace: grace - transit - time.Since(began),
 		Units: float64(units), Spread: f.in.cfg.Settings.Instances}, nil
 }
 
+// keyNumber gives a licensee's key its number, the same at every instance (FNV-1a).
+func keyNumber(licensee, key string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(licensee))
+	h.Write([]byte{0})
+	h.Write([]byte(key))
+	return h.Sum64()
+}
+
 // overrides turns down what makes a server take a request for another than its line
 // says.
 func overrides(h *httpwire.Head, query string) error {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"mulleinmux/internal/load"
 	"mulleinmux/internal/peers"
 	"mulleinmux/internal/register"
+	"mulleinmux/sites"
 )
 
 // Instance is one instance of the gateway. The module's events come from many
@@ -49,6 +51,7 @@
 
 	mu       sync.Mutex
 	gw       *choice.Gateway
+	keys     *sites.Keys // nil: keyed requests are kept to a hall for one request only
 	flights  map[string]*flight
 	after    []func() // what the event under way leaves to do without the mutex
 	closed   bool     // no more events
@@ -116,7 +119,9 @@
 	licensee string
 	units    int
 	deadline time.Time
-	sent     bool // an attempt was written whole
+	sent     bool   // an attempt was written whole
+	key      uint64 // of a keyed request that sites decides on
+	homed    bool   // it is one
 
 	// Under the instance's mutex:
 	done     bool // answer is final
@@ -163,6 +168,11 @@
 	}
 	in := &Instance{cfg: cfg, log: logger, start: time.Now(), ctx: ctx, servers: newServers(cfg), gw: gw,
 		flights: map[string]*flight{}, known: map[string]map[string]bool{}, counters: map[string]*Counters{}, halls: map[string]*watch{}}
+	if cfg.Keys != nil {
+		if in.keys, err = sites.New(*cfg.Keys, in.now()); err != nil {
+			return nil, err
+		}
+	}
 	in.alarm = time.AfterFunc(time.Hour, in.ring)
 	in.alarmAt = math.MaxInt64
 	in.version.Store(&version{table: &contract.Table{}})
@@ -260,6 +270,32 @@
 	}
 }
 
+// minWait is the least that a client is told to wait where its key has no hall now.
+const minWait = 50 * time.Millisecond
+
+// InstallHomes takes over an agreed epoch of homes.
+func (in *Instance) InstallHomes(h sites.Homes) {
+	in.event(func(now time.Duration, _ choice.Actions) { in.keys.Install(now, h) })
+}
+
+// ConfirmHomes tells that the epoch in force was confirmed by a quorum that was asked at a time.
+func (in *Instance) ConfirmHomes(asked time.Time) {
+	in.event(func(time.Duration, choice.Actions) {
+		in.keys.Confirm(time.Duration(in.start.UnixNano()) + asked.Sub(in.start))
+	})
+}
+
+// TellKeys is [sites.Keys.Tell].
+func (in *Instance) TellKeys(most int) (m sites.Message, more bool) {
+	in.event(func(now time.Duration, _ choice.Actions) { m, more = in.keys.Tell(now, most) })
+	return m, more
+}
+
+// HearKeys is [sites.Keys.Hear].
+func (in *Instance) HearKeys(m sites.Message) {
+	in.event(func(now time.Duration, _ choice.Actions) { in.keys.Hear(now, m) })
+}
+
 // Standing tells how long ago the setup in force was confirmed, and whether requests are
 // served on it.
 func (in *Instance) Standing(now time.Time) (age time.Duration, serves bool) {
@@ -363,6 +399,13 @@
 		fl.id = string(strconv.AppendUint(b[:0], in.number, 36))
 		q.ID = fl.id
 		in.flights[fl.id] = fl
+		if fl.homed {
+			v := in.keys.Route(now, fl.key)
+			if q.Zone = v.Hall; v.Hall == "" {
+				in.end(fl, refused, min(max(v.Wait, minWait), in.cfg.Settings.MaxRetryAfter))
+				return
+			}
+		}
 		in.gw.Request(now, q, out)
 	})
 	for !done {
@@ -397,7 +440,20 @@
 	var result choice.Result
 	sent := in.now()
 	fl.rep.whole, fl.rep.since = false, time.Time{}
-	if fl.attempts > 1 && gone() {
+	let := true
+	if fl.homed { // the homes may have changed since the request was admitted
+		in.event(func(now time.Duration, out choice.Actions) {
+			hall, _, _ := strings.Cut(at.server, "/")
+			if let = in.keys.Send(now, fl.key, hall); !let && fl.sent {
+				in.end(fl, failed, 0)
+			} else if !let {
+				in.end(fl, refused, minWait)
+			}
+		})
+	}
+	if !let {
+		result = choice.Moot
+	} else if fl.attempts > 1 && gone() {
 		result = choice.Moot
 		in.event(func(now time.Duration, out choice.Actions) { in.end(fl, failed, 0) })
 	} else {
@@ -415,6 +471,9 @@
 	report := fl.rep.report()
 	return in.step(fl, func(now time.Duration, out choice.Actions) {
 		fl.call = nil
+		if fl.homed && let {
+			in.keys.Ended(fl.key, !fl.rep.whole || result == choice.Full || result == choice.ConnectFailed || result == choice.Moot)
+		}
 		if result == choice.OK {
 			in.end(fl, served, 0)
 		}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -213,6 +213,9 @@
 	fmt.Fprintf(&b, "]\naccess_log = \"access-%d.jsonl\"\n[limits]\ndrain_for = \"50ms\"\nanswer_slack = \"8ms\"\nmax_attempts = 5\n", m.id)
 	fmt.Fprintf(&b, "[servers]\ndrain_grace = \"250ms\"\ncold_from = 0.17\nramp_time = \"15s\"\nfall_multiple = 2.5\noverload_for = \"2s\"\n")
 	fmt.Fprintf(&b, "[cluster]\nname = %q\nnumber = %d\ndata = \"gate-%d.db\"\ncerts = \"certs\"\ntick = %q\n", clusterName, m.id, m.id, memberTick)
+	if c.w.opt.KeysAnywhere {
+		b.WriteString("keys = \"anywhere\"\n")
+	}
 	if i == instances-1 {
 		fmt.Fprintf(&b, "stale_after = %q\nwhen_stale = \"refuse\"\n", shortStale)
 	}
@@ -652,6 +655,34 @@
 	}
 }
 
+// stubbornMix is calmMix with clients that repeat a booking after any failure, at any instance.
+func stubbornMix() []standin.Ask {
+	asks := calmMix()
+	for i := range asks {
+		asks[i].Repeat = true
+	}
+	return asks
+}
+
+// hallCloses closes one hall after the other for keys, and opens it again.
+func hallCloses(ctx context.Context, c *cluster) {
+	for n := 0; ctx.Err() == nil; n++ {
+		h := c.w.halls[n%2]
+		for _, closed := range []bool{true, false} {
+			pause(ctx, time.Duration(300+c.rng.IntN(900))*time.Millisecond)
+			if ctx.Err() != nil {
+				return
+			}
+			p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%d-%v", n, closed), Changes: []fleetconfig.Change{put("hall", h.Name, fleetconfig.Hall{Register: h.Register.Addr().String(), Closed: closed})}}
+			one, cancel := context.WithTimeout(context.WithoutCancel(ctx), 4*time.Second)
+			_, err := c.clients[0].Propose(one, p)
+			if cancel(); err != nil {
+				c.note("%s: %v", p.ID, err)
+			}
+		}
+	}
+}
+
 // chaosConfig kills, cuts and heals by the seed until the time is over.
 func chaosConfig(ctx context.Context, c *cluster) {
 	until, _ := ctx.Deadline()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -33,6 +33,8 @@
 	Program  string            // mulleingate, for scenarios with processes
 	Env      []string          // added to its environment
 
+	KeysAnywhere bool // without the guard of keys: hall-closes must then show double bookings
+
 	breakRule func(*world) // a test breaks a rule on purpose
 }
 
@@ -59,6 +61,8 @@
 		{Name: "leader-lost", About: "processes that agree; the leader is killed three times in the middle of changes", mix: mixedMix, price: sameUnits, cluster: leaderLost},
 		{Name: "minority-cut", About: "processes that agree; one is cut off and serves on, one is cut off and refuses past its bound", mix: mixedMix, price: sameUnits, cluster: minorityCut},
 		{Name: "rolling-restart", About: "processes that agree; each is restarted in turn", mix: mixedMix, price: sameUnits, cluster: rollingRestart},
+		{Name: "hall-closes", About: "processes that agree; halls are closed and opened for keyed requests, whose clients repeat them anywhere", mix: stubbornMix, price: sameUnits, cluster: hallCloses,
+			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -176,6 +176,13 @@
 // Members are the voters and learners of the configuration in force.
 func (c *Core) Members() (voters, learners []uint64) { return c.conf.GetVoters(), c.conf.GetLearners() }
 
+// all are all members: voters, those that are leaving, and learners.
+func (c *Core) all() []uint64 {
+	ids := slices.Concat(c.conf.GetVoters(), c.conf.GetVotersOutgoing(), c.conf.GetLearners(), c.conf.GetLearnersNext())
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // holds tells whether a member is one of the configuration in force.
 func (c *Core) holds(id uint64) bool {
 	for _, ids := range [][]uint64{c.conf.GetVoters(), c.conf.GetVotersOutgoing(), c.conf.GetLearners(), c.conf.GetLearnersNext()} {
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -27,6 +27,8 @@
 
 	// Changed, if set, is called after the state has changed. It must not block.
 	Changed func()
+	// Word, if set, is called with what another member's [Node.Tell] told. It must not keep text.
+	Word func(from uint64, text []byte)
 	// Outgoing, if set, stands between the member and its network: what it does not hand on is lost.
 	Outgoing func(send func(*pb.Message)) func(*pb.Message)
 }
@@ -61,7 +63,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, core: core, events: make(chan func(), eventQueue), stop: stop, ended: make(chan struct{})}
-	n.net = &transport{cluster: cfg.Cluster, me: cfg.ID, creds: cfg.Credentials, hello: hello{cfg.Starts, rand.Uint64()}, ln: ln, logf: cfg.Logger.Printf,
+	n.net = &transport{cluster: cfg.Cluster, me: cfg.ID, creds: cfg.Credentials, hello: hello{cfg.Starts, rand.Uint64()}, ln: ln, word: cfg.Word, logf: cfg.Logger.Printf,
 		heard: func(m *pb.Message) { n.do(ctx, func() { core.Step(m) }) },
 		sent: func(m *pb.Message, ok bool) {
 			// Told from the transport's goroutines, and from the member's own while it sends.
@@ -262,6 +264,12 @@
 	return s, err
 }
 
+// FreezeWith is Freeze with the members of the same moment.
+func (n *Node) FreezeWith(ctx context.Context) (s *fleetconfig.State, members []uint64, err error) {
+	err = n.ask(ctx, func() { s, members = n.core.State().Freeze(), n.core.all() })
+	return s, members, err
+}
+
 // ask runs f on the member's goroutine and waits for its end.
 func (n *Node) ask(ctx context.Context, f func()) error {
 	done := make(chan struct{})
@@ -279,6 +287,15 @@
 	}
 }
 
+// Tell tells all other members a word of up to 64 KiB, which may be lost and is told in order.
+func (n *Node) Tell(text []byte) error {
+	if len(text) > maxWord {
+		return fmt.Errorf("a word of %d bytes: %d are the most", len(text), maxWord)
+	}
+	n.net.tell(text)
+	return nil
+}
+
 // Peers sets the addresses of all members.
 func (n *Node) Peers(addrs map[uint64]string) { n.net.peers(addrs) }
 
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -256,6 +256,7 @@
 		"in another's name":   {r.auth, 2, frame(vote)},
 		"a frame without end": {r.auth, 2, binary.BigEndian.AppendUint32(nil, 1<<31)},
 		"noise":               {r.auth, 2, []byte{0, 0, 0, 3, 0xff, 0xff, 0xff}},
+		"a word too long":     {r.auth, 3, append(frame(vote)[:20:20], binary.BigEndian.AppendUint32(nil, frameWord<<28|maxWord+1)...)},
 		"no hello":            {r.auth, 3, frame(vote)[20:]},
 	} {
 		creds, err := c.auth.Credentials(c.id)
@@ -451,6 +452,43 @@
 	}
 }
 
+// Words go to all other members, in order and under the sender's number; one that is too
+// long is refused, and one that comes too long ends the connection.
+func TestWords(t *testing.T) {
+	r := newReal(t, 3)
+	r.await("ready", func(s Status) bool { return s.Ready && s.Leader != 0 })
+	type word struct {
+		to, from uint64
+		text     string
+	}
+	heard := make(chan word, 1000)
+	for id, n := range r.nodes {
+		n.net.mu.Lock()
+		n.net.word = func(from uint64, text []byte) { heard <- word{id, from, string(text)} }
+		n.net.mu.Unlock()
+	}
+	for i := range 20 {
+		if err := r.nodes[1].Tell([]byte(fmt.Sprint("word ", i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := map[uint64]int{}
+	for range 40 {
+		select {
+		case w := <-heard:
+			if w.from != 1 || w.to == 1 || w.text != fmt.Sprint("word ", next[w.to]) {
+				t.Fatalf("%+v after %v", w, next)
+			}
+			next[w.to]++
+		case <-time.After(patience):
+			t.Fatalf("words are missing: %v", next)
+		}
+	}
+	if err := r.nodes[1].Tell(make([]byte, maxWord+1)); err == nil {
+		t.Error("a word that is too long is taken")
+	}
+}
+
 // A member whose clock is an hour behind the one that made the certificates takes them.
 func TestClockBehind(t *testing.T) {
 	auth, err := NewAuthority("c")
--- a/internal/raftnode/transport.go
+++ b/internal/raftnode/transport.go
@@ -38,6 +38,8 @@
 	redialMost     = time.Second
 	acceptMost     = 64 // connections of peers at once
 	partSize       = 256 << 10
+	maxWord        = 64 << 10
+	queueWords     = 64
 )
 
 // Kinds of frames.
@@ -46,6 +48,7 @@
 	framePart            // of a snapshot's message
 	frameLastPart        // its end
 	frameHello           // the first: hello
+	frameWord            // a word of the instances to each other, not of the engine
 )
 
 // hello tells how often a member's file was opened, and which process this is. A member whose
@@ -74,8 +77,9 @@
 	creds   Credentials
 	hello   hello // starts 0: not known
 	ln      net.Listener
-	heard   func(*pb.Message)            // from a verified member
-	sent    func(m *pb.Message, ok bool) // told for snapshots and for messages that could not go out
+	heard   func(*pb.Message)              // from a verified member
+	sent    func(m *pb.Message, ok bool)   // told for snapshots and for messages that could not go out
+	word    func(from uint64, text []byte) // from a verified member; nil: words are dropped
 	logf    func(format string, args ...any)
 
 	mu    sync.Mutex
@@ -91,6 +95,7 @@
 	to    uint64
 	addr  string
 	queue chan *pb.Message
+	words chan []byte
 	stop  context.CancelFunc
 	mu    sync.Mutex
 	bytes int // in the queue
@@ -172,12 +177,24 @@
 			continue
 		}
 		ctx, stop := context.WithCancel(t.ctx)
-		l := &link{to: id, addr: addr, queue: make(chan *pb.Message, queueMessages), stop: stop}
+		l := &link{to: id, addr: addr, queue: make(chan *pb.Message, queueMessages), words: make(chan []byte, queueWords), stop: stop}
 		t.links[id] = l
 		t.all.Go(func() { t.run(ctx, l) })
 	}
 }
 
+// tell queues a word for all other members. One that finds a queue full is lost.
+func (t *transport) tell(text []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		select {
+		case l.words <- text:
+		default:
+		}
+	}
+}
+
 // send queues a message. One that finds the queue full is lost, as Raft allows.
 func (t *transport) send(m *pb.Message) {
 	t.mu.Lock()
@@ -304,12 +321,14 @@
 	}()
 	for {
 		var m *pb.Message
-		if snap == nil && len(l.queue) == 0 {
+		var word []byte
+		if snap == nil && len(l.queue) == 0 && len(l.words) == 0 {
 			if err := out.Flush(); err != nil {
 				return err
 			}
 			select {
 			case m = <-l.queue:
+			case word = <-l.words:
 			case <-gone:
 				return errors.New("the connection has ended")
 			case <-ctx.Done():
@@ -318,11 +337,18 @@
 		} else {
 			select {
 			case m = <-l.queue:
+			case word = <-l.words:
 			case <-gone:
 				return errors.New("the connection has ended")
 			default:
 			}
 		}
+		if word != nil {
+			if err := frame(frameWord, word); err != nil {
+				return err
+			}
+			continue
+		}
 		if m != nil {
 			l.took(proto.Size(m))
 			text, err := proto.Marshal(m)
@@ -417,7 +443,7 @@
 		}
 		word := binary.BigEndian.Uint32(head[:])
 		kind, n := int(word>>28), int(word&(1<<28-1))
-		if n > maxFrame || kind > frameHello || first != (kind == frameHello) || kind != frameMessage && (n > partSize || len(snap)+n > maxFrame) {
+		if n > maxFrame || kind > frameWord || kind == frameWord && n > maxWord || first != (kind == frameHello) || (kind == framePart || kind == frameLastPart) && (n > partSize || len(snap)+n > maxFrame) {
 			return fmt.Errorf("member %d sends a frame of kind %d with %d bytes", from, kind, n)
 		}
 		nc.SetReadDeadline(time.Now().Add(frameLimit))
@@ -438,6 +464,15 @@
 			}
 			continue
 		}
+		if kind == frameWord {
+			t.mu.Lock()
+			word := t.word
+			t.mu.Unlock()
+			if word != nil {
+				word(from, text)
+			}
+			continue
+		}
 		whole := text
 		if kind != frameMessage {
 			if snap = append(snap, text...); kind == framePart {
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -111,6 +111,7 @@
 	fullTill  time.Duration // until then, what it could not remember may still be repeated
 	untold    []uint64
 	seq       uint64
+	told      uint64 // epoch
 	peers     map[uint64]*peer
 }
 
@@ -311,22 +312,25 @@
 	return uint16(len(k.names) - 1)
 }
 
-// Tell returns the next message to all other instances. It must go out now and then even with
-// nothing sent: a barrier lifts by what is told.
-func (k *Keys) Tell(now time.Duration) Message {
+// Tell returns the next message to all other instances, with most keys at the most, and
+// whether there is more to tell at once. It must go out now and then even with nothing sent: a
+// barrier lifts by what is told.
+func (k *Keys) Tell(now time.Duration, most int) (m Message, more bool) {
 	k.forget(now)
 	k.seq++
-	m := Message{From: k.cfg.Me, Incarnation: k.cfg.Incarnation, Seq: k.seq, Age: now - k.began, Full: now < k.fullTill}
-	if k.homes != nil {
-		m.Epoch = k.homes.Epoch
+	n := min(len(k.untold), most)
+	m = Message{From: k.cfg.Me, Incarnation: k.cfg.Incarnation, Seq: k.seq, Age: now - k.began, Full: now < k.fullTill}
+	if more = n < len(k.untold); !more && k.homes != nil { // an epoch is told behind all that was sent before it
+		k.told = k.homes.Epoch
 	}
-	for _, key := range k.untold {
+	m.Epoch = k.told
+	for _, key := range k.untold[:n] {
 		if e, ok := k.keys[key]; ok {
 			m.Sent = append(m.Sent, Sent{key, k.names[e.hall], now - e.first})
 		}
 	}
-	k.untold = nil
-	return m
+	k.untold = append([]uint64(nil), k.untold[n:]...)
+	return m, more
 }
 
 // Hear takes in another instance's message. One that is late, repeated or from an older
--- a/sites/sim_test.go
+++ b/sites/sim_test.go
@@ -134,7 +134,7 @@
 			return
 		}
 		if s.now >= i.asleep {
-			m := k.Tell(s.clock(i))
+			m, _ := k.Tell(s.clock(i), 3)
 			for _, o := range s.instances {
 				if lost := s.now < simFaults && s.rng.Float64() < 0.002; o != i && !lost && !i.cut {
 					s.at(s.between(time.Millisecond, 20*time.Millisecond), func() {
@@ -413,10 +413,10 @@
 		}
 		k.Ended(key, false)
 		if i%1000 == 0 {
-			k.Tell(now)
+			k.Tell(now, 2000)
 		}
 	}
-	k.Tell(now)
+	k.Tell(now, 2000)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	b.ReportAllocs()
