--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -56,7 +56,7 @@
 func (c *labCmd) Run(e *env) error {
 	if c.List {
 		for _, s := range lab.Scenarios() {
-			fmt.Fprintf(e.stdout, "%-16s %s\n", s.Name, s.About)
+			fmt.Fprintf(e.stdout, "%-28s %s\n", s.Name, s.About)
 		}
 		return nil
 	}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -52,6 +52,7 @@
 	clients []*fleet.Client  // one for each operator
 	chaos   bool
 	rng     *rand.Rand
+	closing func() // called when hallCloses has closed a hall; nil: nothing more
 
 	mu     sync.Mutex
 	orders []order
@@ -664,6 +665,23 @@
 	return asks
 }
 
+// killedHoldingKeys is hallCloses with an instance killed as each hall closes: what it has sent
+// and not told dies with it.
+func killedHoldingKeys(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	strike, cancel := context.WithDeadline(ctx, until.Add(-c.w.opt.For/6))
+	defer cancel()
+	c.closing = func() {
+		m := c.members[c.rng.IntN(instances)]
+		c.kill(m)
+		pause(strike, time.Duration(c.rng.IntN(600))*time.Millisecond)
+		if err := c.restart(context.WithoutCancel(ctx), m); err != nil {
+			c.note("%v", err)
+		}
+	}
+	hallCloses(strike, c)
+}
+
 // hallCloses closes one hall after the other for keys, and opens it again.
 func hallCloses(ctx context.Context, c *cluster) {
 	for n := 0; ctx.Err() == nil; n++ {
@@ -679,6 +697,9 @@
 			if cancel(); err != nil {
 				c.note("%s: %v", p.ID, err)
 			}
+			if closed && c.closing != nil {
+				c.closing()
+			}
 		}
 	}
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -63,6 +63,8 @@
 		{Name: "rolling-restart", About: "processes that agree; each is restarted in turn", mix: mixedMix, price: sameUnits, cluster: rollingRestart},
 		{Name: "hall-closes", About: "processes that agree; halls are closed and opened for keyed requests, whose clients repeat them anywhere", mix: stubbornMix, price: sameUnits, cluster: hallCloses,
 			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
+		{Name: "instance-killed-holding-keys", About: "the same, and an instance is killed as each hall closes", mix: stubbornMix, price: sameUnits, cluster: killedHoldingKeys,
+			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
