--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -156,6 +156,12 @@
 	}
 	pause := 4 * n.cfg.Tick
 	last, away := error(ErrNoLeader), false // away: it may have reached a leader
+	// A long one takes its time; repeated too soon it would add to what holds it up.
+	size := 0
+	for _, c := range p.Changes {
+		size += len(c.Value)
+	}
+	patience := time.Duration((3+size>>20)*n.core.cfg.ElectionTicks) * n.cfg.Tick
 	for {
 		got := make(chan result, 1)
 		var once sync.Once
@@ -164,7 +170,7 @@
 		}) {
 			return fleetconfig.Outcome{}, errors.Join(ErrStopped, last, ctx.Err())
 		}
-		again := time.NewTimer(time.Duration(3*n.core.cfg.ElectionTicks) * n.cfg.Tick)
+		again := time.NewTimer(patience)
 		select {
 		case r := <-got:
 			again.Stop()
@@ -181,6 +187,7 @@
 			}
 		case <-again.C:
 			last, away = ErrLost, true
+			patience *= 2
 		case <-ctx.Done():
 			again.Stop()
 			away = true
