--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -343,8 +343,3 @@
 
 // Instance is the gateway's.
 func (f *Fleet) Instance() *gateway.Instance { return f.in }
-
-// Propose has a proposal applied.
-func (f *Fleet) Propose(ctx context.Context, p *fleetconfig.Proposal) (fleetconfig.Outcome, error) {
-	return f.node.Propose(ctx, p)
-}
