--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -48,6 +48,16 @@
 	Value json.RawMessage `json:"value,omitempty"` // of a put
 }
 
+// Put is the change that puts an object. It panics on a value that JSON can't hold, which
+// none of this package's kinds is.
+func Put(kind, name string, value any) Change {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("fleetconfig: %s %s: %v", kind, name, err))
+	}
+	return Change{Op: "put", Kind: kind, Name: name, Value: text}
+}
+
 // Proposal is what an operator asks for: all of its changes take place, or none.
 type Proposal struct {
 	ID      string   `json:"id"`             // of the request: a repeated one is applied once
--- a/internal/bench/changes.go
+++ b/internal/bench/changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log"
@@ -154,23 +153,15 @@
 	return nil
 }
 
-func put(kind, name string, v any) fleetconfig.Change {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // a struct of figures
-	}
-	return fleetconfig.Change{Op: "put", Kind: kind, Name: name, Value: text}
-}
-
 // agree has the instances agree on the bench's configuration and waits until it is in force.
 func agree(ctx context.Context, cl *fleet.Client, register string) error {
 	p := &fleetconfig.Proposal{ID: "first", Changes: []fleetconfig.Change{
-		put("class", "slot-check", fleetconfig.Class{Worth: 3, AimMs: 2000, DeadlineMs: 4000}), put("class", "visit-book", fleetconfig.Class{Worth: 9, AimMs: 2000, DeadlineMs: 4000}),
-		put("plan", "kubwa", fleetconfig.Plan{Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}),
-		put("hall", "hall-a", fleetconfig.Hall{Register: register}),
-		put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(deploy.Booking)})}}
+		fleetconfig.Put("class", "slot-check", fleetconfig.Class{Worth: 3, AimMs: 2000, DeadlineMs: 4000}), fleetconfig.Put("class", "visit-book", fleetconfig.Class{Worth: 9, AimMs: 2000, DeadlineMs: 4000}),
+		fleetconfig.Put("plan", "kubwa", fleetconfig.Plan{Rate: 1e5, Burst: 1e5, CeilingRate: 2e5, CeilingBurst: 2e5, Price: 1}),
+		fleetconfig.Put("hall", "hall-a", fleetconfig.Hall{Register: register}),
+		fleetconfig.Put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(deploy.Booking)})}}
 	for i := range 100 {
-		p.Changes = append(p.Changes, put("licensee", fmt.Sprint("licensee-", i), fleetconfig.Licensee{Plan: "kubwa"}))
+		p.Changes = append(p.Changes, fleetconfig.Put("licensee", fmt.Sprint("licensee-", i), fleetconfig.Licensee{Plan: "kubwa"}))
 	}
 	ctx, cancel := context.WithTimeout(ctx, agreeMost)
 	defer cancel()
@@ -197,7 +188,7 @@
 			return n
 		case <-tick.C:
 		}
-		p := &fleetconfig.Proposal{ID: fmt.Sprint(time.Now().UnixNano()), Changes: []fleetconfig.Change{put("licensee", fmt.Sprint("other-", i%50), fleetconfig.Licensee{Plan: "kubwa"})}}
+		p := &fleetconfig.Proposal{ID: fmt.Sprint(time.Now().UnixNano()), Changes: []fleetconfig.Change{fleetconfig.Put("licensee", fmt.Sprint("other-", i%50), fleetconfig.Licensee{Plan: "kubwa"})}}
 		if _, err := cl.Propose(ctx, p); err == nil {
 			n++
 		}
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -415,11 +415,7 @@
 	name := fmt.Sprint(id)
 	c := fleetconfig.Change{Op: "remove", Kind: "member", Name: name}
 	if at != nil {
-		text, err := json.Marshal(at)
-		if err != nil {
-			return err
-		}
-		c = fleetconfig.Change{Op: "put", Kind: "member", Name: name, Value: text}
+		c = fleetconfig.Put("member", name, at)
 	}
 	s, err := f.node.Freeze(ctx)
 	if err != nil {
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -375,31 +375,23 @@
 	}
 }
 
-func put(kind, name string, v any) fleetconfig.Change {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // a struct of figures
-	}
-	return fleetconfig.Change{Op: "put", Kind: kind, Name: name, Value: text}
-}
-
 // agree has the instances agree on what they serve at first.
 func (c *cluster) agree(ctx context.Context, halls []gateway.Hall) error {
 	p := &fleetconfig.Proposal{ID: "begin", Why: variantWhy(1)}
 	for _, k := range classes() {
-		p.Changes = append(p.Changes, put("class", k.Name, fleetconfig.Class{Worth: k.Worth, Late: k.Late, AimMs: k.Aim.Milliseconds(), DeadlineMs: k.Deadline.Milliseconds()}))
+		p.Changes = append(p.Changes, fleetconfig.Put("class", k.Name, fleetconfig.Class{Worth: k.Worth, Late: k.Late, AimMs: k.Aim.Milliseconds(), DeadlineMs: k.Deadline.Milliseconds()}))
 	}
 	for _, pl := range settings(0).Plans {
-		p.Changes = append(p.Changes, put("plan", pl.Name, fleetconfig.Plan{Rate: pl.Rate, Burst: pl.Burst, CeilingRate: pl.CeilingRate, CeilingBurst: pl.CeilingBurst,
+		p.Changes = append(p.Changes, fleetconfig.Put("plan", pl.Name, fleetconfig.Plan{Rate: pl.Rate, Burst: pl.Burst, CeilingRate: pl.CeilingRate, CeilingBurst: pl.CeilingBurst,
 			CeilingSlack: pl.CeilingSlack, Price: pl.Price, OverWorth: pl.OverWorth, OverCost: pl.OverCost}))
 	}
 	for _, l := range licensees() {
-		p.Changes = append(p.Changes, put("licensee", l.Name, fleetconfig.Licensee{Plan: l.Plan}))
+		p.Changes = append(p.Changes, fleetconfig.Put("licensee", l.Name, fleetconfig.Licensee{Plan: l.Plan}))
 	}
 	for _, h := range halls {
-		p.Changes = append(p.Changes, put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String()}))
+		p.Changes = append(p.Changes, fleetconfig.Put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String()}))
 	}
-	p.Changes = append(p.Changes, put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(1, false))}))
+	p.Changes = append(p.Changes, fleetconfig.Put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(1, false))}))
 	ctx, cancel := context.WithTimeout(ctx, startMost)
 	defer cancel()
 	for {
@@ -452,20 +444,20 @@
 		case x < 0.2: // a description: three prices, and a class that is new
 			v := 2 + rng.IntN(20)
 			p.Why = variantWhy(v)
-			p.Changes = []fleetconfig.Change{put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(v, false))})}
+			p.Changes = []fleetconfig.Change{fleetconfig.Put("description", "booking", fleetconfig.Description{File: "booking.yaml", Text: string(variant(v, false))})}
 		case x < 0.3: // bad: refused by all alike
-			p.Changes = []fleetconfig.Change{put("licensee", "bad", fleetconfig.Licensee{Plan: "none"})}
+			p.Changes = []fleetconfig.Change{fleetconfig.Put("licensee", "bad", fleetconfig.Licensee{Plan: "none"})}
 		case x < 0.5: // a plan that comes and goes
-			p.Changes = []fleetconfig.Change{put("plan", fmt.Sprint("trial-", rng.IntN(5)), fleetconfig.Plan{Rate: 1, Burst: 5, Price: 1})}
+			p.Changes = []fleetconfig.Change{fleetconfig.Put("plan", fmt.Sprint("trial-", rng.IntN(5)), fleetconfig.Plan{Rate: 1, Burst: 5, Price: 1})}
 		case x < 0.6:
 			p.Changes = []fleetconfig.Change{{Op: "remove", Kind: "plan", Name: fmt.Sprint("trial-", rng.IntN(5))}}
 		case x < 0.8:
-			p.Changes = []fleetconfig.Change{put("plan", "msingi", fleetconfig.Plan{Rate: 6, Burst: 20 + float64(rng.IntN(8)), Price: 0.88, OverWorth: 0.3})}
+			p.Changes = []fleetconfig.Change{fleetconfig.Put("plan", "msingi", fleetconfig.Plan{Rate: 6, Burst: 20 + float64(rng.IntN(8)), Price: 0.88, OverWorth: 0.3})}
 		default: // against what it has read
 			var objects fleet.Objects
 			if objects, err = cl.Objects(one, false); err == nil {
 				p.Base = &objects.Version
-				p.Changes = []fleetconfig.Change{put("licensee", fmt.Sprint("new-", i), fleetconfig.Licensee{Plan: "kati"})}
+				p.Changes = []fleetconfig.Change{fleetconfig.Put("licensee", fmt.Sprint("new-", i), fleetconfig.Licensee{Plan: "kati"})}
 			}
 		}
 		if err == nil && !o.read {
@@ -691,7 +683,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%d-%v", n, closed), Changes: []fleetconfig.Change{put("hall", h.Name, fleetconfig.Hall{Register: h.Register.Addr().String(), Closed: closed})}}
+			p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%d-%v", n, closed), Changes: []fleetconfig.Change{fleetconfig.Put("hall", h.Name, fleetconfig.Hall{Register: h.Register.Addr().String(), Closed: closed})}}
 			one, cancel := context.WithTimeout(context.WithoutCancel(ctx), 4*time.Second)
 			_, err := c.clients[0].Propose(one, p)
 			if cancel(); err != nil {
--- a/sites/sim_test.go
+++ b/sites/sim_test.go
@@ -67,10 +67,8 @@
 	served    int
 	refused   int
 	lateNo    int // refused though all had healed long ago
-	doubles   int
 	most      int
 	healed    time.Duration // when the last fault ended; 0: it has not
-	quiet     bool          // violations are counted and not reported
 }
 
 func (s *sim) at(d time.Duration, do func()) {
@@ -209,10 +207,7 @@
 	}
 	s.halls[hall][key] = s.now
 	if before, ok := s.effects[key]; ok {
-		s.doubles++
-		if !s.quiet {
-			s.t.Errorf("seed %d, %v: key %d had its effect at %s and at %s", s.seed, s.now, key, before, hall)
-		}
+		s.t.Errorf("seed %d, %v: key %d had its effect at %s and at %s", s.seed, s.now, key, before, hall)
 		return
 	}
 	s.effects[key] = hall
