Edge node: operators' calls and figures, drain by their word, upgrades handed over

internal/node/manage.go answers /control/ready, counters, out-of-service and in-service on an address of its own, with twelve descriptors; the eldest call without a request gives way. drain.go empties the node without an exit. handover.go: the successor waits, ready, on a socket in $TMPDIR until the predecessor is told to end and hands over what its module knows (choice/handover.go), the peers' socket and each client's connection once no request is on it. A predecessor or a successor that dies leaves a start from nothing or an ordinary drain.

Guards taken out of choice/handover.go one by one: six of six found, three of them only after the tests were mended.

--- /dev/null
+++ b/choice/handover_test.go
@@ -0,0 +1,190 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+func handoverSettings() Settings {
+	s := testSettings()
+	s.Instances, s.Me, s.Peers, s.InboxPerS = 3, 1, true, 1000
+	s.Plans = []Plan{
+		{Name: "ceiled", Rate: 1, Burst: 6, CeilingRate: 6, CeilingBurst: 30, Price: 1},
+		{Name: "open", Open: 4, Price: 1},
+	}
+	return s
+}
+
+// playForHandover gives a gateway a past: spent stores, a peer's tells, a server that is out.
+func playForHandover(t *testing.T) (*Gateway, *recorder) {
+	t.Helper()
+	g, r := newGate(t, handoverSettings(), fleet(4)...)
+	peer, rp := newGate(t, func() Settings { s := handoverSettings(); s.Me = 0; return s }(), fleet(4)...)
+	q := newRequest(900, "safe", "ceiled", 1)
+	q.Spread = 3
+	peer.Request(t0, q, rp)
+	for token := range map[uint64]bool{timerTell: true} {
+		peer.Timer(t0+ms, token, rp)
+	}
+	for _, m := range rp.tells[1] {
+		g.Peer(t0+2*ms, 0, m, r)
+	}
+	for i := range 40 {
+		now := t0 + time.Duration(i)*100*ms
+		q := newRequest(i, "safe", []string{"ceiled", "open"}[i%2], uint64(1+i%2))
+		q.Spread = 3
+		g.Request(now, q, r)
+		if last := r.last(); strings.HasPrefix(last, "send") && i%2 == 0 {
+			g.Outcome(now+20*ms, Outcome{ID: q.ID, Result: OK, Server: strings.Fields(last)[2], Took: 20 * ms, Closed: true}, r)
+		}
+		g.Timer(now+50*ms, timerProbe, r)
+	}
+	g.servers[0].lost = true
+	return g, r
+}
+
+// newHeir is a gateway that starts now.
+func newHeir(t *testing.T, s Settings, now time.Duration, servers ...Server) (*Gateway, *recorder) {
+	t.Helper()
+	g, err := New(s, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{}
+	g.Start(now, r)
+	g.List(now, ListSaved, servers, r)
+	return g, r
+}
+
+// The successor admits just what the predecessor would have: of quota, ceiling and open
+// attempts nothing is there twice.
+func TestTakeOver(t *testing.T) {
+	g, r := playForHandover(t)
+	now := t0 + 4*time.Second
+	text, err := g.HandOver(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, rn := newHeir(t, handoverSettings(), now, fleet(4)...)
+	if err := next.TakeOver(now, text); err != nil {
+		t.Fatal(err)
+	}
+	for key, st := range g.stores {
+		to := next.stores[key]
+		if to == nil || to.level != st.level || to.ceiling != st.ceiling || to.untold != st.untold || to.dirty != st.dirty {
+			t.Fatalf("store %d: %+v went over as %+v", key, st, to)
+		}
+	}
+	if g.stores[1].ceiling > 7.9 || g.stores[1].level > 5.5 {
+		t.Fatalf("nothing was spent: %+v", g.stores[1])
+	}
+	if got, want := next.openRoom(next.stores[2]), g.openRoom(g.stores[2]); got != want || want == 4 {
+		t.Errorf("room for open attempts %d, want %d", got, want)
+	}
+	if a, b := fmt.Sprintf("%+v", g.aro), fmt.Sprintf("%+v", next.aro); a != b {
+		t.Errorf("load control\n%s went over as\n%s", a, b)
+	}
+	if g.lat[0].mean != next.lat[0].mean || g.lat[0].mean == 0 || next.learnedWork(0) != g.learnedWork(0) {
+		t.Errorf("latency %+v went over as %+v", g.lat[0], next.lat[0])
+	}
+	if listed, avoided := next.Servers(now); listed != 4 || avoided != 1 {
+		t.Errorf("%d servers, %d avoided", listed, avoided)
+	}
+	// A customer that neither remembers has what its store has filled to since the first one's start.
+	fresh := next.storeFor(77, 0, 3, 0)
+	if was := g.storeFor(77, 0, 3, 0); math.Abs(fresh.level-was.level) > 1e-9 || math.Abs(fresh.ceiling-was.ceiling) > 1e-9 {
+		t.Errorf("unknown customer: %+v, was %+v", fresh, was)
+	}
+	// The two decide alike from here on.
+	for i := range 30 {
+		at := now + time.Duration(i)*50*ms
+		q := newRequest(1000+i, "safe", "ceiled", 1)
+		q.Spread = 3
+		before, beforeNext := r.count("send"), rn.count("send")
+		g.Request(at, q, r)
+		next.Request(at, q, rn)
+		if (r.count("send") > before) != (rn.count("send") > beforeNext) {
+			t.Fatalf("request %d: %q and %q", i, r.last(), rn.last())
+		}
+	}
+}
+
+// A peer's tell that the predecessor has heard is not counted again.
+func TestTakeOverKnowsPeersNumbers(t *testing.T) {
+	g, _ := playForHandover(t)
+	now := t0 + 4*time.Second
+	text, _ := g.HandOver(now)
+	next, rn := newHeir(t, handoverSettings(), now, fleet(4)...)
+	if err := next.TakeOver(now, text); err != nil {
+		t.Fatal(err)
+	}
+	if !g.peers[0].heard {
+		t.Fatal("no tell was heard")
+	}
+	level := next.stores[1].level
+	body := next.appendEntry(nil, &store{key: 1, spread: 3, untold: 2})
+	next.Peer(now, 0, encodeTell(g.peers[0].inEpoch, g.peers[0].inSeq, 1, body, 0, nil), rn)
+	if next.stores[1].level != level {
+		t.Errorf("an old tell took %v", level-next.stores[1].level)
+	}
+	next.Peer(now, 0, encodeTell(g.peers[0].inEpoch, g.peers[0].inSeq+1, 1, body, 0, nil), rn)
+	if next.stores[1].level != level-2 {
+		t.Errorf("a new tell took %v of 2", level-next.stores[1].level)
+	}
+}
+
+// A changed plan goes over with what was spent; one that is gone is left out, and so are a
+// server that has restarted since and a class unknown.
+func TestTakeOverIntoOtherSettings(t *testing.T) {
+	g, _ := playForHandover(t)
+	now := t0 + 4*time.Second
+	text, _ := g.HandOver(now)
+	s := handoverSettings()
+	s.Plans = []Plan{{Name: "novel", Rate: 1, Burst: 1}, {Name: "ceiled", Rate: 20, Burst: 60, CeilingRate: 40, CeilingBurst: 120, Price: 1}}
+	s.Classes = s.Classes[1:]
+	servers := fleet(4)
+	servers[0].Boot = now
+	next, _ := newHeir(t, s, now, servers...)
+	if err := next.TakeOver(now, text); err != nil {
+		t.Fatal(err)
+	}
+	if _, avoided := next.Servers(now); avoided != 0 {
+		t.Error("a server that has restarted since is avoided")
+	}
+	st, was := next.stores[1], g.stores[1]
+	if next.stores[2] != nil || st == nil || st.plan != 1 {
+		t.Fatalf("stores %v", next.stores)
+	}
+	if spent, want := 60-st.level, 6-was.level; math.Abs(spent-want) > 1e-9 {
+		t.Errorf("spent %v of the quota, was %v", spent, want)
+	}
+	if spent, want := 120*st.burstPart-st.ceiling, 30*was.burstPart-was.ceiling; math.Abs(spent-want) > 1e-9 {
+		t.Errorf("spent %v of the ceiling, was %v", spent, want)
+	}
+}
+
+// What can't be taken over changes nothing.
+func TestTakeOverRefused(t *testing.T) {
+	g, _ := playForHandover(t)
+	now := t0 + 4*time.Second
+	text, _ := g.HandOver(now)
+	other := handoverSettings()
+	other.Me = 2
+	for name, c := range map[string]struct {
+		set  Settings
+		text string
+	}{
+		"cut short":        {handoverSettings(), string(text[:len(text)/2])},
+		"another's":        {other, string(text)},
+		"nothing":          {handoverSettings(), ""},
+		"store that can't": {handoverSettings(), strings.Replace(string(text), `"Spread":3`, `"Spread":9`, 1)},
+	} {
+		next, _ := newGate(t, c.set, fleet(4)...)
+		if err := next.TakeOver(now, []byte(c.text)); err == nil || len(next.stores) != 0 || next.started != t0 {
+			t.Errorf("%s: error %v, %d stores", name, err, len(next.stores))
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -343,6 +343,18 @@
 // aside tells whether the server is kept for when no other is left.
 func (s *server) aside(now time.Duration) bool { return s.lost || now < s.ejected }
 
+// Servers counts the servers in the list, and those of them that get no request while others are left:
+// silent, or ejected for their failures.
+func (g *Gateway) Servers(now time.Duration) (listed, avoided int) {
+	for _, s := range g.servers {
+		if s.listed {
+			listed++
+			avoided += int(b2f(s.aside(now)))
+		}
+	}
+	return listed, avoided
+}
+
 // takes tells whether the server is in the list and not draining.
 func (s *server) takes() bool { return s.listed && s.State == Up }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -20,6 +21,9 @@
 	Name      string
 	Listen    netip.AddrPort // where clients connect
 	Discovery netip.AddrPort // the agent of the server register
+	Manage    netip.AddrPort // where operators call; invalid where they don't
+	AcceptFD  int            // the descriptor of a clients' listening socket that the platform holds; 0: none
+	Handover  string         // the socket on which a successor takes over; empty: none does
 	Seed      uint64
 	MemoryMB  int // 0: no limit told
 	Sockets   int // descriptors that the process may hold
@@ -49,9 +53,10 @@
 	defaultConnectTimeout = 250 * time.Millisecond
 )
 
-// LoadConfig reads the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN and
-// PROXY_DISCOVERY, where set, go before what the file says. getenv is os.Getenv
-// but for tests.
+// LoadConfig reads the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN,
+// PROXY_DISCOVERY and PROXY_MANAGEMENT, where set, go before what the file says.
+// PROXY_ACCEPT_FD names an inherited listening socket; with one and a $TMPDIR, which both
+// processes share, a successor takes over there. getenv is os.Getenv but for tests.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
@@ -83,8 +88,8 @@
 // parseConfig validates the configuration; an error names the field at fault.
 func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
 	var raw struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Seed, Management string
+		Limits                                    struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  float64
 		}
@@ -98,7 +103,7 @@
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
 	for env, field := range map[string]*string{"PROXY_NAME": &raw.Name, "PROXY_LISTEN": &raw.Listen,
-		"PROXY_DISCOVERY": &raw.Discovery} {
+		"PROXY_DISCOVERY": &raw.Discovery, "PROXY_MANAGEMENT": &raw.Management} {
 		if v := getenv(env); v != "" {
 			*field = v
 		}
@@ -114,6 +119,19 @@
 	if c.Discovery, err = register.Address("discovery", raw.Discovery); err != nil {
 		return nil, err
 	}
+	if raw.Management != "" {
+		if c.Manage, err = register.Address("management", raw.Management); err != nil {
+			return nil, err
+		}
+	}
+	if text := getenv("PROXY_ACCEPT_FD"); text != "" {
+		if c.AcceptFD, err = strconv.Atoi(text); err != nil || c.AcceptFD < 3 || c.AcceptFD > 1<<16 {
+			return nil, fmt.Errorf("PROXY_ACCEPT_FD: %q is not the number of an inherited descriptor", text)
+		}
+		if dir := getenv("TMPDIR"); dir != "" {
+			c.Handover = filepath.Join(dir, handoverName)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is not a 64-bit hex number", raw.Seed)
 	}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -12,7 +12,9 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mulleinmux/choice"
@@ -30,6 +32,7 @@
 	writeLimit = 10 * time.Second        // from a request's header to the end of its answer
 	idleLimit  = 30 * time.Second        // for a connection between requests
 	drainTime  = 500 * time.Millisecond  // connections still come for 0.4 s after a planned restart begins
+	leavePoll  = 10 * time.Millisecond   // between looks whether the last connection has gone
 	otherFiles = 48                      // descriptors that are neither a client's nor an app server's
 )
 
@@ -46,8 +49,13 @@
 	slots    *slots
 	ready    atomic.Bool
 	draining atomic.Bool
-	classes  map[string]choice.Class
-	plans    map[string]bool
+
+	outOfService atomic.Bool // by an operator's word
+	outMu        sync.Mutex
+	outEnd       chan struct{} // ends the drain by an operator's word; nil where there is none
+
+	classes map[string]choice.Class
+	plans   map[string]bool
 }
 
 func newFront(n *Node) *front {
@@ -66,7 +74,12 @@
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    16 << 10,
 		ConnContext:       withSlot,
-		ErrorLog:          n.log,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				c.(*slotConn).rest()
+			}
+		},
+		ErrorLog: n.log,
 	}
 	return f
 }
@@ -79,18 +92,72 @@
 	return nil
 }
 
-// drain ends serving. Clients still come for a while and are still answered, on
-// connections that close after the answer; then the listener closes, and what was
-// taken is finished. Closing at once would lose what crosses the close.
-func (f *front) drain() {
-	f.ready.Store(false)
-	f.draining.Store(true)
-	<-time.After(f.node.cfg.drainFor)
-	longest := time.Duration(0)
+// handOver gives clients and what the module knows to the process that takes over, and
+// ends once its own requests are answered. ln, on which it accepted, is closed first; the
+// socket behind it stays with the successor. An error means that no client was handed over.
+func (f *front) handOver(h *heir, ln net.Listener) error {
+	ln.Close()
+	n := f.node
+	state, sock, err := n.retire()
+	if sock != nil {
+		defer sock.Close()
+	}
+	if err != nil {
+		return err
+	}
+	h.retire()
+	if err := h.sendState(state); err != nil {
+		return err
+	}
+	if sock != nil {
+		rc, err := sock.RawConn()
+		if err == nil {
+			err = h.send(msgPeers, nil, rc)
+		}
+		if err != nil {
+			return err
+		}
+		sock.Close() // from here on the successor hears the peers
+	}
+	if err := h.send(msgGo, nil, nil); err != nil {
+		return err
+	}
+	f.slots.moveAll(func(c *slotConn) error {
+		tc, ok := c.Conn.(syscall.Conn)
+		if !ok {
+			return errors.New("handover: no descriptor")
+		}
+		rc, err := tc.SyscallConn()
+		if err != nil {
+			return err
+		}
+		return h.send(msgClient, nil, rc)
+	})
+	closeAll(n.up.idleAll())
+	tick := time.NewTicker(leavePoll)
+	defer tick.Stop()
+	for end := time.Now().Add(f.longest()); f.slots.count() > 0 && time.Now().Before(end); {
+		<-tick.C
+	}
+	return nil
+}
+
+// longest is how long the last request taken may still be under way.
+func (f *front) longest() (d time.Duration) {
 	for _, c := range f.node.cfg.Settings.Classes {
-		longest = max(longest, c.Deadline)
+		d = max(d, c.Deadline)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest+f.node.cfg.Settings.AnswerSlack)
+	return d + f.node.cfg.Settings.AnswerSlack
+}
+
+// drain ends serving. Clients still come for some time (0 after a handover) and are still
+// answered, on connections that close after the answer; then the listener closes, and what
+// was taken is finished. Closing at once would lose what crosses the close.
+func (f *front) drain(still time.Duration) {
+	f.ready.Store(false)
+	f.draining.Store(true)
+	<-time.After(still)
+	ctx, cancel := context.WithTimeout(context.Background(), f.longest())
 	defer cancel()
 	if err := f.srv.Shutdown(ctx); err != nil {
 		// Only connections that never sent a request are left: the deadlines of all taken are past.
@@ -106,7 +173,7 @@
 			plain(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
-	if f.draining.Load() || f.slots.crowded() {
+	if f.empties() || f.slots.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	slot := slotOf(r)
@@ -138,10 +205,14 @@
 		plain(w, http.StatusConflict, "X-Trace-Id is in use")
 		return
 	}
+	f.node.counts.taken()
+	kind := failed
+	defer func() { f.node.counts.over(q.Class, kind) }()
 	late := time.NewTimer(time.Until(deadline))
 	defer late.Stop()
 	select {
 	case a := <-fl.answer:
+		kind = a.kind
 		f.reply(w, a)
 		return
 	case <-r.Context().Done():
@@ -150,7 +221,9 @@
 	case <-late.C:
 		f.node.abandon(fl)
 	}
-	f.reply(w, <-fl.answer)
+	a := <-fl.answer
+	kind = a.kind
+	f.reply(w, a)
 }
 
 // turnDown answers a request that is the client's mistake. A body that was not read is
@@ -184,7 +257,7 @@
 }
 
 func (f *front) health(w http.ResponseWriter) {
-	if f.ready.Load() {
+	if f.takes() {
 		plain(w, http.StatusOK, "ready")
 	} else {
 		plain(w, http.StatusServiceUnavailable, "not ready")
--- /dev/null
+++ b/internal/node/manage_test.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+)
+
+// freeAddr is an address on which nothing listens.
+func freeAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return addrOf(ln)
+}
+
+// call is an operator's call.
+func call(t *testing.T, method string, addr netip.AddrPort, path string) (int, string) {
+	t.Helper()
+	a := dial(t, addr.String()).ask(method + " " + path + " HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n")
+	return a.status, a.body
+}
+
+// managed runs a node with a management address; it has one app server.
+func managed(t *testing.T, serve func(net.Conn, *http.Request, []byte) bool, change func(*Config)) (*running, netip.AddrPort) {
+	t.Helper()
+	cfg := testConfig(newAppServer(t, serve).instance("a"))
+	cfg.Manage = freeAddr(t)
+	if change != nil {
+		change(cfg)
+	}
+	n := run(t, cfg)
+	eventually(t, "ready", func() bool {
+		c, err := net.Dial("tcp", cfg.Manage.String())
+		if err == nil {
+			c.Close()
+		}
+		return err == nil && strings.Contains(n.logs.String(), "ready on")
+	})
+	return n, cfg.Manage
+}
+
+// The figures are those of what clients and app servers saw.
+func TestFigures(t *testing.T) {
+	hold := make(chan bool)
+	n, at := managed(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		switch {
+		case strings.Contains(r.RequestURI, "hold"):
+			<-hold
+		case strings.Contains(r.RequestURI, "broken"):
+			return false
+		case r.RequestURI == loadPath:
+			return say("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")(c, r, body)
+		}
+		return say(okAnswer)(c, r, body)
+	}, nil)
+	c := dial(t, n.addr)
+	c.ask(request("check", "a"))
+	c.ask(request("book", "b"))
+	c.ask(request("check", "c", "X-Contract", "tight"))
+	if a := c.ask(request("check", "d", "X-Contract", "tight")); a.status != 429 {
+		t.Fatalf("beyond the quota: %d", a.status)
+	}
+	if a := c.ask(request("book", "e", "", "POST /book/broken?customer=00000000b4d65521 HTTP/1.1")); a.status != 502 {
+		t.Fatalf("broken: %d", a.status)
+	}
+	c.ask(request("check", "f", "X-Qos", "novel")) // a client's mistake counts nowhere
+	c.send(request("check", "g", "", "GET /check/hold?customer=00000000b4d65521 HTTP/1.1"))
+	want := func(line string) func() bool {
+		return func() bool {
+			_, text := call(t, "GET", at, countersCall)
+			return strings.Contains("\n"+text, "\n"+line+"\n")
+		}
+	}
+	eventually(t, "one under way", want("app.current=1"))
+	close(hold)
+	c.read()
+	for _, line := range []string{"app.current=0", "app.answered.check=3", "app.answered.book=1", "app.deferred.check=1",
+		"app.deferred.book=0", "app.errored.book=1", "app.errored.check=0", "app.cluster_size=1"} {
+		eventually(t, line, want(line))
+	}
+	// The broken one's further attempts count as well: a keyed request may be sent three times.
+	_, text := call(t, "GET", at, countersCall)
+	if !strings.Contains(text, "app.sends=5\n") && !strings.Contains(text, "app.sends=6\n") && !strings.Contains(text, "app.sends=7\n") {
+		t.Errorf("sends of five requests sent on:\n%s", text)
+	}
+}
+
+// A server that is out counts as unhealthy, and one that is no longer listed as neither.
+func TestFiguresOfServers(t *testing.T) {
+	gone := freeAddr(t)
+	n, at := managed(t, say(okAnswer), func(cfg *Config) {
+		dead := cfg.Known.Servers[0]
+		dead.ID, dead.Addr = "dead", gone
+		cfg.Known.Servers = append(cfg.Known.Servers, dead)
+	})
+	c := dial(t, n.addr)
+	i := 0
+	eventually(t, "one of two is out", func() bool {
+		i++
+		c.ask(request("check", fmt.Sprint("r", i)))
+		_, text := call(t, "GET", at, countersCall)
+		return strings.Contains(text, "app.cluster_size=2\napp.cluster_unhealthy=1\n")
+	})
+}
+
+// Callers who say nothing or half a call, more than there are descriptors for, keep nobody waiting.
+func TestCallsBesideStuckOnes(t *testing.T) {
+	_, at := managed(t, say(okAnswer), nil)
+	for i := range 3 * manageSockets {
+		c := dial(t, at.String())
+		if i%2 == 0 {
+			c.send("GET /control/rea")
+		}
+	}
+	began := time.Now()
+	if status, _ := call(t, "GET", at, readyCall); status != 200 || time.Since(began) > time.Second {
+		t.Errorf("status %d after %v", status, time.Since(began))
+	}
+	for _, bad := range []struct {
+		method, path string
+		status       int
+	}{{"POST", readyCall, 405}, {"GET", outCall, 405}, {"GET", "/control/novel", 404}, {"POST", "/", 404}} {
+		if status, _ := call(t, bad.method, at, bad.path); status != bad.status {
+			t.Errorf("%s %s: %d, want %d", bad.method, bad.path, status, bad.status)
+		}
+	}
+	if status, text := call(t, "GET", at, readyCall); status != 200 || text != "ready\n" {
+		t.Errorf("after what can't be: %d %q", status, text)
+	}
+}
+
+// Out of service the node answers what still comes and ends every connection: one that is
+// used with the answer, one that is not within 2 s. It does not exit, and comes back.
+func TestOutOfService(t *testing.T) {
+	n, at := managed(t, say(okAnswer), nil)
+	health := func() int {
+		return dial(t, n.addr).ask("GET /health/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n").status
+	}
+	used, idle, silent := dial(t, n.addr), dial(t, n.addr), dial(t, n.addr)
+	used.ask(request("check", "a"))
+	idle.ask(request("check", "b"))
+	if s := health(); s != 200 {
+		t.Fatalf("ready: %d", s)
+	}
+	for range 2 { // the second call changes nothing
+		if status, _ := call(t, "POST", at, outCall); status != 200 {
+			t.Fatalf("out: %d", status)
+		}
+	}
+	began := time.Now()
+	if s := health(); s != 503 {
+		t.Errorf("health while out: %d", s)
+	}
+	if status, _ := call(t, "GET", at, readyCall); status != 503 {
+		t.Errorf("ready while out: %d", status)
+	}
+	if a := used.ask(request("check", "c")); a.status != 200 || !a.close {
+		t.Errorf("a request that still came: %d, close %v", a.status, a.close)
+	}
+	for name, c := range map[string]*client{"idle": idle, "silent": silent} {
+		if _, err := c.br.ReadByte(); err != io.EOF {
+			t.Errorf("%s: %v, want EOF", name, err)
+		}
+	}
+	if d := time.Since(began); d < shedFrom || d > 3500*time.Millisecond {
+		t.Errorf("connections ended after %v", d)
+	}
+	if status, _ := call(t, "POST", at, inCall); status != 200 || health() != 200 {
+		t.Error("not back in service")
+	}
+	kept := dial(t, n.addr)
+	kept.ask(request("check", "d"))
+	if a := kept.ask(request("check", "e")); a.status != 200 || a.close {
+		t.Errorf("back in service: %d, close %v", a.status, a.close)
+	}
+}
+
+// An address that can't be is named.
+func TestBadManagement(t *testing.T) {
+	cfg := testConfig()
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Manage = addrOf(taken)
+	if err := runOn(context.Background(), cfg, nil, discard, ln); err == nil || !strings.Contains(err.Error(), "management") {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,15 +21,16 @@
 // one mutex makes them one sequence. The gateway's actions change the books under
 // the mutex; what does I/O runs after it is released or in a goroutine of its own.
 type Node struct {
-	cfg   *Config
-	log   *log.Logger
-	start time.Time // the clock reads Unix time at the start plus the monotonic time since
-	ctx   context.Context
-	up    *upstream
-	peers *peers.Socket // nil where edge nodes don't message each other
+	cfg    *Config
+	log    *log.Logger
+	start  time.Time // the clock reads Unix time at the start plus the monotonic time since
+	ctx    context.Context
+	up     *upstream
+	counts *counts
 
 	mu      sync.Mutex
 	gw      *choice.Gateway
+	peers   *peers.Socket // nil where edge nodes don't message each other, or another process does
 	flights map[string]*flight
 	after   []func() // what the event under way leaves to do without the mutex
 	closed  bool     // no more events
@@ -76,10 +77,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Node{
-		cfg: cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
+	var classes []string
+	for _, c := range cfg.Settings.Classes {
+		classes = append(classes, c.Name)
+	}
+	n := &Node{
+		counts: newCounts(classes),
+		cfg:    cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
 		up: newUpstream(cfg.Transport, serverSockets(cfg.Sockets)),
-	}, nil
+	}
+	n.up.sent = n.counts.sent
+	return n, nil
 }
 
 // now reads the clock: Unix time, so that start times in lists convert, which never goes back.
@@ -123,6 +131,50 @@
 	n.up.shut()
 }
 
+// join gives the node the socket on which its peers are heard.
+func (n *Node) join(sock *peers.Socket) {
+	n.mu.Lock()
+	n.peers = sock
+	n.mu.Unlock()
+}
+
+// leavePeers takes the peers' socket away from the node.
+func (n *Node) leavePeers() *peers.Socket {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sock := n.peers
+	n.peers = nil
+	return sock
+}
+
+// retire returns what the module hands to the process that takes over, and the peers'
+// socket, on which nothing is sent any more. The requests under way go on.
+func (n *Node) retire() (state []byte, sock *peers.Socket, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sock, n.peers = n.peers, nil
+	state, err = n.gw.HandOver(n.now())
+	return state, sock, err
+}
+
+// takeOver goes on from what another process's module knew.
+func (n *Node) takeOver(state []byte) {
+	n.mu.Lock()
+	err := n.gw.TakeOver(n.now(), state)
+	n.mu.Unlock()
+	if err != nil {
+		n.log.Printf("handover: %v: beginning from nothing", err)
+	}
+}
+
+// figures words what operators read.
+func (n *Node) figures() string {
+	n.mu.Lock()
+	size, unhealthy := n.gw.Servers(n.now())
+	n.mu.Unlock()
+	return n.counts.text(size, unhealthy)
+}
+
 // boot starts the gateway with the saved list.
 func (n *Node) boot() {
 	n.event(func(now time.Duration, out choice.Actions) { n.gw.Start(now, out) })
@@ -296,8 +348,8 @@
 func (a *actions) Tell(peer int, message []byte) {
 	n := (*Node)(a)
 	message = append([]byte(nil), message...)
-	if n.peers != nil {
-		n.after = append(n.after, func() { n.peers.Tell(peer, message, n.log.Printf) })
+	if sock := n.peers; sock != nil {
+		n.after = append(n.after, func() { sock.Tell(peer, message, n.log.Printf) })
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,15 +8,22 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"mulleinmux/internal/peers"
 	"mulleinmux/internal/register"
 )
 
-// Run runs an edge node until ctx ends, then drains it. At each signal on reload it
-// reads its configuration again.
+// Run runs an edge node until ctx ends, then drains it, or hands over to the process that
+// waits to take its place. At each signal on reload it reads its configuration again.
 func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *log.Logger) error {
-	ln, err := net.Listen("tcp", cfg.Listen.String())
+	var ln net.Listener
+	var err error
+	if cfg.AcceptFD != 0 {
+		ln, err = inherited(cfg.AcceptFD)
+	} else {
+		ln, err = net.Listen("tcp", cfg.Listen.String())
+	}
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -34,32 +41,84 @@
 	}
 	var side sync.WaitGroup
 	defer side.Wait()
-	if cfg.PeerListen.IsValid() {
-		if n.peers, err = peers.Listen(cfg.PeerListen, cfg.Settings.Me, cfg.Peers, cfg.PeersAll); err != nil {
+	var before *legacy
+	if cfg.Handover != "" {
+		before = findPredecessor(cfg.Handover)
+	}
+	if before == nil {
+		if err := n.listenToPeers(&side, nil); err != nil {
 			return err
 		}
-		defer n.peers.Close()
 	}
+	defer func() {
+		if sock := n.leavePeers(); sock != nil {
+			sock.Close()
+		}
+	}()
 	if len(cfg.left) > 0 {
 		logger.Printf("known: %d entries left out, the first: %v", len(cfg.left), cfg.left[0])
 	}
 	n.boot()
-	if n.peers != nil {
-		side.Go(func() { n.peers.Receive(n.whisper) })
-	}
 	watch := startWatch(life, n, cfg.Discovery, cfg.Known.Generation)
 	defer func() { watch.end() }()
 	side.Go(func() { n.up.reap(life) })
 	defer stop() // before the wait for what life owns
 
 	f := newFront(n)
-	failed := make(chan error, 1)
+	failed := make(chan error, 3)
+	var waits atomic.Bool // for the predecessor's word
+	if cfg.Manage.IsValid() {
+		mln, err := net.Listen("tcp", cfg.Manage.String())
+		if err != nil {
+			return fmt.Errorf("management: %w", err)
+		}
+		m := newManager(f, func() bool { return waits.Load() || f.takes() })
+		side.Go(func() {
+			if err := m.serve(mln); err != nil {
+				failed <- err
+			}
+		})
+		defer m.close()
+	}
+	if before != nil {
+		logger.Printf("%s: waiting for the predecessor's end", cfg.Name)
+		waits.Store(true)
+		in, err := n.succeed(ctx, before, reload, &watch)
+		if ctx.Err() != nil {
+			before.Close()
+			return nil // told to end before it served
+		}
+		if err != nil {
+			logger.Printf("%v: beginning from nothing", err)
+			before.Close()
+			before = nil
+		}
+		if err := n.listenToPeers(&side, in.peers); err != nil {
+			return err
+		}
+	}
+	var h *heir
+	if cfg.Handover != "" {
+		// Without it the node serves all the same; only the next upgrade would be a restart.
+		if h, err = awaitHeir(cfg.Handover); err != nil {
+			logger.Printf("%v", err)
+		} else {
+			defer h.close()
+			side.Go(func() { h.meet(logger) })
+		}
+	}
 	side.Go(func() { failed <- f.serve(ln) })
+	if before != nil {
+		defer before.Close()
+		side.Go(func() { f.serve(before) }) // until the predecessor has no client left
+	}
 	f.ready.Store(true)
+	waits.Store(false)
 	logger.Printf("%s: ready on %s, %d app servers known", cfg.Name, cfg.Listen, len(cfg.Known.Servers))
 	for draining := false; !draining; {
 		select {
 		case err := <-failed:
+			f.srv.Close()
 			return err
 		case <-reload:
 			watch = watch.reload(life, n)
@@ -67,14 +126,71 @@
 			draining = true
 		}
 	}
+	still := cfg.drainFor
+	if h.present() {
+		logger.Printf("%s: handing over", cfg.Name)
+		if err := f.handOver(h, ln); err != nil {
+			logger.Printf("%v", err)
+		} else {
+			still = 0
+		}
+	}
 	logger.Printf("%s: draining", cfg.Name)
-	f.drain()
+	f.drain(still)
 	stop()
 	n.close()
 	logger.Printf("%s: drained", cfg.Name)
 	return nil
 }
 
+// listenToPeers opens the peers' socket, or takes the one that was handed over.
+func (n *Node) listenToPeers(side *sync.WaitGroup, conn *net.UDPConn) error {
+	cfg := n.cfg
+	if !cfg.PeerListen.IsValid() {
+		if conn != nil {
+			conn.Close()
+		}
+		return nil
+	}
+	var sock *peers.Socket
+	if conn != nil {
+		sock = peers.On(conn, cfg.Settings.Me, cfg.Peers, cfg.PeersAll)
+	} else {
+		var err error
+		if sock, err = peers.Listen(cfg.PeerListen, cfg.Settings.Me, cfg.Peers, cfg.PeersAll); err != nil {
+			return err
+		}
+	}
+	n.join(sock)
+	side.Go(func() { sock.Receive(n.whisper) })
+	return nil
+}
+
+// succeed waits for the predecessor's word to go and takes over what its module knew. A
+// reload in the meantime counts.
+func (n *Node) succeed(ctx context.Context, before *legacy, reload <-chan os.Signal, w **watch) (inheritance, error) {
+	type result struct {
+		in  inheritance
+		err error
+	}
+	came := make(chan result, 1)
+	go func() {
+		in, err := before.await(ctx)
+		came <- result{in, err}
+	}()
+	for {
+		select {
+		case <-reload:
+			*w = (*w).reload(n.ctx, n)
+		case r := <-came:
+			if r.err == nil {
+				n.takeOver(r.in.state)
+			}
+			return r.in, r.err
+		}
+	}
+}
+
 // watch is the following of one discovery agent.
 type watch struct {
 	addr netip.AddrPort
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -13,11 +14,14 @@
 // connection is accepted first; if it is one too many, the one that can best be spared
 // is closed, and never one on which a request is open.
 type slots struct {
-	most int
+	most  int
+	eager bool // of those without a request the eldest goes, whatever it is at
 
 	mu     sync.Mutex
 	conns  map[*slotConn]struct{}
 	silent int // of them, those on which nothing has come
+
+	mover func(*slotConn) error // hands a connection to the process that takes over; nil: none does
 }
 
 // crowded tells whether answers should close their connections. To close one that has
@@ -85,6 +89,24 @@
 	return spare
 }
 
+// shed ends connections on which no request is open, for a drain: those idle, or silent since
+// they came, for at least the given times. A request that has come on one and was not read
+// keeps it. The caller closes what is returned.
+func (s *slots) shed(idleFor, silentFor time.Duration) (shed []*slotConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		age := now.Sub(c.since)
+		if (c.state == idle && age >= max(idleFor, writtenFor) || c.state == silent && age >= silentFor) && !c.waiting() {
+			s.leave(c, ended)
+			delete(s.conns, c)
+			shed = append(shed, c)
+		}
+	}
+	return shed
+}
+
 // leave changes the state of a connection that counts. Called under the mutex.
 func (s *slots) leave(c *slotConn, to slotState) {
 	if c.state == silent {
@@ -99,6 +121,11 @@
 func (c *slotConn) rank(now time.Time) int {
 	age := now.Sub(c.since)
 	switch {
+	case c.slots.eager:
+		if c.state == open {
+			return 0
+		}
+		return 1
 	case c.state == silent && age >= silentFor:
 		return 5
 	case c.state == idle && age >= idleFor:
@@ -162,12 +189,71 @@
 	slots *slots
 	state slotState // under slots.mu
 	since time.Time // of the state, under slots.mu
+	rests bool      // idle, and its last answer is written to the end; under slots.mu
+}
+
+// moveAll has every connection handed over by move as soon as no request is on it.
+func (s *slots) moveAll(move func(*slotConn) error) {
+	s.mu.Lock()
+	s.mover = move
+	var resting []*slotConn
+	for c := range s.conns {
+		if c.movable() {
+			resting = append(resting, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range resting {
+		c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends its Read, which hands it over
+	}
+}
+
+// count is the number of connections.
+func (s *slots) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// movable tells whether nothing of a request has come on it. Called under slots.mu.
+func (c *slotConn) movable() bool { return c.state == silent || c.state == idle && c.rests }
+
+// rest notes that the last answer is written to the end.
+func (c *slotConn) rest() {
+	c.slots.mu.Lock()
+	c.rests = c.state == idle
+	c.slots.mu.Unlock()
+}
+
+// leave hands the connection over if that is wanted and can be, and tells whether it has.
+func (c *slotConn) leave() bool {
+	s := c.slots
+	s.mu.Lock()
+	if s.mover == nil || !c.movable() {
+		s.mu.Unlock()
+		return false
+	}
+	s.leave(c, ended)
+	delete(s.conns, c)
+	move := s.mover
+	s.mu.Unlock()
+	// One that can't be handed over is closed: a client sends what crosses that again.
+	_ = move(c)
+	c.Conn.Close()
+	return true
 }
 
 // Read notes that something has come. What comes after the connection was given up is
-// not taken in: the client can tell that it was not read.
+// not taken in: the client can tell that it was not read. One that is to be handed over is
+// handed over here, where nothing else can read from it any more.
 func (c *slotConn) Read(p []byte) (int, error) {
+	if c.leave() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && err != nil && c.leave() {
+		return 0, io.EOF
+	}
 	if n > 0 && !c.become(reading) {
 		return 0, net.ErrClosed
 	}
@@ -184,7 +270,7 @@
 	}
 	if state != reading || c.state == silent || c.state == idle {
 		c.slots.leave(c, state)
-		c.since = time.Now()
+		c.since, c.rests = time.Now(), false
 	}
 	return true
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -61,7 +61,8 @@
 type upstream struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
-	most    int // connections open at once, descriptors being limited
+	most    int    // connections open at once, descriptors being limited
+	sent    func() // called when the last byte of an attempt, not of a probe, is written; may be nil
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -372,6 +373,9 @@
 		return reply{}, neverSent(ctx)
 	}
 	written := time.Now()
+	if u.sent != nil && m.id != "" {
+		u.sent()
+	}
 	rep, result, reuse := c.read(req)
 	if result == choice.Reset && !c.in.begun && c.rested >= leastKeep && time.Since(written) < staleWithin {
 		u.stale(c)
@@ -536,6 +540,18 @@
 	return rep, choice.ErrorAnswer, reuse
 }
 
+// idleAll takes all idle connections out of their pools, for the caller to close.
+func (u *upstream) idleAll() (idle []*conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, b := range u.backends {
+		idle = append(idle, b.idle...)
+		b.idle = nil
+	}
+	u.open -= len(idle)
+	return idle
+}
+
 // shut closes all idle connections.
 func (u *upstream) shut() {
 	stale := u.update(nil, true)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mulleinmux/choice"
@@ -48,6 +49,9 @@
 	return p
 }
 
+// RawConn is the socket's descriptor, for handing it to another process.
+func (p *Socket) RawConn() (syscall.RawConn, error) { return p.conn.SyscallConn() }
+
 // Close closes the socket, which ends Receive.
 func (p *Socket) Close() error { return p.conn.Close() }
 
