Edge node: long bodies and answers go on as they come, chunked requests are read

An answer over 64 KiB goes on piece by piece, past the client's deadline too. In the module, a body that still comes and an answer that has begun count as no work out (Request.Body, Gateway.First). Ruled out: spooling to $TMPDIR, which counts as memory; holding all bodies in turn, since one slow writer would keep the others waiting.

A chunked request is taken only if its head, kept as it came, has one Transfer-Encoding and no Content-Length: the library hides the second. A client that stops in the middle no longer gets the empty 200 that the library words.

--- a/choice/api.go
+++ b/choice/api.go
@@ -150,6 +150,7 @@
 	Spread   int           // number of gateways the customer comes in through
 	First    int           // number of the first of these; the others follow, counted round
 	Zone     string        // it may go to servers of this zone alone; empty: to any
+	Body     time.Duration // the rest of its body may take this long, and the client's wait begins after it; 0: it is here
 }
 
 // Result is how an attempt ended.
@@ -180,7 +181,7 @@
 	Closed  bool // the request has its final answer, by this outcome or before
 	Result  Result
 	Server  string
-	Took    time.Duration // since the attempt was sent
+	Took    time.Duration // since the attempt was sent whole; to the first bytes of an answer that streams
 	Units   float64       // with PostPaid: the true units, on the first OK; else 0
 	Load    *Load         // nil: no report came
 	Since   time.Duration // when the connection that brought an answer was made; 0: not told
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,7 +133,8 @@
 		g.replan(st, g.set.Plans[st.plan], pi)
 	}
 	g.nextNum++
-	r := &request{Request: q, num: g.nextNum, class: ci, store: st, ends: now + q.Grace - 2*g.set.Tick}
+	r := &request{Request: q, num: g.nextNum, class: ci, store: st}
+	r.ends = now + q.Body + q.Grace - 2*g.set.Tick
 	late, l := g.late(ci, q.Grace), &g.lat[ci]
 	tooShort := l.n >= batchLeast && q.Grace.Seconds() < l.mean
 	if g.jammed(ci) || late && g.aro.rho >= pressed || tooShort {
@@ -721,7 +722,7 @@
 	l := &g.lat[r.class]
 	timeout := max(r.ends-g.now, g.set.Tick)
 	more := g.set.MaxAttempts == 0 || len(r.attempts)+1 < g.set.MaxAttempts
-	if c.Effect != Unsafe && more && l.n >= batchLeast && g.aro.rho < pressed {
+	if c.Effect != Unsafe && more && r.Body == 0 && l.n >= batchLeast && g.aro.rho < pressed {
 		slow := max(time.Duration((l.mean+slowDevs*l.dev)*float64(time.Second)), c.Aim/4)
 		if g.set.Parallel {
 			g.out.SetTimer(r.num<<timerBits|timerHedge, slow)
@@ -732,15 +733,19 @@
 	if s.out == 0 {
 		s.seen = g.now
 	}
-	s.out++
-	g.held++
+	// A body that is still coming is no work out yet, nor is an answer that has begun.
+	if r.Body == 0 {
+		s.out++
+		g.held++
+	}
 	r.out++
 	r.store.out++
 	g.mark(r.store)
 	if g.warmth(s) < 1 {
 		s.credit = math.Max(s.credit-g.work(r.class), 0)
 	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell})
+	a := attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell, begun: r.Body > 0}
+	r.attempts = append(r.attempts, a)
 	g.out.Send(r.ID, s.ID, timeout)
 }
 
@@ -781,8 +786,10 @@
 	a := &r.attempts[o.Attempt]
 	a.done, a.result, a.noRun = true, o.Result, neverRan(o.Result)
 	s := a.server
-	s.out--
-	g.held--
+	if !a.begun {
+		s.out--
+		g.held--
+	}
 	r.out--
 	r.store.out--
 	g.mark(r.store)
--- a/choice/state.go
+++ b/choice/state.go
@@ -37,6 +37,7 @@
 	zone   string // of the server when it was sent
 	cell   int
 	done   bool
+	begun  bool // its answer streams, or its body does: it counts no more, or not yet, as work out
 	noRun  bool // known not to have run
 	result Result
 }
@@ -495,7 +496,12 @@
 	g.now, g.out = now, out
 	if r := g.reqs[id]; r != nil && n >= 0 && n < len(r.attempts) {
 		r.stream = true
-		r.attempts[n].server.seen = now
+		a := &r.attempts[n]
+		if a.server.seen = now; !a.begun && !a.done {
+			a.begun = true
+			a.server.out--
+			g.held--
+		}
 	}
 }
 
@@ -521,7 +527,7 @@
 	for _, r := range g.reqs {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			n += b2f(!a.done && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
+			n += b2f(!a.done && !a.begun && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
 		}
 	}
 	return n
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	ctx    context.Context
 	up     *upstream
 	counts *counts
+	memory *budget
 
 	mu      sync.Mutex
 	gw      *choice.Gateway
@@ -45,7 +46,8 @@
 	answer   chan answer // takes the one final answer
 	done     bool
 	attempts []*attempt
-	out      int // attempts that have not ended
+	out      int   // attempts that have not ended
+	held     int64 // of the budget, by its body
 }
 
 // attempt is one attempt of a flight.
@@ -83,6 +85,7 @@
 	}
 	n := &Node{
 		counts: newCounts(classes),
+		memory: newBudget(cfg.MemoryMB),
 		cfg:    cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
 		up: newUpstream(cfg.Transport, serverSockets(cfg.Sockets)),
 	}
@@ -210,8 +213,8 @@
 
 // begin takes a request of a client. It returns nil if its id is in use. The final
 // answer comes on the flight's channel, also where the gateway gives none in time.
-func (n *Node) begin(q choice.Request, m message, deadline time.Time) *flight {
-	fl := &flight{id: q.ID, msg: m, deadline: deadline, answer: make(chan answer, 1)}
+func (n *Node) begin(q choice.Request, m message, deadline time.Time, held int64) *flight {
+	fl := &flight{id: q.ID, msg: m, deadline: deadline, held: held, answer: make(chan answer, 1)}
 	taken := false
 	ok := n.event(func(now time.Duration, out choice.Actions) {
 		if taken = n.flights[q.ID] != nil; taken {
@@ -221,6 +224,7 @@
 		n.gw.Request(now, q, out)
 	})
 	if taken {
+		n.memory.release(held)
 		return nil
 	}
 	if !ok {
@@ -251,6 +255,8 @@
 func (n *Node) forget(fl *flight) {
 	if fl.done && fl.out == 0 && n.flights[fl.id] == fl {
 		delete(n.flights, fl.id)
+		n.memory.release(fl.held)
+		fl.held = 0
 	}
 }
 
@@ -258,18 +264,45 @@
 func (n *Node) try(ctx context.Context, fl *flight, a *attempt) {
 	defer n.work.Done()
 	rep, result := n.up.exchange(ctx, a.server, &fl.msg)
+	took := n.now() - a.sent
+	if more := fl.msg.more; more != nil {
+		if !more.passed.IsZero() {
+			took = time.Since(more.passed)
+		} else if result == choice.Moot {
+			n.abandon(fl) // its client sends no more of it
+		}
+	}
+	if rep.rest != nil {
+		result = n.stream(fl, a, rep)
+	}
 	a.cancel()
 	n.event(func(now time.Duration, out choice.Actions) {
-		if result == choice.OK {
+		if result == choice.OK && rep.rest == nil {
 			n.end(fl, answer{kind: served, reply: rep})
 		}
 		fl.out--
 		n.gw.Outcome(now, choice.Outcome{ID: fl.id, Attempt: a.number, Closed: fl.done, Result: result,
-			Server: a.server, Took: now - a.sent, Load: rep.load, Since: n.since(rep)}, out)
+			Server: a.server, Took: took, Load: rep.load, Since: n.since(rep)}, out)
 		n.forget(fl)
 	})
 }
 
+// stream gives the client an answer that goes on as it comes, and waits for its end. One for
+// which it comes too late is cut off.
+func (n *Node) stream(fl *flight, a *attempt, rep reply) choice.Result {
+	taken := false
+	n.event(func(now time.Duration, out choice.Actions) {
+		if taken = !fl.done; taken {
+			n.gw.First(now, fl.id, a.number, out)
+			n.end(fl, answer{kind: served, reply: rep})
+		}
+	})
+	if !taken {
+		rep.rest.finish(choice.Cancelled)
+	}
+	return <-rep.rest.done
+}
+
 // since is the clock's reading when the connection of an answer was made, 0 where there was none.
 func (n *Node) since(rep reply) time.Duration {
 	if rep.since.IsZero() {
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -190,6 +191,8 @@
 	state slotState // under slots.mu
 	since time.Time // of the state, under slots.mu
 	rests bool      // idle, and its last answer is written to the end; under slots.mu
+	head  []byte    // of the request being read, as it came; under slots.mu
+	heads bool      // more of it is to come
 }
 
 // moveAll has every connection handed over by move as soon as no request is on it.
@@ -257,9 +260,42 @@
 	if n > 0 && !c.become(reading) {
 		return 0, net.ErrClosed
 	}
+	c.keepHead(p[:n])
 	return n, err
 }
 
+// headMost bounds what is kept of a head; the library takes no longer one.
+const headMost = 32 << 10
+
+// keepHead keeps a head as it comes, for what the library does not tell of it. It may keep
+// more than the head, and never less.
+func (c *slotConn) keepHead(p []byte) {
+	c.slots.mu.Lock()
+	defer c.slots.mu.Unlock()
+	if !c.heads {
+		return
+	}
+	from := max(len(c.head)-3, 0)
+	c.head = append(c.head, p...)
+	if bytes.Contains(c.head[from:], []byte("\r\n\r\n")) || len(c.head) > headMost {
+		c.heads = false
+	}
+}
+
+// takeHead returns the head of the request whose handler calls, or nil if it was not kept
+// whole, and when its first byte came.
+func (c *slotConn) takeHead() ([]byte, time.Time) {
+	c.slots.mu.Lock()
+	defer c.slots.mu.Unlock()
+	head := bytes.TrimLeft(c.head, "\r\n")
+	c.head = nil
+	if c.heads || len(head) > headMost {
+		c.heads = false
+		return nil, c.since
+	}
+	return head, c.since
+}
+
 // become changes the state; it is false once the connection has ended. What comes while
 // a request is open, or while a head is being read, changes nothing.
 func (c *slotConn) become(state slotState) bool {
@@ -269,6 +305,9 @@
 		return false
 	}
 	if state != reading || c.state == silent || c.state == idle {
+		if state == reading {
+			c.head, c.heads = nil, true // the first bytes of a request
+		}
 		c.slots.leave(c, state)
 		c.since, c.rests = time.Now(), false
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -31,9 +31,12 @@
 	leastKeep    = 50 * time.Millisecond  // one that rested for less is not reset for that
 	staleWithin  = 20 * time.Millisecond  // from the write to the reset of a connection that was given up
 	keepDoubles  = 10 * time.Second       // after which idle connections are kept for twice as long again
-	maxReply     = 64 << 10               // bytes that the body of an answer may hold
-	maxAnswer    = maxReply + 32<<10      // bytes of a whole answer, with heads, chunk sizes and 1xx answers ahead
-	restLimit    = 250 * time.Millisecond // from an answer's first bytes to its end: servers write it in one piece
+	maxReply     = 64 << 10               // bytes of an answer's body up to which it is read whole before any goes on
+	maxHeads     = 96 << 10               // bytes of an answer's head, with 1xx answers ahead
+	maxWire      = 4 * maxReply           // bytes of such a body with its chunks' heads
+	maxStream    = 64 << 20               // bytes of an answer; no server makes a longer one
+	restLimit    = 250 * time.Millisecond // between the pieces of such an answer
+	streamStall  = 10 * time.Second       // between the pieces of one of which some has gone on
 )
 
 // message is what goes on to an app server.
@@ -44,12 +47,14 @@
 	id          string // X-Trace-Id
 	key         string // Idempotency-Key
 	contentType string
-	body        []byte
+	body        []byte  // whole, or what is held of it
+	more        *intake // where the rest comes from; nil: body is whole
 }
 
-// reply is an app server's whole answer.
+// reply is an app server's answer: whole, or as much as has come of a long one.
 type reply struct {
 	body        []byte
+	rest        *relay // of a long one; nil: body is whole
 	contentType string
 	load        *choice.Load // nil: it carried no report
 	since       time.Time    // when the connection that it came on was made; zero: there was no answer
@@ -100,7 +105,9 @@
 	ctx     context.Context // of the exchange
 	left    int             // bytes that the answer may still take
 	begun   bool            // some of the answer has come
-	hurried bool            // the rest has a deadline of its own
+	hurried bool            // the next piece has a deadline of its own
+	until   time.Time       // when to give up waiting, beside the exchange's end; zero: no such time
+	stall   time.Duration   // between pieces
 	err     error           // how the connection failed
 }
 
@@ -108,16 +115,16 @@
 
 // expect prepares for an answer.
 func (in *inlet) expect(ctx context.Context) {
-	in.ctx, in.left, in.begun = ctx, maxAnswer, false
+	in.ctx, in.left, in.begun, in.stall, in.until = ctx, maxHeads, false, restLimit, time.Time{}
 }
 
 func (in *inlet) Read(p []byte) (int, error) {
 	if in.left <= 0 {
 		return 0, errTooLong
 	}
-	if in.begun && !in.hurried { // most answers come whole in the first read
+	if in.begun { // most answers come whole in the first read
 		in.hurried = true
-		in.conn.SetReadDeadline(time.Now().Add(restLimit))
+		in.conn.SetReadDeadline(time.Now().Add(in.stall))
 		if in.ctx.Err() != nil { // the end of ctx set a deadline that this one has replaced
 			in.conn.SetReadDeadline(time.Unix(1, 0))
 		}
@@ -135,7 +142,7 @@
 func (in *inlet) settle() {
 	if in.hurried {
 		in.hurried = false
-		in.conn.SetReadDeadline(time.Time{})
+		in.conn.SetReadDeadline(in.until)
 	}
 }
 
@@ -352,6 +359,9 @@
 // exchange writes the message to the server, once at most, and reads the whole
 // answer. It gives up when ctx ends, by closing the connection before it returns.
 func (u *upstream) exchange(ctx context.Context, server string, m *message) (reply, choice.Result) {
+	if m.more != nil && m.more.used.Load() {
+		return reply{}, choice.Moot // some of its body is gone
+	}
 	c, err := u.take(ctx, server)
 	if errors.Is(err, errBudget) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 		return reply{}, choice.Moot // no fault of the server's
@@ -362,16 +372,31 @@
 	c.in.expect(ctx)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	req := m.request(ctx)
-	var out bytes.Buffer
-	if err = req.Write(&out); err == nil {
-		_, err = c.Write(out.Bytes())
+	if m.more != nil {
+		err = m.more.pass(req, c)
+	} else {
+		var out bytes.Buffer
+		if err = req.Write(&out); err == nil {
+			_, err = c.Write(out.Bytes())
+		}
 	}
 	if err != nil {
 		// A server begins a request when its last byte has come, and that was not written.
 		stop()
 		u.discard(c)
+		if errors.Is(err, errIntake) {
+			return reply{}, choice.Moot // no fault of the server's
+		}
 		return reply{}, neverSent(ctx)
 	}
+	if m.more != nil {
+		// The client's wait begins now, and ctx, which was made before, knows nothing of it.
+		c.in.until = time.Now().Add(m.more.grace)
+		c.SetReadDeadline(c.in.until)
+		if ctx.Err() != nil {
+			c.SetDeadline(time.Unix(1, 0))
+		}
+	}
 	written := time.Now()
 	if u.sent != nil && m.id != "" {
 		u.sent()
@@ -380,6 +405,20 @@
 	if result == choice.Reset && !c.in.begun && c.rested >= leastKeep && time.Since(written) < staleWithin {
 		u.stale(c)
 	}
+	if rep.rest != nil {
+		if !stop() { // given up: nothing of it goes on
+			u.discard(c)
+			return reply{}, choice.Cancelled
+		}
+		rep.rest.up, rep.since = u, c.made
+		return rep, choice.OK
+	}
+	if m.more != nil {
+		c.SetReadDeadline(time.Time{})
+		if result == choice.Reset && errors.Is(c.in.err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+			result = choice.TimedOut
+		}
+	}
 	// stop is false once the deadline has been tampered with.
 	if stop() && reuse {
 		u.giveBack(c)
@@ -479,7 +518,9 @@
 	if req.Host == "" {
 		req.Host = "app.svc"
 	}
-	if len(m.body) > 0 {
+	if m.more != nil {
+		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(m.body), m.more)), m.more.length
+	} else if len(m.body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
 	}
 	return req
@@ -505,28 +546,36 @@
 	if err != nil {
 		return failure()
 	}
-	chunked := len(resp.TransferEncoding) > 0
-	if resp.ContentLength > maxReply || resp.ContentLength < 0 && !chunked {
-		// One without a length ends with its connection: whether it is whole can't be told.
+	c.in.left = maxWire
+	if resp.ContentLength > maxStream {
 		return reply{}, choice.ErrorAnswer, false
 	}
+	// One that tells no length ends with its connection, by a close and not a reset.
 	var body []byte
-	if chunked {
+	long := resp.ContentLength > maxReply
+	if resp.ContentLength < 0 {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
-	} else {
+		long = len(body) > maxReply
+	} else if !long {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 	}
 	if err != nil {
 		return failure()
 	}
-	if len(body) > maxReply {
-		return reply{}, choice.ErrorAnswer, false
-	}
 	rep = reply{body: body, contentType: resp.Header.Get("Content-Type")}
+	if long {
+		if resp.StatusCode != http.StatusOK {
+			return reply{}, choice.ErrorAnswer, false
+		}
+		rep.rest = &relay{c: c, body: resp.Body, length: resp.ContentLength, close: resp.Close, done: make(chan choice.Result, 1)}
+	}
 	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" {
 		rep.load = load.Parse(text)
 	}
+	if long {
+		return rep, choice.OK, false
+	}
 	c.in.settle()
 	// What stands behind the answer belongs to no request: the next one would take it for its own.
 	reuse = !resp.Close && c.br.Buffered() == 0
