--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -193,6 +193,7 @@
 	rests bool      // idle, and its last answer is written to the end; under slots.mu
 	head  []byte    // of the request being read, as it came; under slots.mu
 	heads bool      // more of it is to come
+	early []byte    // what came of the next request while one was open
 }
 
 // moveAll has every connection handed over by move as soon as no request is on it.
@@ -260,7 +261,7 @@
 	if n > 0 && !c.become(reading) {
 		return 0, net.ErrClosed
 	}
-	c.keepHead(p[:n])
+	c.keepHead(p[:n], len(p) == 1)
 	return n, err
 }
 
@@ -268,10 +269,15 @@
 const headMost = 32 << 10
 
 // keepHead keeps a head as it comes, for what the library does not tell of it. It may keep
-// more than the head, and never less.
-func (c *slotConn) keepHead(p []byte) {
+// more than the head, and never less. While a request is open the library looks for the first
+// byte of the next one, which comes early where a client has its answer before its handler ends.
+func (c *slotConn) keepHead(p []byte, one bool) {
 	c.slots.mu.Lock()
 	defer c.slots.mu.Unlock()
+	if one && c.state == open {
+		c.early = append(c.early, p...)
+		return
+	}
 	if !c.heads {
 		return
 	}
@@ -304,10 +310,12 @@
 	if c.state == ended {
 		return false
 	}
-	if state != reading || c.state == silent || c.state == idle {
-		if state == reading {
-			c.head, c.heads = nil, true // the first bytes of a request
-		}
+	begins := state == reading && (c.state == silent || c.state == idle) || state == idle && len(c.early) > 0
+	if begins { // the first bytes of a request
+		state = reading
+		c.head, c.heads, c.early = c.early, true, nil
+	}
+	if state != reading || begins {
 		c.slots.leave(c, state)
 		c.since, c.rests = time.Now(), false
 	}
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -195,3 +195,38 @@
 		t.Error(err)
 	}
 }
+
+// The first byte of a request may come before the handler of the one before has ended: its head
+// is kept whole all the same, and the connection is neither idle nor to be handed over.
+func TestEarlyByte(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	s := newSlots(4)
+	c := &slotConn{Conn: near, slots: s}
+	s.add(c)
+	go io.WriteString(far, "GET / HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nA: b\r\n\r\n")
+	buf := make([]byte, 18)
+	if _, err := io.ReadFull(c, buf); err != nil {
+		t.Fatal(err)
+	}
+	if head, _ := c.takeHead(); string(head) != "GET / HTTP/1.1\r\n\r\n" {
+		t.Fatalf("first head %q", head)
+	}
+	c.become(open)
+	if _, err := c.Read(buf[:1]); err != nil { // as the library's background reader does
+		t.Fatal(err)
+	}
+	c.become(idle)
+	c.rest()
+	if s.mu.Lock(); c.state != reading || c.movable() {
+		t.Errorf("state %d, movable %v", c.state, c.movable())
+	}
+	s.mu.Unlock()
+	if _, err := io.ReadFull(c, make([]byte, 25)); err != nil {
+		t.Fatal(err)
+	}
+	if head, _ := c.takeHead(); string(head) != "POST /b HTTP/1.1\r\nA: b\r\n\r\n" {
+		t.Errorf("second head %q", head)
+	}
+}
