--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -303,13 +303,16 @@
 }
 
 // plainlyChunked tells whether a head is that of the request and has one Transfer-Encoding and
-// no Content-Length.
+// no Content-Length. What stands behind its empty line is body, whatever it looks like.
 func plainlyChunked(r *http.Request, head []byte) bool {
 	if !bytes.HasPrefix(head, []byte(r.Method+" "+r.RequestURI+" ")) {
 		return false
 	}
 	encodings := 0
 	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			break
+		}
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		switch name = bytes.TrimSpace(name); {
 		case bytes.EqualFold(name, []byte("Content-Length")):
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -147,6 +147,11 @@
 			}
 		}
 	}
+	// A body may look like a head.
+	looks := "a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if a := dial(t, n.addr).ask(longBody("y", []byte(looks), true)); a.status != 200 || <-sums != sha256.Sum256([]byte(looks)) {
+		t.Errorf("a body like a head: %d %s", a.status, a.body)
+	}
 	if a := dial(t, n.addr).ask(request("book", "z", "Content-Length", strconv.Itoa(bodyMost+1))); a.status != 413 {
 		t.Errorf("a body over the limit: %d", a.status)
 	}
