Halls are lost and back by a majority's word: sites.Health, agreed as `lost`, lab hall-lost

Need: homes moved by operators alone; when a hall fell silent its keys were refused until one closed it.

Each instance judges halls by its own attempts and probes and tells the others; where a majority has met silence for half a second the leader proposes `lost`, an object of the agreed configuration (format 2), and the homes move in an epoch like an operator's change, behind the same barrier and fences. A return takes a hold that doubles with each loss. `config status` shows each hall's state: well, doubted, cut off, lost, returning, cold.

--- a/cmd/mulleingate/cluster_test.go
+++ b/cmd/mulleingate/cluster_test.go
@@ -24,7 +24,7 @@
 		scenario string
 		seed     int
 		length   string
-	}{{"leader-lost", 1, "5s"}, {"minority-cut", 1, "8s"}, {"rolling-restart", 1, "4s"}, {"hall-closes", 1, "5s"}, {"chaos-config", 1, "5s"}, {"chaos-config", 2, "5s"}, {"chaos-config", 3, "5s"}} {
+	}{{"leader-lost", 1, "5s"}, {"minority-cut", 1, "8s"}, {"rolling-restart", 1, "4s"}, {"hall-closes", 1, "5s"}, {"hall-lost", 1, "8s"}, {"chaos-config", 1, "5s"}, {"chaos-config", 2, "5s"}, {"chaos-config", 3, "5s"}} {
 		t.Run(fmt.Sprint(c.scenario, "-", c.seed), func(t *testing.T) {
 			var out, errs, logs bytes.Buffer
 			log := filepath.Join(t.TempDir(), "log")
@@ -38,6 +38,9 @@
 			if s != 0 || !v.OK || v.Served == 0 || v.Figures["changes"] < 20 {
 				t.Errorf("exit %d: %s\n%s", s, out.String(), logs.String())
 			}
+			if (c.scenario == "hall-lost") != (v.Figures["hall_lost_ms_1"] > 0 && v.Figures["hall_back_ms_1"] > 0) {
+				t.Errorf("figures %v", v.Figures)
+			}
 			if (c.scenario == "leader-lost") != (v.Figures["kill_to_change_ms_1"] > 0) {
 				t.Errorf("figures %v", v.Figures)
 			}
--- a/cmd/mulleingate/config.go
+++ b/cmd/mulleingate/config.go
@@ -160,7 +160,7 @@
 			return nil, fmt.Errorf("%s: %w", file, err)
 		}
 		for kind := range o.Objects {
-			if !slices.Contains(gatefile.FleetKinds, kind) && kind != "member" {
+			if !slices.Contains(gatefile.FleetKinds, kind) && kind != "member" && kind != "lost" {
 				return nil, fmt.Errorf("%s: objects.%s: is no kind of this program", file, kind)
 			}
 		}
@@ -392,14 +392,18 @@
 			return printJSON(e.stdout, map[string]any{"members": all, "failed": errs})
 		}
 		w := tabwriter.NewWriter(e.stdout, 0, 4, 2, ' ', 0)
-		fmt.Fprintln(w, "member\tleader\tversion\tin force\tconfirmed\tserves\tnote")
+		fmt.Fprintln(w, "member\tleader\tversion\tin force\tconfirmed\tserves\thalls\tnote")
 		for _, id := range slices.Sorted(maps.Keys(all)) {
 			s := all[id]
 			age := "not since its start"
 			if s.AgeMs >= 0 {
 				age = fmt.Sprintf("%.1f s ago", float64(s.AgeMs)/1000)
 			}
-			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%v\t%s\n", id, s.Leader, s.Version, s.Installed, age, s.Serves, s.Note)
+			var halls []string
+			for _, name := range slices.Sorted(maps.Keys(s.Halls)) {
+				halls = append(halls, name+" "+s.Halls[name])
+			}
+			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%v\t%s\t%s\n", id, s.Leader, s.Version, s.Installed, age, s.Serves, strings.Join(halls, ", "), s.Note)
 		}
 		for _, id := range slices.Sorted(maps.Keys(failed)) {
 			fmt.Fprintf(w, "%d\tdoes not answer: %v\n", id, failed[id])
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -34,6 +34,12 @@
 	Closed   bool   `json:"closed,omitempty"` // keyed requests have their home elsewhere
 }
 
+// LostHall says that the instances agree to have lost the hall of that name: homes of keys
+// leave it until it is removed. Instances put and remove it (see package sites).
+type LostHall struct {
+	Why string `json:"why"`
+}
+
 // Class is what requests of a class are worth, and the figures of operations that declare
 // none. Times are in milliseconds.
 type Class struct {
@@ -97,6 +103,12 @@
 		}
 		return nil
 	}),
+	"lost": as(func(l *LostHall) error {
+		if l.Why == "" {
+			return errors.New("why: is missing")
+		}
+		return nil
+	}),
 	"member": as(func(m *Member) error {
 		if _, err := netip.ParseAddrPort(m.Raft); err != nil {
 			return errors.New("raft: an address with a port is wanted")
@@ -185,6 +197,17 @@
 	return defaultMostUnits
 }
 
+// takesKeys tells whether there is a hall that is neither closed nor lost.
+func takesKeys(objects map[string]json.RawMessage) bool {
+	for _, k := range keysOf(objects, "hall") {
+		var h Hall
+		if _, lost := objects[key("lost", k[len("hall/"):])]; !lost && json.Unmarshal(objects[k], &h) == nil && !h.Closed {
+			return true
+		}
+	}
+	return false
+}
+
 // consistent checks that what objects refer to is there. touched are the kinds and the
 // objects changed: only what depends on those is looked at, in one order.
 func (s *State) consistent(objects map[string]json.RawMessage, touched map[string]bool) error {
@@ -211,6 +234,13 @@
 			if n, err := strconv.ParseUint(name, 10, 64); err != nil || n == 0 || strconv.FormatUint(n, 10) != name {
 				return fmt.Errorf("member %s: name: a number from 1 is wanted", name)
 			}
+		case kind == "lost":
+			if _, ok := objects[key("hall", name)]; !ok {
+				return fmt.Errorf("lost %s: there is no such hall", name)
+			}
+			if !takesKeys(objects) {
+				return fmt.Errorf("lost %s: no other hall takes keys", name)
+			}
 		case kind == "limit" && name != "units":
 			return fmt.Errorf("limit %s: is not known: units is", name)
 		case kind == "description" && (touched["description"] || touched["class"] || touched["limit"]) && s.validate != nil:
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -20,7 +20,16 @@
 )
 
 // Format is the newest format of entries and snapshots that this program knows.
-const Format = 1
+const Format = 2
+
+// formatOf is the oldest format that knows a kind: older programs in a cluster go on until the
+// first entry that they could not read.
+func formatOf(kind string) byte {
+	if kind == "lost" {
+		return 2
+	}
+	return 1
+}
 
 // Bounds.
 const (
@@ -175,7 +184,11 @@
 	if len(text) > MaxProposal {
 		return nil, fmt.Errorf("proposal: %d bytes: %d are the most", len(text), MaxProposal)
 	}
-	return append([]byte{Format}, text...), nil
+	format := byte(1)
+	for _, c := range p.Changes {
+		format = max(format, formatOf(c.Kind))
+	}
+	return append([]byte{format}, text...), nil
 }
 
 // decode reads an entry.
@@ -230,7 +243,7 @@
 		s.version++
 		s.objects = objects
 		for _, c := range p.Changes {
-			if c.Kind == "hall" {
+			if c.Kind == "hall" || c.Kind == "lost" {
 				s.homes = s.version
 			}
 			if c.Op == "put" && c.Kind == "plan" && !slices.Contains(s.places, c.Name) {
@@ -295,12 +308,18 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", at, err)
 			}
+			if _, there := next[k]; there && c.Kind == "lost" {
+				return nil, fmt.Errorf("%s: it is lost already", at)
+			}
 			next[k] = value
 		case "remove":
 			if _, ok := next[k]; !ok {
 				return nil, fmt.Errorf("%s: there is none", at)
 			}
 			delete(next, k)
+			if c.Kind == "hall" {
+				delete(next, key("lost", c.Name))
+			}
 		default:
 			return nil, fmt.Errorf("%s: op: put or remove is wanted", at)
 		}
@@ -340,7 +359,11 @@
 
 // Snapshot words the state. The same state gives the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Format: Format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, Homes: s.homes, IDs: s.ids, History: s.kept()}
+	format := 1
+	if len(keysOf(s.objects, "lost")) > 0 {
+		format = int(formatOf("lost"))
+	}
+	snap := snapshot{Format: format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, Homes: s.homes, IDs: s.ids, History: s.kept()}
 	for _, id := range s.ids {
 		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
 	}
--- a/fleetconfig/state_test.go
+++ b/fleetconfig/state_test.go
@@ -69,6 +69,15 @@
 		{base(4), []Change{put("hall", "a", `{"register":"127.0.0.1:1"}`)}, ""},
 		{base(4), []Change{put("hall", "b", `{"register":"127.0.0.1:1"}`)}, "version 5 is in force, not 4"},
 		{nil, []Change{put("hall", "b", `{"register":"here"}`)}, "register"},
+		{nil, []Change{put("lost", "a", `{"why":"silent"}`)}, "no other hall takes keys"},
+		{nil, []Change{put("lost", "c", `{"why":"silent"}`)}, "there is no such hall"},
+		{nil, []Change{put("hall", "c", `{"register":"127.0.0.1:1","closed":true}`), put("lost", "a", `{"why":"silent"}`)}, "no other hall takes keys"},
+		{nil, []Change{put("hall", "c", `{"register":"127.0.0.1:1"}`), put("lost", "a", `{"why":"silent"}`)}, ""},
+		{nil, []Change{put("lost", "a", `{"why":"silent"}`)}, "it is lost already"},
+		{nil, []Change{put("lost", "c", `{"why":"silent"}`)}, "no other hall takes keys"},
+		{nil, []Change{put("lost", "c", `{"why":""}`)}, "why"},
+		{nil, []Change{remove("lost", "a")}, ""},
+		{nil, []Change{remove("lost", "a")}, "there is none"},
 		{nil, []Change{put("plan", "x", `{"rate":5,"price":1}`)}, "burst"},
 		{nil, []Change{put("plan", "x", `{"rate":-5,"burst":1,"price":1}`)}, "rate: out of range"},
 		{nil, []Change{put("plan", "x", `{"rate":5,"burst":10,"ceiling_rate":1,"ceiling_burst":9,"price":1}`)}, "ceiling_rate"},
@@ -150,11 +159,45 @@
 }
 
 // What a newer program wrote stops this one; nothing of it is taken.
+// Homes move when a hall is lost and when it is back, and a hall that is removed is no longer lost.
+func TestLostHalls(t *testing.T) {
+	s := New(nil)
+	n := 0
+	do := func(want uint64, cs ...Change) {
+		t.Helper()
+		n++
+		if o := apply(t, s, Proposal{ID: fmt.Sprint(n), Changes: cs}); !o.Applied {
+			t.Fatalf("%+v", o)
+		}
+		if s.Homes() != want {
+			t.Errorf("homes of version %d, want %d", s.Homes(), want)
+		}
+	}
+	do(1, Put("hall", "a", Hall{Register: "127.0.0.1:1"}), Put("hall", "b", Hall{Register: "127.0.0.1:2"}))
+	do(2, Put("lost", "a", LostHall{"silent"}))
+	text, err := s.Snapshot()
+	if err != nil || !strings.Contains(string(text), `"format":2`) {
+		t.Errorf("%v: %.40s", err, text)
+	}
+	do(3, Change{Op: "remove", Kind: "lost", Name: "a"})
+	if text, _ := s.Snapshot(); !strings.Contains(string(text), `"format":1`) {
+		t.Errorf("a snapshot that an older program could read says %.40s", text)
+	}
+	do(4, Put("lost", "a", LostHall{"silent"}))
+	do(5, Change{Op: "remove", Kind: "hall", Name: "a"})
+	if _, ok := s.Get("lost", "a"); ok {
+		t.Error("a hall that is gone is lost")
+	}
+}
+
 func TestNewerFormats(t *testing.T) {
 	s := New(nil)
 	apply(t, s, Proposal{ID: "p", Changes: []Change{put("plan", "kati", planText)}})
 	hash := s.Hash()
 	entry, _ := Encode(&Proposal{ID: "q", Changes: []Change{put("plan", "kubwa", planText)}})
+	if lost, _ := Encode(&Proposal{ID: "l", Changes: []Change{Put("lost", "a", LostHall{"x"})}}); entry[0] != 1 || lost[0] != 2 {
+		t.Errorf("formats %d and %d: a program that knows no lost halls must stop at those alone", entry[0], lost[0])
+	}
 	newer := append([]byte{Format + 1}, entry[1:]...)
 	if _, _, err := s.Apply(newer); !errors.Is(err, ErrNewerFormat) {
 		t.Errorf("%v", err)
@@ -164,7 +207,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	for name, text := range map[string]string{"newer": `{"format":2,"new":1}`, "malformed": `{`, "an unknown field": `{"format":1,"new":1}`, "a bad hash": `{"format":1,"hash":"zz"}`} {
+	for name, text := range map[string]string{"newer": fmt.Sprintf(`{"format":%d,"new":1}`, Format+1), "malformed": `{`, "an unknown field": `{"format":1,"new":1}`, "a bad hash": `{"format":1,"hash":"zz"}`} {
 		if err := s.Restore([]byte(text)); err == nil || name == "newer" != errors.Is(err, ErrNewerFormat) {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -50,7 +50,8 @@
 	Installed uint64                        `json:"installed"` // version in force at the instance
 	AgeMs     int64                         `json:"age_ms"`    // since a quorum last confirmed it; -1: not since the start
 	Serves    bool                          `json:"serves"`
-	Note      string                        `json:"note,omitempty"` // why what is agreed is not in force
+	Note      string                        `json:"note,omitempty"`  // why what is agreed is not in force
+	Halls     map[string]string             `json:"halls,omitempty"` // what this instance makes of each
 	Members   map[uint64]fleetconfig.Member `json:"members"`
 }
 
@@ -74,7 +75,7 @@
 }
 
 // kinds are those of the objects.
-var kinds = []string{"class", "description", "hall", "licensee", "limit", "member", "plan"}
+var kinds = []string{"class", "description", "hall", "licensee", "limit", "lost", "member", "plan"}
 
 func (f *Fleet) serveAdmin(ln net.Listener, side *sync.WaitGroup) *http.Server {
 	mux := http.NewServeMux()
@@ -209,6 +210,7 @@
 	f.mu.Unlock()
 	if in != nil {
 		out.Installed = in.Version()
+		out.Halls = in.HallStates()
 		var age time.Duration
 		if age, out.Serves = in.Standing(time.Now()); age > 0 {
 			out.AgeMs = age.Milliseconds()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,6 +121,10 @@
 	if !cfg.KeysAnywhere {
 		gate.Keys = &sites.Config{Me: cfg.Member, Incarnation: bolt.Starts(), Lease: keyLease, Life: keyLife, Memory: keyMemory, Most: keysMost}
 	}
+	if gate.Keys != nil {
+		gate.Health = &sites.HealthConfig{Me: cfg.Member, Least: hallLeast, LostAfter: hallLost, Fresh: hallFresh, Hold: hallHold,
+			HoldMost: hallHoldMost, Calm: hallCalm, Ramp: gate.Settings.RampTime}
+	}
 	if gate.Agreed == nil {
 		gate.Agreed = &gateway.Agreed{}
 	}
@@ -172,6 +176,7 @@
 	side.Go(func() { f.follow(life) })
 	if gate.Keys != nil {
 		side.Go(func() { f.tellKeys(life) })
+		side.Go(func() { f.judgeHalls(life) })
 	}
 	begun(f)
 	select {
--- a/internal/fleet/homes.go
+++ b/internal/fleet/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -22,6 +23,76 @@
 	keysWord  = 400 // keys in a word
 )
 
+// Figures of the halls' health: a loss moves homes, so it takes a majority and half a second; the
+// hold after it grows to half a minute where a hall flaps.
+const (
+	hallLeast    = 3
+	hallLost     = 500 * time.Millisecond
+	hallFresh    = time.Second
+	hallHold     = time.Second
+	hallHoldMost = 30 * time.Second
+	hallCalm     = time.Minute
+	hallJudge    = 50 * time.Millisecond // between two judgements
+)
+
+// judgeHalls has the leader propose what becomes of the halls, until ctx ends. Any member might:
+// a second proposal of the same is refused.
+func (f *Fleet) judgeHalls(ctx context.Context) {
+	tick := time.NewTicker(hallJudge)
+	defer tick.Stop()
+	states := map[string]string{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := f.in.HallStates()
+		for name, s := range now {
+			if was, ok := states[name]; ok && was != s {
+				f.log.Printf("hall %s is %s (was %s)", name, s, was)
+			}
+		}
+		states = now
+		change, ok := f.in.JudgeHalls()
+		if !ok {
+			continue
+		}
+		s, err := f.node.Status(ctx)
+		if err != nil || s.Leader != s.ID {
+			continue
+		}
+		if err := f.proposeHall(ctx, change); err != nil {
+			f.log.Printf("hall %s: %v", change.Hall, err)
+		}
+	}
+}
+
+// proposeHall proposes that a hall is lost or back.
+func (f *Fleet) proposeHall(ctx context.Context, c sites.HallChange) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	s, err := f.node.Freeze(ctx)
+	if err != nil {
+		return err
+	}
+	change := fleetconfig.Put("lost", c.Hall, fleetconfig.LostHall{Why: c.Why})
+	word := "lost"
+	if !c.Lost {
+		change, word = fleetconfig.Change{Op: "remove", Kind: "lost", Name: c.Hall}, "back"
+	}
+	p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%s-%s-%d", c.Hall, word, s.Homes()), Author: fmt.Sprint("member ", f.cfg.Member),
+		Why: c.Why, AtMs: time.Now().UnixMilli(), Changes: []fleetconfig.Change{change}}
+	if err := s.Check(p); err != nil {
+		return err
+	}
+	o, err := f.node.Propose(ctx, p)
+	if err == nil && o.Applied {
+		f.log.Printf("hall %s is agreed to be %s: %s", c.Hall, word, c.Why)
+	}
+	return err
+}
+
 // takeHomes has the instance take over the epoch of homes that is applied here, with the
 // members of the same moment, and returns it.
 func (f *Fleet) takeHomes(ctx context.Context) uint64 {
@@ -34,10 +105,15 @@
 	}
 	h := sites.Homes{Epoch: s.Homes(), Instances: members}
 	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
+	lost := fleetconfig.Read[fleetconfig.LostHall](s, "lost")
+	var agreed []sites.Hall
 	for _, name := range slices.Sorted(maps.Keys(halls)) {
-		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed})
+		_, gone := lost[name]
+		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed && !gone})
+		agreed = append(agreed, sites.Hall{Name: name, Open: !halls[name].Closed})
 	}
 	f.in.InstallHomes(h)
+	f.in.AgreeHalls(agreed, slices.Sorted(maps.Keys(lost)), members)
 	return h.Epoch
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -44,6 +44,9 @@
 	// Keys, if set, keeps a keyed request to the hall that package sites gives it.
 	Keys *sites.Config
 
+	// Health, if set, has the instance judge the halls: see package sites.
+	Health *sites.HealthConfig
+
 	MaxClients     int           // connections of clients
 	MaxServers     int           // connections to servers
 	ConnectTimeout time.Duration // for a connection to a server
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -51,7 +51,8 @@
 
 	mu       sync.Mutex
 	gw       *choice.Gateway
-	keys     *sites.Keys // nil: keyed requests are kept to a hall for one request only
+	keys     *sites.Keys   // nil: keyed requests are kept to a hall for one request only
+	health   *sites.Health // nil: halls are not judged
 	flights  map[string]*flight
 	after    []func() // what the event under way leaves to do without the mutex
 	closed   bool     // no more events
@@ -173,6 +174,11 @@
 			return nil, err
 		}
 	}
+	if cfg.Health != nil {
+		if in.health, err = sites.NewHealth(*cfg.Health); err != nil {
+			return nil, err
+		}
+	}
 	in.alarm = time.AfterFunc(time.Hour, in.ring)
 	in.alarmAt = math.MaxInt64
 	in.version.Store(&version{table: &contract.Table{}})
@@ -287,13 +293,68 @@
 
 // TellKeys is [sites.Keys.Tell].
 func (in *Instance) TellKeys(most int) (m sites.Message, more bool) {
-	in.event(func(now time.Duration, _ choice.Actions) { m, more = in.keys.Tell(now, most) })
+	in.event(func(now time.Duration, _ choice.Actions) {
+		if m, more = in.keys.Tell(now, most); !more && in.health != nil {
+			m.Views = in.health.Views(now)
+		}
+	})
 	return m, more
 }
 
 // HearKeys is [sites.Keys.Hear].
 func (in *Instance) HearKeys(m sites.Message) {
-	in.event(func(now time.Duration, _ choice.Actions) { in.keys.Hear(now, m) })
+	in.event(func(now time.Duration, _ choice.Actions) {
+		in.keys.Hear(now, m)
+		if in.health != nil && m.Views != nil {
+			in.health.Hear(now, m.From, m.Views)
+		}
+	})
+}
+
+// AgreeHalls takes over which halls there are, which of them are lost, and the members.
+func (in *Instance) AgreeHalls(halls []sites.Hall, lost []string, members []uint64) {
+	in.event(func(now time.Duration, _ choice.Actions) {
+		if in.health != nil {
+			in.health.Agree(now, halls, lost, members)
+		}
+	})
+}
+
+// JudgeHalls is [sites.Health.Judge].
+func (in *Instance) JudgeHalls() (c sites.HallChange, ok bool) {
+	in.event(func(now time.Duration, _ choice.Actions) {
+		if in.health != nil {
+			c, ok = in.health.Judge(now)
+		}
+	})
+	return c, ok
+}
+
+// HallStates tells what the instance makes of each hall that it has a register of.
+func (in *Instance) HallStates() map[string]string {
+	states := map[string]string{}
+	in.event(func(now time.Duration, _ choice.Actions) {
+		for name := range in.halls {
+			if in.health != nil {
+				states[name] = in.health.State(now, name).String()
+			}
+		}
+	})
+	return states
+}
+
+// met notes what an attempt or a probe says of its server's hall. Called under the mutex.
+func (in *Instance) met(now time.Duration, server string, result choice.Result, sent time.Duration) {
+	if in.health == nil {
+		return
+	}
+	hall, _, _ := strings.Cut(server, "/")
+	switch result {
+	case choice.OK, choice.ErrorAnswer, choice.Full:
+		in.health.Heard(now, hall)
+	case choice.TimedOut, choice.ConnectFailed:
+		in.health.Missed(now, hall, sent)
+	}
 }
 
 // Standing tells how long ago the setup in force was confirmed, and whether requests are
@@ -471,6 +532,7 @@
 	report := fl.rep.report()
 	return in.step(fl, func(now time.Duration, out choice.Actions) {
 		fl.call = nil
+		in.met(now, at.server, result, sent)
 		if fl.homed && let {
 			in.keys.Ended(fl.key, !fl.rep.whole || result == choice.Full || result == choice.ConnectFailed || result == choice.Moot)
 		}
@@ -560,6 +622,7 @@
 func (in *Instance) probe(id string) {
 	defer in.work.Done()
 	var rep reply
+	sent := in.now()
 	result := in.servers.exchange(in.ctx, &call{}, id, time.Now().Add(probeTimeout), false, &rep, func(b []byte) []byte {
 		return append(b, "GET "+loadPath+" HTTP/1.1\r\nHost: hall\r\n\r\n"...)
 	})
@@ -567,7 +630,10 @@
 	if report == nil && result == choice.OK {
 		report = load.Parse(string(rep.body))
 	}
-	in.event(func(now time.Duration, out choice.Actions) { in.gw.Probed(now, id, result, report, out) })
+	in.event(func(now time.Duration, out choice.Actions) {
+		in.met(now, id, result, sent)
+		in.gw.Probed(now, id, result, report, out)
+	})
 }
 
 // close ends the instance's events, then waits for its probes, whose context has ended, and
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -57,8 +57,9 @@
 	mu     sync.Mutex
 	orders []order
 	kills  int
-	failed int             // members that ended by themselves: their disk failed
-	gaps   []time.Duration // from the leader's kill to the next applied change
+	failed int                // members that ended by themselves: their disk failed
+	losses [][2]time.Duration // from a hall's silence and from its return until each was agreed on
+	gaps   []time.Duration    // from the leader's kill to the next applied change
 }
 
 // member is one instance.
@@ -696,6 +697,64 @@
 	}
 }
 
+// hallLost has one hall fall silent after the other. The instances must find out, agree on it and
+// move its keys, and take it back once it answers again.
+func hallLost(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	until = until.Add(-c.w.opt.For / 8)
+	for n := 0; ; n++ {
+		pause(ctx, time.Duration(1500+c.rng.IntN(1000))*time.Millisecond)
+		if time.Until(until) < 4*time.Second+time.Second<<n || ctx.Err() != nil { // the hold doubles
+			return
+		}
+		i := c.rng.IntN(2)
+		h := c.w.halls[i]
+		began := time.Now()
+		h.Cut(true)
+		gone, ok := c.awaitLost(ctx, h.Name, true, began)
+		pause(ctx, time.Duration(300+c.rng.IntN(1200))*time.Millisecond)
+		if c.rng.IntN(2) == 0 {
+			ids := []string{}
+			for k := range perHall {
+				ids = append(ids, fmt.Sprintf("r%d-%d", n, k))
+			}
+			if err := h.Empty(ids...); err != nil {
+				c.note("%v", err)
+			}
+		}
+		began = time.Now()
+		h.Cut(false)
+		back, ok2 := c.awaitLost(ctx, h.Name, false, began)
+		if ctx.Err() != nil {
+			return
+		}
+		if !ok || !ok2 {
+			c.note("loss %d: %s was not agreed to be lost and back: %v, %v", n+1, h.Name, ok, ok2)
+			return
+		}
+		c.mu.Lock()
+		c.losses = append(c.losses, [2]time.Duration{gone, back})
+		c.mu.Unlock()
+	}
+}
+
+// lossMost is the longest that a loss, or a return, may stay unknown in the lab, with the hold of the third loss.
+const lossMost = 6 * time.Second
+
+// awaitLost waits until it is agreed whether a hall is lost.
+func (c *cluster) awaitLost(ctx context.Context, hall string, lost bool, began time.Time) (time.Duration, bool) {
+	for time.Since(began) < lossMost && ctx.Err() == nil {
+		one, cancel := context.WithTimeout(ctx, time.Second)
+		o, err := c.clients[0].Objects(one, false)
+		cancel()
+		if _, is := o.Objects["lost"][hall]; err == nil && is == lost {
+			return time.Since(began), true
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+	return 0, false
+}
+
 // chaosConfig kills, cuts and heals by the seed until the time is over.
 func chaosConfig(ctx context.Context, c *cluster) {
 	until, _ := ctx.Deadline()
@@ -811,6 +870,10 @@
 	for i, g := range c.gaps {
 		v.Figures[fmt.Sprint("kill_to_change_ms_", i+1)] = math.Round(g.Seconds() * 1000)
 	}
+	for i, l := range c.losses {
+		v.Figures[fmt.Sprint("hall_lost_ms_", i+1)] = math.Round(l[0].Seconds() * 1000)
+		v.Figures[fmt.Sprint("hall_back_ms_", i+1)] = math.Round(l[1].Seconds() * 1000)
+	}
 	v.OK = true
 	for _, n := range v.Rules {
 		v.OK = v.OK && n == 0
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -65,6 +65,8 @@
 			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
 		{Name: "instance-killed-holding-keys", About: "the same, and an instance is killed as each hall closes", mix: stubbornMix, price: sameUnits, cluster: killedHoldingKeys,
 			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
+		{Name: "hall-lost", About: "processes that agree; a hall falls silent while it runs work, and comes back as it was or empty; nobody tells the instances", mix: stubbornMix, price: sameUnits, cluster: hallLost,
+			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
--- a/internal/standin/hall.go
+++ b/internal/standin/hall.go
@@ -46,6 +46,8 @@
 	fig      Figures
 	ledger   *Ledger
 
+	cut atomic.Bool // what reaches it is not answered, and answers don't leave it
+
 	mu      sync.Mutex
 	servers map[string]*Server
 	keys    map[string]time.Time // when a key was first run
@@ -112,6 +114,29 @@
 	h.Register.Put(e)
 }
 
+// Cut has the hall fall silent, or ends that: what it runs goes on, and nothing it says arrives.
+// Its register still lists it.
+func (h *Hall) Cut(cut bool) { h.cut.Store(cut) }
+
+// Empty replaces all servers by cold ones under new ids. What the hall remembers of keys stays.
+func (h *Hall) Empty(ids ...string) error {
+	h.mu.Lock()
+	var old []string
+	for id := range h.servers {
+		old = append(old, id)
+	}
+	h.mu.Unlock()
+	for _, id := range old {
+		h.Kill(id)
+	}
+	for _, id := range ids {
+		if _, err := h.Start(id, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Drain has the register tell that a server drains.
 func (h *Hall) Drain(id string) {
 	if s := h.server(id); s != nil {
@@ -187,6 +212,11 @@
 // ServeHTTP answers a request that has come.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	if s.hall.cut.Load() {
+		io.Copy(io.Discard, io.LimitReader(r.Body, 1<<20)) // so that the library sees the client go
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if r.URL.Path == "/stats" || r.URL.Path == "/health/live" {
 		fmt.Fprint(w, s.load(now))
 		return
@@ -278,6 +308,9 @@
 		h.ledger.change(func() { a.Effected = effected })
 	}
 	switch {
+	case h.cut.Load():
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	case chance(1) < f.ErrorIdle, chance(2) < f.Error:
 		status.Store(http.StatusInternalServerError)
 		http.Error(w, "fault", http.StatusInternalServerError)
--- /dev/null
+++ b/sites/health.go
@@ -0,0 +1,308 @@
+package sites
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// HallState is what an instance makes of a hall, by its own attempts and probes and by what
+// the others tell of theirs. The transitions:
+//
+//	Well      -> Doubted    nothing that was sent there of late was answered
+//	Doubted   -> Well       an answer of any kind
+//	Doubted   -> CutOff     for LostAfter, and no majority is silent: the fault lies between here and there
+//	CutOff    -> Well       an answer
+//	any       -> Lost       a majority of the members has met silence for LostAfter, and that was agreed on
+//	Lost      -> Returning  a majority hears it again
+//	Returning -> Lost       it no longer does
+//	Returning -> Cold       a majority has heard it for a hold without a break, and that was agreed on
+//	Cold      -> Well       Ramp later
+//
+// The hold doubles with each loss of late, so that a hall that flaps changes the homes ever more
+// seldom. Only Lost and Returning move homes, by agreement; the rest is what operators read.
+type HallState int
+
+const (
+	Well HallState = iota
+	Doubted
+	CutOff
+	Lost
+	Returning
+	Cold
+)
+
+func (s HallState) String() string {
+	return [...]string{"well", "doubted", "cut off", "lost", "returning", "cold"}[s]
+}
+
+// HealthConfig is what an instance is told at its start.
+type HealthConfig struct {
+	Me        uint64
+	Least     int           // attempts or probes in a row without an answer that count as silence
+	LostAfter time.Duration // silence of a majority for so long is a loss
+	Fresh     time.Duration // another instance's view is out of date after this
+	Hold      time.Duration // for which a hall must be heard before it counts as back
+	HoldMost  time.Duration // the most that the hold grows to
+	Calm      time.Duration // after which a loss no longer lengthens it
+	Ramp      time.Duration // a hall that is back is cold for so long
+}
+
+// View is what an instance tells the others of a hall; durations alone go between machines.
+type View struct {
+	Hall   string
+	Silent bool
+	For    time.Duration // it has been so
+}
+
+// HallChange is what should be agreed on.
+type HallChange struct {
+	Hall string
+	Lost bool // else it is back
+	Why  string
+}
+
+// sight is a view of one hall by one instance.
+type sight struct {
+	known  bool
+	silent bool
+	since  time.Duration
+	at     time.Duration // when it was heard or taken; out of date after Fresh
+}
+
+// own is what this instance has met at a hall itself.
+type own struct {
+	sight
+	heard  time.Duration // the last answer
+	misses int           // without an answer since
+	first  time.Duration // the first of them
+}
+
+// agreedHall is what was agreed on.
+type agreedHall struct {
+	lost   bool
+	closed bool
+	losses []time.Duration // of late
+	back   time.Duration   // when the last loss ended; 0: there was none
+}
+
+// Health is one instance's view of the halls. It is not safe for concurrent use.
+type Health struct {
+	cfg     HealthConfig
+	members []uint64
+	halls   map[string]*agreedHall
+	mine    map[string]*own
+	others  map[uint64]map[string]sight
+}
+
+// NewHealth returns a view of halls that are all well. An error names the figure that can't be.
+func NewHealth(cfg HealthConfig) (*Health, error) {
+	if cfg.Least < 1 || cfg.LostAfter <= 0 || cfg.Fresh <= 0 || cfg.Hold <= 0 || cfg.HoldMost < cfg.Hold {
+		return nil, errors.New("sites: Least, LostAfter, Fresh and Hold must be above 0, HoldMost at least Hold")
+	}
+	return &Health{cfg: cfg, halls: map[string]*agreedHall{}, mine: map[string]*own{}, others: map[uint64]map[string]sight{}}, nil
+}
+
+// Agree takes over what is agreed on: the halls, which of them are closed or lost, and the members.
+func (h *Health) Agree(now time.Duration, halls []Hall, lost []string, members []uint64) {
+	h.members = slices.Clone(members)
+	listed := map[string]bool{}
+	for _, hall := range halls {
+		listed[hall.Name] = true
+		a := h.halls[hall.Name]
+		if a == nil {
+			a = &agreedHall{}
+			h.halls[hall.Name] = a
+		}
+		a.closed = !hall.Open
+		is := slices.Contains(lost, hall.Name)
+		if is && !a.lost {
+			a.losses = append(a.losses, now)
+		}
+		if !is && a.lost {
+			a.back = now
+		}
+		a.lost = is
+	}
+	for name := range h.halls {
+		if !listed[name] {
+			delete(h.halls, name)
+			delete(h.mine, name)
+		}
+	}
+	for id := range h.others {
+		if !slices.Contains(members, id) {
+			delete(h.others, id)
+		}
+	}
+}
+
+func (h *Health) own(hall string) *own {
+	o := h.mine[hall]
+	if o == nil && h.halls[hall] != nil {
+		o = &own{}
+		h.mine[hall] = o
+	}
+	return o
+}
+
+// Heard notes an answer of any kind from a hall.
+func (h *Health) Heard(now time.Duration, hall string) {
+	o := h.own(hall)
+	if o == nil {
+		return
+	}
+	if !o.known || o.silent {
+		o.sight = sight{known: true, since: now}
+	}
+	o.at, o.heard, o.misses = now, now, 0
+}
+
+// Missed notes that what was sent to a hall at a time came to nothing. If the hall was heard
+// since, that says nothing of it.
+func (h *Health) Missed(now time.Duration, hall string, sent time.Duration) {
+	o := h.own(hall)
+	if o == nil || o.heard >= sent && o.heard > 0 {
+		return
+	}
+	if o.misses++; o.misses == 1 {
+		o.first = now
+	}
+	if o.misses >= h.cfg.Least {
+		if !o.known || !o.silent {
+			o.sight = sight{known: true, silent: true, since: o.first}
+		}
+		o.at = now
+	}
+}
+
+// Views returns what to tell the others.
+func (h *Health) Views(now time.Duration) (views []View) {
+	for name, o := range h.mine {
+		if o.known && now-o.at <= h.cfg.Fresh {
+			views = append(views, View{name, o.silent, max(now-o.since, 0)})
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int { return compare(a.Hall, b.Hall) })
+	return views
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// Hear takes in what another instance told.
+func (h *Health) Hear(now time.Duration, from uint64, views []View) {
+	if from == h.cfg.Me || !slices.Contains(h.members, from) {
+		return
+	}
+	seen := make(map[string]sight, len(views))
+	for _, v := range views {
+		if h.halls[v.Hall] != nil {
+			seen[v.Hall] = sight{known: true, silent: v.Silent, since: now - v.For, at: now}
+		}
+	}
+	h.others[from] = seen
+}
+
+// votes counts the members that have met silence at a hall for a time, and those that have
+// heard it for a time.
+func (h *Health) votes(now time.Duration, hall string, silentFor, heardFor time.Duration) (silent, heard int) {
+	count := func(s sight) {
+		switch age := s.at - s.since; { // as far as it was seen
+		case !s.known || now-s.at > h.cfg.Fresh:
+		case s.silent && age >= silentFor:
+			silent++
+		case !s.silent && age >= heardFor:
+			heard++
+		}
+	}
+	for _, id := range h.members {
+		if id != h.cfg.Me {
+			count(h.others[id][hall])
+		} else if o := h.mine[hall]; o != nil {
+			count(o.sight)
+		}
+	}
+	return silent, heard
+}
+
+func (h *Health) majority(n int) bool { return 2*n > len(h.members) }
+
+// hold is for how long a hall must be heard before it counts as back.
+func (h *Health) hold(now time.Duration, a *agreedHall) time.Duration {
+	a.losses = slices.DeleteFunc(a.losses, func(at time.Duration) bool { return now-at > h.cfg.Calm })
+	hold := h.cfg.Hold
+	for i := 1; i < len(a.losses) && hold < h.cfg.HoldMost; i++ {
+		hold *= 2
+	}
+	return min(hold, h.cfg.HoldMost)
+}
+
+// Judge returns what should be agreed on now, at most one change: the next is judged by what
+// this one comes to. The last hall that takes keys is never given up: to move all homes nowhere
+// helps nobody.
+func (h *Health) Judge(now time.Duration) (c HallChange, ok bool) {
+	names := make([]string, 0, len(h.halls))
+	for name := range h.halls {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		a := h.halls[name]
+		if a.lost {
+			hold := h.hold(now, a)
+			if _, heard := h.votes(now, name, 0, hold); h.majority(heard) {
+				return HallChange{name, false, fmt.Sprintf("%d of %d members have heard it for %v", heard, len(h.members), hold)}, true
+			}
+			continue
+		}
+		if silent, _ := h.votes(now, name, h.cfg.LostAfter, 0); h.majority(silent) && h.another(now, name) {
+			return HallChange{name, true, fmt.Sprintf("%d of %d members have met silence for %v", silent, len(h.members), h.cfg.LostAfter)}, true
+		}
+	}
+	return HallChange{}, false
+}
+
+// another tells whether another hall takes keys and is heard by a majority.
+func (h *Health) another(now time.Duration, but string) bool {
+	for name, a := range h.halls {
+		if name == but || a.lost || a.closed {
+			continue
+		}
+		if _, heard := h.votes(now, name, 0, 0); h.majority(heard) {
+			return true
+		}
+	}
+	return false
+}
+
+// State tells what this instance makes of a hall.
+func (h *Health) State(now time.Duration, hall string) HallState {
+	a, o := h.halls[hall], h.mine[hall]
+	if a == nil {
+		return Well
+	}
+	silent, heard := h.votes(now, hall, 0, 0)
+	switch {
+	case a.lost && h.majority(heard):
+		return Returning
+	case a.lost:
+		return Lost
+	case o != nil && o.known && o.silent && now-o.at <= h.cfg.Fresh:
+		if now-o.since >= h.cfg.LostAfter && !h.majority(silent) {
+			return CutOff
+		}
+		return Doubted
+	case a.back > 0 && now-a.back < h.cfg.Ramp:
+		return Cold
+	}
+	return Well
+}
--- /dev/null
+++ b/sites/health_test.go
@@ -0,0 +1,320 @@
+package sites
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func healthConfig(me uint64) HealthConfig {
+	return HealthConfig{Me: me, Least: 3, LostAfter: 500 * time.Millisecond, Fresh: time.Second, Hold: time.Second,
+		HoldMost: 8 * time.Second, Calm: time.Minute, Ramp: 5 * time.Second}
+}
+
+// world plays instances that attempt, tell each other and agree. Each has a clock of its own.
+type healthWorld struct {
+	rng     *rand.Rand
+	now     time.Duration
+	halls   []string
+	members []uint64
+	skew    map[uint64]time.Duration
+	health  map[uint64]*Health
+	reach   map[uint64]map[string]bool // whether an instance reaches a hall
+	hears   map[[2]uint64]bool         // whether one hears another
+	paused  map[uint64]bool
+	lost    []string
+	changes int
+	lossOf  map[string]int
+	errs    []string
+}
+
+func newHealthWorld(seed uint64, members int, halls ...string) *healthWorld {
+	w := &healthWorld{rng: rand.New(rand.NewPCG(seed, 7)), halls: halls, skew: map[uint64]time.Duration{}, health: map[uint64]*Health{},
+		reach: map[uint64]map[string]bool{}, hears: map[[2]uint64]bool{}, paused: map[uint64]bool{}, lossOf: map[string]int{}}
+	for id := uint64(1); id <= uint64(members); id++ {
+		w.members = append(w.members, id)
+		w.skew[id] = time.Duration(w.rng.IntN(7200)) * time.Second
+	}
+	for _, id := range w.members {
+		h, err := NewHealth(healthConfig(id))
+		if err != nil {
+			panic(err)
+		}
+		w.health[id], w.reach[id] = h, map[string]bool{}
+		for _, hall := range halls {
+			w.reach[id][hall] = true
+		}
+		for _, o := range w.members {
+			w.hears[[2]uint64{id, o}] = true
+		}
+	}
+	w.agree()
+	return w
+}
+
+func (w *healthWorld) at(id uint64) time.Duration { return w.now + w.skew[id] }
+
+func (w *healthWorld) agree() {
+	var halls []Hall
+	for _, name := range w.halls {
+		halls = append(halls, Hall{name, true})
+	}
+	for _, id := range w.members {
+		w.health[id].Agree(w.at(id), halls, w.lost, w.members)
+	}
+}
+
+// step is 20 ms: some attempts, words, and the judgement of the one that leads.
+func (w *healthWorld) step(leader uint64) {
+	w.now += 20 * time.Millisecond
+	for _, id := range w.members {
+		if w.paused[id] {
+			continue
+		}
+		h := w.health[id]
+		for _, hall := range w.halls {
+			switch w.rng.IntN(3) {
+			case 0:
+				if w.reach[id][hall] {
+					h.Heard(w.at(id), hall)
+				} else {
+					h.Missed(w.at(id), hall, w.at(id)-250*time.Millisecond)
+				}
+			case 1: // one that was lost says nothing where others are answered
+				if w.reach[id][hall] && w.rng.IntN(10) == 0 {
+					h.Heard(w.at(id)-5*time.Millisecond, hall)
+					h.Missed(w.at(id), hall, w.at(id)-250*time.Millisecond)
+				}
+			}
+		}
+		views := h.Views(w.at(id))
+		for _, to := range w.members {
+			if to != id && !w.paused[to] && w.hears[[2]uint64{to, id}] && w.rng.IntN(10) > 0 {
+				w.health[to].Hear(w.at(to), id, views)
+			}
+		}
+	}
+	if w.paused[leader] {
+		return
+	}
+	c, ok := w.health[leader].Judge(w.at(leader))
+	if !ok {
+		return
+	}
+	w.changes++
+	reaches := 0
+	for _, id := range w.members {
+		if w.reach[id][c.Hall] {
+			reaches++
+		}
+	}
+	is := slices.Contains(w.lost, c.Hall)
+	if is == c.Lost {
+		w.errs = append(w.errs, fmt.Sprintf("%v: %+v, and it was so", w.now, c))
+	}
+	if c.Lost {
+		w.lost = append(w.lost, c.Hall)
+		w.lossOf[c.Hall]++
+	} else {
+		w.lost = slices.DeleteFunc(w.lost, func(s string) bool { return s == c.Hall })
+	}
+	if len(w.lost) == len(w.halls) {
+		w.errs = append(w.errs, fmt.Sprintf("%v: every hall is lost", w.now))
+	}
+	w.agree()
+}
+
+func (w *healthWorld) run(leader uint64, d time.Duration, until func() bool) time.Duration {
+	began := w.now
+	for w.now-began < d && !until() {
+		w.step(leader)
+	}
+	return w.now - began
+}
+
+func (w *healthWorld) setHall(hall string, up bool) {
+	for _, id := range w.members {
+		w.reach[id][hall] = up
+	}
+}
+
+// A hall that is silent to all is lost within a bound, and back within one that doubles with each loss.
+func TestHallLostAndBack(t *testing.T) {
+	w := newHealthWorld(1, 3, "a", "b")
+	isLost := func() bool { return slices.Contains(w.lost, "a") }
+	w.run(1, 2*time.Second, isLost)
+	if isLost() {
+		t.Fatal("lost without a cause")
+	}
+	for i, hold := range []time.Duration{1, 2, 4, 8, 8} {
+		w.setHall("a", false)
+		if d := w.run(1, 5*time.Second, isLost); !isLost() || d > 1200*time.Millisecond {
+			t.Fatalf("loss %d was agreed on after %v", i, d)
+		}
+		if s := w.health[2].State(w.at(2), "a"); s != Lost {
+			t.Errorf("state %v", s)
+		}
+		w.setHall("a", true)
+		w.run(1, 300*time.Millisecond, func() bool { return false })
+		if s := w.health[2].State(w.at(2), "a"); s != Returning {
+			t.Errorf("state %v", s)
+		}
+		d := 300*time.Millisecond + w.run(1, 20*time.Second, func() bool { return !isLost() })
+		if isLost() || d < hold*time.Second || d > hold*time.Second+800*time.Millisecond {
+			t.Fatalf("return %d was agreed on after %v, want %v", i, d, hold*time.Second)
+		}
+		if s := w.health[2].State(w.at(2), "a"); s != Cold {
+			t.Errorf("state %v", s)
+		}
+	}
+	w.run(1, 6*time.Second, func() bool { return false })
+	if s := w.health[2].State(w.at(2), "a"); s != Well {
+		t.Errorf("state %v", s)
+	}
+	for _, e := range w.errs {
+		t.Error(e)
+	}
+}
+
+// What a minority meets is a fault of the way there: homes stay, and the state says so.
+func TestCutOffIsNoLoss(t *testing.T) {
+	for name, c := range map[string]struct{ members, cut int }{"one of three": {3, 1}, "half": {4, 2}, "two of five": {5, 2}} {
+		w := newHealthWorld(2, c.members, "a", "b")
+		w.run(1, time.Second, func() bool { return false })
+		for i := range c.cut {
+			w.reach[w.members[i]]["a"] = false
+		}
+		w.run(1, 10*time.Second, func() bool { return len(w.lost) > 0 })
+		if len(w.lost) > 0 {
+			t.Errorf("%s: lost to a minority", name)
+		}
+		if s := w.health[1].State(w.at(1), "a"); s != CutOff {
+			t.Errorf("%s: state there %v", name, s)
+		}
+		if s := w.health[uint64(c.members)].State(w.at(uint64(c.members)), "a"); s != Well {
+			t.Errorf("%s: state elsewhere %v", name, s)
+		}
+	}
+}
+
+// Silence that is known from old words, or from a member that is no longer one, counts for nothing.
+func TestOldViewsDontCount(t *testing.T) {
+	w := newHealthWorld(3, 3, "a", "b")
+	w.run(1, time.Second, func() bool { return false })
+	w.reach[1]["a"], w.reach[2]["a"] = false, false
+	w.run(3, 400*time.Millisecond, func() bool { return false })
+	w.paused[2] = true
+	w.run(1, 5*time.Second, func() bool { return len(w.lost) > 0 })
+	if len(w.lost) > 0 {
+		t.Error("lost by one view and an old one")
+	}
+	h := w.health[1]
+	h.Hear(w.at(1), 9, []View{{"a", true, time.Hour}})
+	h.Hear(w.at(1), 1, []View{{"a", true, time.Hour}})
+	if _, ok := h.Judge(w.at(1)); ok || len(h.others) > 2 {
+		t.Error("a stranger's view, or its own that came back, counts")
+	}
+	// The same by hand: a view of a second ago is none.
+	h, _ = NewHealth(healthConfig(1))
+	h.Agree(0, []Hall{{"a", true}, {"b", true}}, nil, []uint64{1, 2, 3})
+	h.Hear(time.Second, 2, []View{{"a", true, time.Minute}, {"b", false, time.Minute}})
+	for at := 1500 * time.Millisecond; at < 3*time.Second; at += 100 * time.Millisecond {
+		h.Missed(at, "a", at-50*time.Millisecond)
+		h.Heard(at, "b")
+		h.Hear(at, 3, []View{{"b", false, time.Minute}})
+		if _, ok := h.Judge(at); ok && at > 2*time.Second {
+			t.Errorf("%v: lost by a view that is out of date", at)
+		}
+	}
+}
+
+// Nothing asked, nothing known: a hall is not lost for want of requests.
+func TestQuietIsNotSilent(t *testing.T) {
+	h, _ := NewHealth(healthConfig(1))
+	h.Agree(0, []Hall{{"a", true}, {"b", true}}, nil, []uint64{1})
+	h.Heard(time.Second, "a")
+	h.Heard(time.Second, "b")
+	if _, ok := h.Judge(time.Hour); ok || h.State(time.Hour, "a") != Well {
+		t.Error("judged by nothing")
+	}
+	h.Missed(1100*time.Millisecond, "b", 1050*time.Millisecond)
+	if h.State(1100*time.Millisecond, "b") != Well {
+		t.Error("one attempt without an answer is no silence")
+	}
+	for range 9 { // all sent before it was last heard
+		h.Missed(1100*time.Millisecond, "a", 900*time.Millisecond)
+	}
+	if h.State(1200*time.Millisecond, "a") != Well {
+		t.Error("an old attempt counts against a newer answer")
+	}
+}
+
+// The last hall is not given up.
+func TestLastHallStays(t *testing.T) {
+	w := newHealthWorld(4, 3, "a", "b")
+	w.run(1, time.Second, func() bool { return false })
+	w.setHall("a", false)
+	w.setHall("b", false)
+	w.run(1, 10*time.Second, func() bool { return false })
+	if len(w.lost) > 0 {
+		t.Errorf("lost %v while nothing else answers", w.lost)
+	}
+	w.setHall("b", true)
+	w.run(1, 5*time.Second, func() bool { return len(w.lost) > 0 })
+	if !slices.Equal(w.lost, []string{"a"}) {
+		t.Errorf("lost %v after b answers again", w.lost)
+	}
+}
+
+// TestHealthSeeds plays faults from a seed: halls that flap, ways that break, lost words, pauses and changes of
+// the lead. Whatever happens, not every hall is lost, nothing is proposed twice, and a flapping hall changes
+// the homes no more often than its hold allows; and once the faults end, all halls are back.
+func TestHealthSeeds(t *testing.T) {
+	for seed := range uint64(1000) {
+		w := newHealthWorld(seed, 3+int(seed%3), "a", "b", "c")
+		leader := uint64(1)
+		for w.now < 60*time.Second {
+			switch w.rng.IntN(6) {
+			case 0, 1:
+				w.setHall(w.halls[w.rng.IntN(3)], w.rng.IntN(2) == 0)
+			case 2:
+				id := w.members[w.rng.IntN(len(w.members))]
+				w.reach[id][w.halls[w.rng.IntN(3)]] = w.rng.IntN(2) == 0
+			case 3:
+				w.paused[w.members[w.rng.IntN(len(w.members))]] = w.rng.IntN(2) == 0
+			case 4:
+				a, b := w.members[w.rng.IntN(len(w.members))], w.members[w.rng.IntN(len(w.members))]
+				w.hears[[2]uint64{a, b}] = w.rng.IntN(2) == 0
+			default:
+				leader = w.members[w.rng.IntN(len(w.members))]
+			}
+			w.run(leader, time.Duration(w.rng.IntN(1500))*time.Millisecond, func() bool { return false })
+		}
+		// Holds of 1, 2, 4, 8, 8 ... s while losses are of late: 10 in a minute at the most.
+		for hall, n := range w.lossOf {
+			if n > 10 {
+				t.Errorf("seed %d: %s was lost %d times in a minute", seed, hall, n)
+			}
+		}
+		for _, id := range w.members {
+			w.paused[id] = false
+			for _, o := range w.members {
+				w.hears[[2]uint64{id, o}] = true
+			}
+		}
+		for _, hall := range w.halls {
+			w.setHall(hall, true)
+		}
+		if w.run(leader, 30*time.Second, func() bool { return len(w.lost) == 0 }); len(w.lost) > 0 {
+			t.Errorf("seed %d: %v still lost", seed, w.lost)
+		}
+		for _, e := range w.errs {
+			t.Errorf("seed %d: %s", seed, e)
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -65,6 +65,7 @@
 	Epoch       uint64        // it sends by no older one from here on
 	Sent        []Sent        // since the message before
 	Full        bool          // it has sent keys that it could not remember
+	Views       []View        `json:",omitempty"` // of the halls: see [Health]; nil: as before
 }
 
 // Sent is a key that may have run.
