--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -35,6 +35,7 @@
 	Seed         uint64        `help:"Seed of clients and faults." default:"1"`
 	JSON         bool          `help:"Print the verdict as JSON."`
 	List         bool          `help:"List the scenarios."`
+	RampOff      bool          `help:"The instances take every server for warm: hall-returns-empty then shows servers that are pushed over."`
 	KeysAnywhere bool          `help:"Without the guard of keys: hall-closes then shows double bookings."`
 	Logs         string        `help:"File for the instances' logs." type:"path"`
 }
@@ -63,7 +64,7 @@
 	if c.For < time.Second || c.For > time.Hour {
 		return usage{fmt.Errorf("--for: %v is outside 1s to 1h", c.For)}
 	}
-	opt := lab.Options{Scenario: c.Scenario, For: c.For, Seed: c.Seed, KeysAnywhere: c.KeysAnywhere,
+	opt := lab.Options{Scenario: c.Scenario, For: c.For, Seed: c.Seed, KeysAnywhere: c.KeysAnywhere, RampOff: c.RampOff,
 		Progress: func(line string) { fmt.Fprintln(e.stderr, line) }}
 	if !known(c.Scenario) {
 		return usage{fmt.Errorf("--scenario: %q is unknown: see mulleingate lab --list", c.Scenario)}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -58,6 +58,7 @@
 	orders []order
 	kills  int
 	failed int                // members that ended by themselves: their disk failed
+	flaps  int                // times that a hall fell silent or came back
 	losses [][2]time.Duration // from a hall's silence and from its return until each was agreed on
 	gaps   []time.Duration    // from the leader's kill to the next applied change
 }
@@ -213,7 +214,11 @@
 		fmt.Fprintf(&b, "%q, ", o.udp)
 	}
 	fmt.Fprintf(&b, "]\naccess_log = \"access-%d.jsonl\"\n[limits]\ndrain_for = \"50ms\"\nanswer_slack = \"8ms\"\nmax_attempts = 5\n", m.id)
-	fmt.Fprintf(&b, "[servers]\ndrain_grace = \"250ms\"\ncold_from = 0.17\nramp_time = \"15s\"\nfall_multiple = 2.5\noverload_for = \"2s\"\n")
+	coldFrom := 0.17
+	if c.w.opt.RampOff {
+		coldFrom = 1
+	}
+	fmt.Fprintf(&b, "[servers]\ndrain_grace = \"250ms\"\ncold_from = %v\nramp_time = \"15s\"\nfall_multiple = 2.5\noverload_for = \"2s\"\n", coldFrom)
 	fmt.Fprintf(&b, "[cluster]\nname = %q\nnumber = %d\ndata = \"gate-%d.db\"\ncerts = \"certs\"\ntick = %q\n", clusterName, m.id, m.id, memberTick)
 	if c.w.opt.KeysAnywhere {
 		b.WriteString("keys = \"anywhere\"\n")
@@ -700,22 +705,51 @@
 // hallLost has one hall fall silent after the other. The instances must find out, agree on it and
 // move its keys, and take it back once it answers again.
 func hallLost(ctx context.Context, c *cluster) {
+	c.loseHalls(ctx, func(int) int { return []int{-1, perHall}[c.rng.IntN(2)] })
+}
+
+// hallReturnsEmpty is hallLost with halls that come back with cold servers alone: one, all, half of
+// them, and twice in a row.
+func hallReturnsEmpty(ctx context.Context, c *cluster) {
+	c.loseHalls(ctx, func(n int) int { return []int{1, perHall, perHall / 2}[n%3] })
+}
+
+// flapping has one hall fall silent and come back by the seed, for as long as the scenario lasts.
+func flapping(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	until = until.Add(-c.w.opt.For / 4)
+	h := c.w.halls[c.rng.IntN(2)]
+	for cut := true; time.Now().Before(until) && ctx.Err() == nil; cut = !cut {
+		h.Cut(cut)
+		pause(ctx, time.Duration(100+c.rng.IntN(1400))*time.Millisecond)
+		c.flaps++
+	}
+	h.Cut(false)
+}
+
+// loseHalls has halls fall silent in turn and come back with as many cold servers as back tells,
+// or as they were where that is below 0.
+func (c *cluster) loseHalls(ctx context.Context, back func(n int) int) {
 	until, _ := ctx.Deadline()
 	until = until.Add(-c.w.opt.For / 8)
+	var last *standin.Hall
 	for n := 0; ; n++ {
 		pause(ctx, time.Duration(1500+c.rng.IntN(1000))*time.Millisecond)
 		if time.Until(until) < 4*time.Second+time.Second<<n || ctx.Err() != nil { // the hold doubles
 			return
 		}
-		i := c.rng.IntN(2)
-		h := c.w.halls[i]
+		h := c.w.halls[c.rng.IntN(2)]
+		if n > 0 && c.rng.IntN(2) == 0 {
+			h = last // twice in a row
+		}
+		last = h
 		began := time.Now()
 		h.Cut(true)
 		gone, ok := c.awaitLost(ctx, h.Name, true, began)
 		pause(ctx, time.Duration(300+c.rng.IntN(1200))*time.Millisecond)
-		if c.rng.IntN(2) == 0 {
+		if servers := back(n); servers >= 0 {
 			ids := []string{}
-			for k := range perHall {
+			for k := range servers {
 				ids = append(ids, fmt.Sprintf("r%d-%d", n, k))
 			}
 			if err := h.Empty(ids...); err != nil {
@@ -724,7 +758,7 @@
 		}
 		began = time.Now()
 		h.Cut(false)
-		back, ok2 := c.awaitLost(ctx, h.Name, false, began)
+		returned, ok2 := c.awaitLost(ctx, h.Name, false, began)
 		if ctx.Err() != nil {
 			return
 		}
@@ -733,7 +767,7 @@
 			return
 		}
 		c.mu.Lock()
-		c.losses = append(c.losses, [2]time.Duration{gone, back})
+		c.losses = append(c.losses, [2]time.Duration{gone, returned})
 		c.mu.Unlock()
 	}
 }
@@ -874,6 +908,19 @@
 		v.Figures[fmt.Sprint("hall_lost_ms_", i+1)] = math.Round(l[0].Seconds() * 1000)
 		v.Figures[fmt.Sprint("hall_back_ms_", i+1)] = math.Round(l[1].Seconds() * 1000)
 	}
+	if c.flaps > 0 {
+		// A loss takes half a second of silence, a return a hold that doubles.
+		lost, most := 0, 0
+		for _, r := range history {
+			lost += strings.Count(strings.Join(r.Changes, ";"), "put lost")
+		}
+		for spent := time.Duration(0); spent < w.opt.For; most++ {
+			spent += 500*time.Millisecond + time.Second<<min(most, 5)
+		}
+		if v.Figures["flaps"], v.Figures["losses_agreed"], v.Figures["losses_at_most"] = float64(c.flaps), float64(lost), float64(most); lost > most {
+			j.broken("scenario", "the halls were agreed to be lost %d times; their holds allow %d", lost, most)
+		}
+	}
 	v.OK = true
 	for _, n := range v.Rules {
 		v.OK = v.OK && n == 0
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -33,6 +33,7 @@
 	Program  string            // mulleingate, for scenarios with processes
 	Env      []string          // added to its environment
 
+	RampOff      bool // the instances take every server for warm: hall-returns-empty must then show fallen ones
 	KeysAnywhere bool // without the guard of keys: hall-closes must then show double bookings
 
 	breakRule func(*world) // a test breaks a rule on purpose
@@ -67,6 +68,10 @@
 			faults: standin.Faults{Error: 0.1, ErrorIdle: 0.02, Reset: 0.1, Silent: 0.03, Refuse: 0.02}},
 		{Name: "hall-lost", About: "processes that agree; a hall falls silent while it runs work, and comes back as it was or empty; nobody tells the instances", mix: stubbornMix, price: sameUnits, cluster: hallLost,
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
+		{Name: "hall-returns-empty", About: "the same with halls that come back cold: with one server, with all, with half of them, twice in a row", mix: stubbornMix, price: sameUnits, cluster: hallReturnsEmpty,
+			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
+		{Name: "flapping", About: "the same with a hall that falls silent and answers again all the time", mix: stubbornMix, price: sameUnits, cluster: flapping,
+			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
