A hall that is back takes its keys in eighths, by what it can carry beside the others

Need: a hall back with one cold server of five took half of all keys at once and refused most of them.

The members tell with their views how many warm servers a hall is worth (Gateway.Carries); the leader proposes parts by the median. sites.Homes.home takes a part by a second hash, in exact arithmetic. A part is not taken back while the hall answers.

--- a/choice/state.go
+++ b/choice/state.go
@@ -356,6 +356,17 @@
 	return listed, avoided
 }
 
+// Carries is how many warm servers of unit weight those of a zone are worth that take requests and answer.
+func (g *Gateway) Carries(now time.Duration, zone string) (sum float64) {
+	g.now = now
+	for _, s := range g.servers {
+		if s.Zone == zone && s.takes() && !s.lost {
+			sum += g.weight(s) * g.warmth(s)
+		}
+	}
+	return sum
+}
+
 // takes tells whether the server is in the list and not draining.
 func (s *server) takes() bool { return s.listed && s.State == Up }
 
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -35,9 +35,11 @@
 }
 
 // LostHall says that the instances agree to have lost the hall of that name: homes of keys
-// leave it until it is removed. Instances put and remove it (see package sites).
+// leave it until it is removed. One that is coming back takes a part of its keys. Instances
+// put and remove it (see package sites).
 type LostHall struct {
-	Why string `json:"why"`
+	Why  string `json:"why"`
+	Part int    `json:"part,omitempty"` // eighths of its keys that it takes
 }
 
 // Class is what requests of a class are worth, and the figures of operations that declare
@@ -107,6 +109,9 @@
 		if l.Why == "" {
 			return errors.New("why: is missing")
 		}
+		if l.Part < 0 || l.Part > 7 {
+			return errors.New("part: is outside 0 to 7")
+		}
 		return nil
 	}),
 	"member": as(func(m *Member) error {
@@ -201,7 +206,12 @@
 func takesKeys(objects map[string]json.RawMessage) bool {
 	for _, k := range keysOf(objects, "hall") {
 		var h Hall
-		if _, lost := objects[key("lost", k[len("hall/"):])]; !lost && json.Unmarshal(objects[k], &h) == nil && !h.Closed {
+		var l LostHall
+		text, lost := objects[key("lost", k[len("hall/"):])]
+		if lost && (json.Unmarshal(text, &l) != nil || l.Part == 0) {
+			continue
+		}
+		if json.Unmarshal(objects[k], &h) == nil && !h.Closed {
 			return true
 		}
 	}
@@ -238,7 +248,7 @@
 			if _, ok := objects[key("hall", name)]; !ok {
 				return fmt.Errorf("lost %s: there is no such hall", name)
 			}
-			if !takesKeys(objects) {
+			if touched[k] && !takesKeys(objects) {
 				return fmt.Errorf("lost %s: no other hall takes keys", name)
 			}
 		case kind == "limit" && name != "units":
--- a/internal/fleet/homes.go
+++ b/internal/fleet/homes.go
@@ -76,12 +76,15 @@
 	if err != nil {
 		return err
 	}
-	change := fleetconfig.Put("lost", c.Hall, fleetconfig.LostHall{Why: c.Why})
+	change := fleetconfig.Put("lost", c.Hall, fleetconfig.LostHall{Why: c.Why, Part: c.Part})
 	word := "lost"
-	if !c.Lost {
+	switch {
+	case !c.Lost && c.Part == 0:
 		change, word = fleetconfig.Change{Op: "remove", Kind: "lost", Name: c.Hall}, "back"
+	case !c.Lost:
+		word = fmt.Sprintf("back with %d of 8 of its keys", c.Part)
 	}
-	p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%s-%s-%d", c.Hall, word, s.Homes()), Author: fmt.Sprint("member ", f.cfg.Member),
+	p := &fleetconfig.Proposal{ID: fmt.Sprintf("hall-%s-%v-%d-%d", c.Hall, c.Lost, c.Part, s.Homes()), Author: fmt.Sprint("member ", f.cfg.Member),
 		Why: c.Why, AtMs: time.Now().UnixMilli(), Changes: []fleetconfig.Change{change}}
 	if err := s.Check(p); err != nil {
 		return err
@@ -107,13 +110,17 @@
 	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
 	lost := fleetconfig.Read[fleetconfig.LostHall](s, "lost")
 	var agreed []sites.Hall
+	parts := map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(halls)) {
-		_, gone := lost[name]
-		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed && !gone})
+		l, gone := lost[name]
+		if gone {
+			parts[name] = l.Part
+		}
+		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed && (!gone || l.Part > 0), Part: l.Part})
 		agreed = append(agreed, sites.Hall{Name: name, Open: !halls[name].Closed})
 	}
 	f.in.InstallHomes(h)
-	f.in.AgreeHalls(agreed, slices.Sorted(maps.Keys(lost)), members)
+	f.in.AgreeHalls(agreed, parts, members)
 	return h.Epoch
 }
 
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -295,6 +295,9 @@
 func (in *Instance) TellKeys(most int) (m sites.Message, more bool) {
 	in.event(func(now time.Duration, _ choice.Actions) {
 		if m, more = in.keys.Tell(now, most); !more && in.health != nil {
+			for name := range in.halls {
+				in.health.Carries(name, in.gw.Carries(now, name))
+			}
 			m.Views = in.health.Views(now)
 		}
 	})
@@ -312,7 +315,7 @@
 }
 
 // AgreeHalls takes over which halls there are, which of them are lost, and the members.
-func (in *Instance) AgreeHalls(halls []sites.Hall, lost []string, members []uint64) {
+func (in *Instance) AgreeHalls(halls []sites.Hall, lost map[string]int, members []uint64) {
 	in.event(func(now time.Duration, _ choice.Actions) {
 		if in.health != nil {
 			in.health.Agree(now, halls, lost, members)
--- a/sites/health.go
+++ b/sites/health.go
@@ -18,10 +18,13 @@
 //	Lost      -> Returning  a majority hears it again
 //	Returning -> Lost       it no longer does
 //	Returning -> Cold       a majority has heard it for a hold without a break, and that was agreed on
-//	Cold      -> Well       Ramp later
+//	Cold      -> Lost       as before
+//	Cold      -> Well       it carries what the others do, and Ramp has passed
 //
 // The hold doubles with each loss of late, so that a hall that flaps changes the homes ever more
-// seldom. Only Lost and Returning move homes, by agreement; the rest is what operators read.
+// seldom. A hall that is back takes a part of its keys, in eighths, by what it can carry beside the hall that
+// can carry most: it may have come back cold, or with few servers. Only what is agreed on moves homes; the rest
+// is what operators read.
 type HallState int
 
 const (
@@ -54,12 +57,14 @@
 	Hall   string
 	Silent bool
 	For    time.Duration // it has been so
+	Carry  float64       // warm servers that it is worth, as far as is known; 0: nothing is
 }
 
 // HallChange is what should be agreed on.
 type HallChange struct {
 	Hall string
 	Lost bool // else it is back
+	Part int  // eighths of its keys that it takes again; 0 of one that is back: all
 	Why  string
 }
 
@@ -69,6 +74,7 @@
 	silent bool
 	since  time.Duration
 	at     time.Duration // when it was heard or taken; out of date after Fresh
+	carry  float64
 }
 
 // own is what this instance has met at a hall itself.
@@ -81,7 +87,9 @@
 
 // agreedHall is what was agreed on.
 type agreedHall struct {
-	lost   bool
+	lost   bool // it takes a part of its keys or, with part 0, none
+	part   int
+	moved  time.Duration // when part last changed
 	closed bool
 	losses []time.Duration // of late
 	back   time.Duration   // when the last loss ended; 0: there was none
@@ -104,8 +112,9 @@
 	return &Health{cfg: cfg, halls: map[string]*agreedHall{}, mine: map[string]*own{}, others: map[uint64]map[string]sight{}}, nil
 }
 
-// Agree takes over what is agreed on: the halls, which of them are closed or lost, and the members.
-func (h *Health) Agree(now time.Duration, halls []Hall, lost []string, members []uint64) {
+// Agree takes over what is agreed on: the halls, which of them are closed, the lost ones with the part of their
+// keys that they take again, and the members.
+func (h *Health) Agree(now time.Duration, halls []Hall, lost map[string]int, members []uint64) {
 	h.members = slices.Clone(members)
 	listed := map[string]bool{}
 	for _, hall := range halls {
@@ -116,10 +125,14 @@
 			h.halls[hall.Name] = a
 		}
 		a.closed = !hall.Open
-		is := slices.Contains(lost, hall.Name)
-		if is && !a.lost {
+		part, is := lost[hall.Name]
+		if is && part == 0 && (!a.lost || a.part > 0) {
 			a.losses = append(a.losses, now)
 		}
+		if part != a.part {
+			a.moved = now
+		}
+		a.part = part
 		if !is && a.lost {
 			a.back = now
 		}
@@ -154,7 +167,7 @@
 		return
 	}
 	if !o.known || o.silent {
-		o.sight = sight{known: true, since: now}
+		o.sight = sight{known: true, since: now, carry: o.carry}
 	}
 	o.at, o.heard, o.misses = now, now, 0
 }
@@ -171,17 +184,24 @@
 	}
 	if o.misses >= h.cfg.Least {
 		if !o.known || !o.silent {
-			o.sight = sight{known: true, silent: true, since: o.first}
+			o.sight = sight{known: true, silent: true, since: o.first, carry: o.carry}
 		}
 		o.at = now
 	}
 }
 
+// Carries notes what a hall can carry, in warm servers.
+func (h *Health) Carries(hall string, servers float64) {
+	if o := h.own(hall); o != nil {
+		o.carry = servers
+	}
+}
+
 // Views returns what to tell the others.
 func (h *Health) Views(now time.Duration) (views []View) {
 	for name, o := range h.mine {
 		if o.known && now-o.at <= h.cfg.Fresh {
-			views = append(views, View{name, o.silent, max(now-o.since, 0)})
+			views = append(views, View{name, o.silent, max(now-o.since, 0), o.carry})
 		}
 	}
 	slices.SortFunc(views, func(a, b View) int { return compare(a.Hall, b.Hall) })
@@ -206,7 +226,7 @@
 	seen := make(map[string]sight, len(views))
 	for _, v := range views {
 		if h.halls[v.Hall] != nil {
-			seen[v.Hall] = sight{known: true, silent: v.Silent, since: now - v.For, at: now}
+			seen[v.Hall] = sight{known: true, silent: v.Silent, since: now - v.For, at: now, carry: v.Carry}
 		}
 	}
 	h.others[from] = seen
@@ -246,6 +266,40 @@
 	return min(hold, h.cfg.HoldMost)
 }
 
+// part is how many eighths of its keys a hall can take: by the median of what the members know of it, beside
+// the hall that can carry most. Where nothing is known it is all of them.
+func (h *Health) part(now time.Duration, hall string) int {
+	carries := func(name string) float64 {
+		var all []float64
+		for _, id := range h.members {
+			s := h.others[id][name]
+			if id == h.cfg.Me {
+				if s = (sight{}); h.mine[name] != nil {
+					s = h.mine[name].sight
+				}
+			}
+			if s.known && now-s.at <= h.cfg.Fresh && s.carry > 0 {
+				all = append(all, s.carry)
+			}
+		}
+		if len(all) == 0 {
+			return 0
+		}
+		slices.Sort(all)
+		return all[len(all)/2]
+	}
+	most := 0.0
+	for name := range h.halls {
+		most = max(most, carries(name))
+	}
+	if most <= 0 {
+		return eighths
+	}
+	return min(max(int(eighths*carries(hall)/most+0.5), 1), eighths)
+}
+
+const eighths = 8
+
 // Judge returns what should be agreed on now, at most one change: the next is judged by what
 // this one comes to. The last hall that takes keys is never given up: to move all homes nowhere
 // helps nobody.
@@ -257,24 +311,34 @@
 	slices.Sort(names)
 	for _, name := range names {
 		a := h.halls[name]
-		if a.lost {
+		if a.lost && a.part == 0 {
 			hold := h.hold(now, a)
 			if _, heard := h.votes(now, name, 0, hold); h.majority(heard) {
-				return HallChange{name, false, fmt.Sprintf("%d of %d members have heard it for %v", heard, len(h.members), hold)}, true
+				return back(name, h.part(now, name), fmt.Sprintf("%d of %d members have heard it for %v", heard, len(h.members), hold)), true
 			}
 			continue
 		}
 		if silent, _ := h.votes(now, name, h.cfg.LostAfter, 0); h.majority(silent) && h.another(now, name) {
-			return HallChange{name, true, fmt.Sprintf("%d of %d members have met silence for %v", silent, len(h.members), h.cfg.LostAfter)}, true
+			return HallChange{name, true, 0, fmt.Sprintf("%d of %d members have met silence for %v", silent, len(h.members), h.cfg.LostAfter)}, true
+		}
+		if a.lost && now-a.moved >= h.cfg.Hold {
+			if part := h.part(now, name); part > a.part {
+				return back(name, part, fmt.Sprintf("it can carry %d of 8", part)), true
+			}
 		}
 	}
 	return HallChange{}, false
 }
 
+// back is the change by which a hall takes a part of its keys again.
+func back(hall string, part int, why string) HallChange {
+	return HallChange{Hall: hall, Part: part % eighths, Why: why}
+}
+
 // another tells whether another hall takes keys and is heard by a majority.
 func (h *Health) another(now time.Duration, but string) bool {
 	for name, a := range h.halls {
-		if name == but || a.lost || a.closed {
+		if name == but || a.lost && a.part == 0 || a.closed {
 			continue
 		}
 		if _, heard := h.votes(now, name, 0, 0); h.majority(heard) {
@@ -292,16 +356,16 @@
 	}
 	silent, heard := h.votes(now, hall, 0, 0)
 	switch {
-	case a.lost && h.majority(heard):
+	case a.lost && a.part == 0 && h.majority(heard):
 		return Returning
-	case a.lost:
+	case a.lost && a.part == 0:
 		return Lost
 	case o != nil && o.known && o.silent && now-o.at <= h.cfg.Fresh:
 		if now-o.since >= h.cfg.LostAfter && !h.majority(silent) {
 			return CutOff
 		}
 		return Doubted
-	case a.back > 0 && now-a.back < h.cfg.Ramp:
+	case a.lost, a.back > 0 && now-a.back < h.cfg.Ramp:
 		return Cold
 	}
 	return Well
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -47,6 +47,7 @@
 type Hall struct {
 	Name string
 	Open bool // it takes keys
+	Part int  // of eight of the keys that would live there, those that do; 0: all
 }
 
 // Verdict is what may become of a request.
@@ -151,16 +152,20 @@
 	k.confirmed, k.known = max(k.confirmed, asked), true
 }
 
-// home is the open hall with the highest weight for a key.
+// home is the open hall with the highest weight for a key, of those that take it. A hall that
+// comes back takes a part of its keys, the same ones as with a smaller part and more; what it does not take
+// yet goes to the next by weight. The arithmetic is exact: all instances must find the same.
 func (h *Homes) home(key uint64) string {
-	best, most := "", uint64(0)
+	best, most, took := "", uint64(0), false
 	for i := range h.Halls {
 		hall := &h.Halls[i]
 		if !hall.Open {
 			continue
 		}
-		if w := weigh(hall.Name, key); best == "" || w > most || w == most && hall.Name < best {
-			best, most = hall.Name, w
+		w := weigh(hall.Name, key)
+		takes := hall.Part == 0 || int(weigh(hall.Name, ^key)>>61) < hall.Part
+		if best == "" || takes && !took || takes == took && (w > most || w == most && hall.Name < best) {
+			best, most, took = hall.Name, w, takes
 		}
 	}
 	return best
