--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -50,7 +50,7 @@
 const (
 	silentFor  = 100 * time.Millisecond // clients that mean to ask do so as soon as they have connected
 	idleFor    = 2 * time.Second        // a client's due
-	readingFor = 500 * time.Millisecond // a head comes in one piece
+	readingFor = 500 * time.Millisecond // between the pieces of a head
 	writtenFor = 100 * time.Millisecond // after it an answer is on its way
 )
 
@@ -128,15 +128,17 @@
 		}
 		return 1
 	case c.state == silent && age >= silentFor:
-		return 5
+		return 6
 	case c.state == idle && age >= idleFor:
+		return 5
+	case c.state == reading && age >= readingFor && now.Sub(c.last) >= readingFor:
 		return 4
-	case c.state == reading && age >= readingFor:
-		return 3
 	case c.state == silent:
-		return 2
+		return 3
 	case c.state == idle && age >= writtenFor:
-		return 1
+		return 2
+	case c.state == reading && age >= readingFor:
+		return 1 // it still writes a request, if slowly
 	}
 	return 0
 }
@@ -194,6 +196,7 @@
 	head  []byte    // of the request being read, as it came; under slots.mu
 	heads bool      // more of it is to come
 	early []byte    // what came of the next request while one was open
+	last  time.Time // when something came; under slots.mu
 }
 
 // moveAll has every connection handed over by move as soon as no request is on it.
@@ -310,6 +313,9 @@
 	if c.state == ended {
 		return false
 	}
+	if state == reading {
+		c.last = time.Now()
+	}
 	begins := state == reading && (c.state == silent || c.state == idle) || state == idle && len(c.early) > 0
 	if begins { // the first bytes of a request
 		state = reading
--- a/internal/node/slots_test.go
+++ b/internal/node/slots_test.go
@@ -30,7 +30,7 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if c.state == state {
-			c.since = c.since.Add(-by)
+			c.since, c.last = c.since.Add(-by), c.last.Add(-by)
 			n++
 		}
 	}
@@ -230,3 +230,34 @@
 		t.Errorf("second head %q", head)
 	}
 }
+
+// Of two requests that are slow to come the one that has stopped gives way, though the other began earlier.
+func TestStoppedGivesWayFirst(t *testing.T) {
+	s := newSlots(2)
+	var conns []*slotConn
+	for range 3 {
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		conns = append(conns, &slotConn{Conn: near, slots: s})
+	}
+	writes, stopped := conns[0], conns[1]
+	s.add(writes)
+	s.add(stopped)
+	writes.become(reading)
+	stopped.become(reading)
+	s.age(reading, 3*readingFor)
+	writes.since = writes.since.Add(-time.Second)
+	writes.become(reading) // a further piece has come
+	if got := s.add(conns[2]); got != stopped {
+		t.Error("the wrong one was closed")
+	}
+	// Where no other is left it gives way as well: a trickle must not keep others out.
+	conns[2].become(open)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	if got := s.add(&slotConn{Conn: near, slots: s}); got != writes {
+		t.Error("a slow writer keeps a new client out")
+	}
+}
