A long body whose attempt fails half way is refused, not failed: it never ran

A guard taken out went unseen (no second attempt once some of a body is gone): the test earned no further attempt. With that mended it showed a fault: the second attempt, not sent for that reason, was taken for a client that had stopped, and the client got 502 in place of 429 with its Retry-After. Now only a client that has stopped ends its request so. Both guards taken out: found.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -268,7 +268,7 @@
 	if more := fl.msg.more; more != nil {
 		if !more.passed.IsZero() {
 			took = time.Since(more.passed)
-		} else if result == choice.Moot {
+		} else if more.broken.Load() {
 			n.abandon(fl) // its client sends no more of it
 		}
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -74,6 +74,7 @@
 
 	used    atomic.Bool // some of it has gone on
 	passing atomic.Bool // an attempt has it
+	broken  atomic.Bool // its client has stopped sending
 	passed  time.Time   // when the last byte had gone on
 }
 
@@ -94,9 +95,11 @@
 	}
 	n, err := in.body.Read(p)
 	if in.got += int64(n); in.got > bodyMost {
+		in.broken.Store(true)
 		return 0, errTooLarge
 	}
 	if err != nil && err != io.EOF {
+		in.broken.Store(true)
 		err = errors.Join(errIntake, err)
 	}
 	return n, err
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -235,10 +235,18 @@
 				go func() {
 					defer c.Close()
 					br := bufio.NewReader(c)
-					if r, err := http.ReadRequest(br); err == nil && r.Method == "POST" {
-						seen <- true
-						io.CopyN(io.Discard, br, 100000)
-						c.(*net.TCPConn).SetLinger(0)
+					for {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						if r.Method == "POST" {
+							seen <- true
+							io.CopyN(io.Discard, br, 100000)
+							c.(*net.TCPConn).SetLinger(0)
+							return
+						}
+						io.WriteString(c, okAnswer)
 					}
 				}()
 			}
@@ -252,6 +260,9 @@
 		list = append(list, s)
 	}
 	n = run(t, testConfig(list...))
+	for i := range 20 { // they earn further attempts
+		dial(t, n.addr).ask(request("check", fmt.Sprint("e", i)))
+	}
 	if a := dial(t, n.addr).ask(longBody("b", pattern(20<<20), false)); a.status != 429 {
 		t.Errorf("status %d", a.status)
 	}
