--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -170,14 +170,8 @@
 		<-hold
 		return say(okAnswer)(c, r, body)
 	})
-	life := t.Context()
 	cfg := testConfig(app.instance("a"))
 	cfg.MemoryMB = 1 // 157,286 bytes for bodies
-	n, err := newNode(life, cfg, discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = n
 	r := run(t, cfg)
 	first, second := dial(t, r.addr), dial(t, r.addr)
 	first.send(longBody("a", pattern(100000), false))
--- a/sites/health.go
+++ b/sites/health.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -204,20 +205,10 @@
 			views = append(views, View{name, o.silent, max(now-o.since, 0), o.carry})
 		}
 	}
-	slices.SortFunc(views, func(a, b View) int { return compare(a.Hall, b.Hall) })
+	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Hall, b.Hall) })
 	return views
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // Hear takes in what another instance told.
 func (h *Health) Hear(now time.Duration, from uint64, views []View) {
 	if from == h.cfg.Me || !slices.Contains(h.members, from) {
