Read again: one place for an answer's type, a plainer deadline of slow bodies

Whole and streamed answers worded their Content-Type each by itself; the deadline of a body's next piece took two branches for a minimum. Behaviour and tests as they were: internal/node and cmd/mulleinmux pass.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -256,13 +256,9 @@
 
 // relay passes a long answer on as it comes.
 func (f *front) relay(w http.ResponseWriter, rep reply) choice.Result {
-	h := w.Header()
-	h["Content-Type"] = nil
-	if rep.contentType != "" {
-		h["Content-Type"] = []string{rep.contentType}
-	}
+	setType(w.Header(), rep)
 	if rep.rest.length >= 0 {
-		h["Content-Length"] = []string{strconv.FormatInt(rep.rest.length, 10)}
+		w.Header()["Content-Length"] = []string{strconv.FormatInt(rep.rest.length, 10)}
 	}
 	w.WriteHeader(http.StatusOK)
 	result := rep.rest.relayTo(w, rep.body)
@@ -270,6 +266,14 @@
 	return result
 }
 
+// setType passes an answer's type on. Where it has none the library must not guess one.
+func setType(h http.Header, rep reply) {
+	h["Content-Type"] = nil
+	if rep.contentType != "" {
+		h["Content-Type"] = []string{rep.contentType}
+	}
+}
+
 // turnDown answers a request that is the client's mistake. A body that was not read is
 // not waited for: what is left of it would be read as the next request.
 func (f *front) turnDown(w http.ResponseWriter, r *http.Request, err error) {
@@ -337,11 +341,7 @@
 	h := w.Header()
 	switch a.kind {
 	case served:
-		if a.reply.contentType != "" {
-			h["Content-Type"] = []string{a.reply.contentType}
-		} else {
-			h["Content-Type"] = nil // or the library guesses one
-		}
+		setType(h, a.reply)
 		h["Content-Length"] = []string{strconv.Itoa(len(a.reply.body))}
 		w.WriteHeader(http.StatusOK)
 		w.Write(a.reply.body) // a client that is gone by now has nothing to be told
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -81,13 +81,12 @@
 // Read waits for as long as the client keeps sending.
 func (in *intake) Read(p []byte) (int, error) {
 	now := time.Now()
-	until := in.began.Add(bodyGrace)
-	if slowest := until.Add(time.Duration(in.got) * time.Second / bodyRate); slowest.After(now.Add(bodyStall)) {
-		until = now.Add(bodyStall)
-	} else {
-		until = slowest
+	least := in.began.Add(bodyGrace)
+	until := least.Add(time.Duration(in.got) * time.Second / bodyRate)
+	if stall := now.Add(bodyStall); until.After(stall) {
+		until = stall
 	}
-	if least := in.began.Add(bodyGrace); until.Before(least) {
+	if until.Before(least) {
 		until = least
 	}
 	if err := in.rc.SetReadDeadline(until); err != nil {
