Attempts past their aim are no work that waits: the jam bound leaves them out

A server that leaves an attempt unanswered while it answers others is not held for lost, so the attempt counted until its client's time was over. Now each probe counts those past their class's aim, and the bound leaves them out; a real jam still shows, since attempts younger than the aim alone pass the bound then.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -969,7 +969,9 @@
 // tick is the work of each probe.
 func (g *Gateway) tick() {
 	f := g.aro.f
-	g.aro.assess(g.oks, g.younger(jamAge)) // attempts at a few silent servers must not read as a jam of all
+	young, overdue := g.ages(jamAge)
+	g.overdue = overdue
+	g.aro.assess(g.oks, young) // attempts at a few silent servers must not read as a jam of all
 	if f >= 1 && g.aro.f < 1 {
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -900,15 +900,35 @@
 	g, r := newGate(t, testSettings(), fleet(4)...)
 	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
 	aim := g.set.Classes[g.class["safe"]].Aim
-	if n := g.younger(jamAge); n != 1 {
+	if n, _ := g.ages(jamAge); n != 1 {
 		t.Errorf("%v young at once", n)
 	}
 	g.now = t0 + aim
-	if n := g.younger(jamAge); n != 0 {
+	if n, _ := g.ages(jamAge); n != 0 {
 		t.Errorf("%v young after the aim", n)
 	}
 }
 
+// Attempts that a server leaves unanswered for good, while it answers others, are no work that waits: those past
+// their aim must not keep new requests out. A server held for lost has its own taken off already.
+func TestOverdueAttemptsAreNoJam(t *testing.T) {
+	g, r := newGate(t, probing(), fleet(2)...)
+	for i := 0; !g.jammed(g.class["safe"]); i++ {
+		g.Request(t0, newRequest(i, "safe", "rate", uint64(i)), r)
+	}
+	now := t0 + g.set.Classes[g.class["safe"]].Aim + ms
+	g.Timer(now, timerProbe, r)
+	if g.jammed(g.class["safe"]) {
+		t.Errorf("%d attempts past their aim read as a jam", g.held)
+	}
+	for _, s := range g.servers {
+		s.lost = true
+	}
+	if g.Timer(now+probeEvery, timerProbe, r); g.overdue != 0 {
+		t.Errorf("%v attempts at lost servers are taken off twice", g.overdue)
+	}
+}
+
 // A try whose client leaves before answers usually come is refused at once.
 func TestShortPatienceIsRefused(t *testing.T) {
 	g, r := newGate(t, testSettings(), fleet(4)...)
--- a/choice/state.go
+++ b/choice/state.go
@@ -158,6 +158,7 @@
 	retries          float64 // further attempts saved up
 	inbox, inboxRate float64 // messages taken in since the last probe, and per second
 	held             int     // attempts out
+	overdue          float64 // of these, as of the last probe: past their aim, at servers that are not lost
 	oks              float64 // answers since the last probe
 	okRate           float64 // answers per second, averaged
 	okWarm           float64 // work answered by warm servers since the last probe
@@ -454,10 +455,10 @@
 	g.mark(st)
 }
 
-// inReach counts the attempts out at servers that are held to be alive, and these servers, a cold one as the
-// part of one that it is.
+// inReach counts the attempts out at servers that are held to be alive, overdue ones aside, and these servers,
+// a cold one as the part of one that it is.
 func (g *Gateway) inReach() (out, servers float64) {
-	out = float64(g.held)
+	out = math.Max(float64(g.held)-g.overdue, 0)
 	for _, s := range g.servers {
 		if s.lost {
 			out -= float64(s.out)
@@ -533,15 +534,21 @@
 	return g.holderOf(st, g.set.Me%st.split)
 }
 
-// younger counts the attempts out that were sent less than a share of their class's aim ago.
-func (g *Gateway) younger(share float64) (n float64) {
+// ages counts the attempts out that were sent less than a share of their class's aim ago, and those that are past
+// the aim at servers not known to be lost.
+func (g *Gateway) ages(share float64) (younger, overdue float64) {
 	for _, r := range g.reqs {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			n += b2f(!a.done && !a.begun && (g.now-a.sent).Seconds() < share*g.set.Classes[r.class].Aim.Seconds())
+			if a.done || a.begun {
+				continue
+			}
+			age := (g.now - a.sent).Seconds() / g.set.Classes[r.class].Aim.Seconds()
+			younger += b2f(age < share)
+			overdue += b2f(age > 1 && !a.server.lost)
 		}
 	}
-	return n
+	return younger, overdue
 }
 
 // CheckTables tells whether classes and plans can be put in force.
