--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,6 +60,10 @@
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
 	memberRate   = 0.15                   // and of its rate
 	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
+	lendAhead    = 4.0                    // gaps between tells that a part of a ceiling should last for
+	lendKeep     = 0.25                   // share of its part that a lender keeps
+	lendLeast    = 300 * time.Millisecond // a unit lent is under way for at most as long,
+	lendGaps     = 3                      // or for so many gaps between tells
 )
 
 // Start begins the gateway's work. Call it once, before any other event.
@@ -185,6 +189,10 @@
 	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < calm && g.aro.f >= 1) {
 	} else if !r.granted && st.ceiling < r.Units && p.CeilingRate > 0 {
 		wait = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart)
+		if st.dry += r.Units; !st.wide {
+			wait = min(wait, 2*g.tellGap) // a peer may lend
+		}
+		g.mark(st)
 	} else if wait, g.aro.r = g.set.Classes[ci].Aim/comeBack, g.aro.r+g.aro.f; g.aro.r >= 1 {
 		g.aro.r--
 		wait = probesKept * probeEvery
@@ -316,7 +324,7 @@
 	if p.Rate > 0 {
 		idle = fill(2*p.Burst-st.level, p.Rate)
 	}
-	idle = max(idle, fillIf(p.CeilingBurst, p.CeilingRate))
+	idle = max(idle, fillIf(p.CeilingBurst, p.CeilingRate), 2*g.lendTime())
 	return st.out == 0 && !st.dirty && len(st.leases) == 0 && g.now-st.at >= idle
 }
 
@@ -336,6 +344,56 @@
 			}
 			st.levels[from] = told{e.out, g.now}
 		}
+		g.heedLoan(st, from, e)
+	}
+}
+
+// Lending. Each gateway's part of a ceiling is empty at its start and fills at a fixed share of the rate,
+// while a customer's requests come unevenly. A gateway tells what its part lacks, and a peer whose part has
+// room takes units off it and sends them with its next tell. It holds that much less until they must have
+// come, so that all parts together never hold more than the ceiling; units in a lost message are lost.
+
+// lack is how many units more the gateway's part of the ceiling should hold.
+func (g *Gateway) lack(st *store) float64 {
+	if g.set.Plans[st.plan].CeilingRate <= 0 || st.wide {
+		return 0
+	}
+	want := math.Min(lendAhead*st.since+st.dry, g.ceilingMost(st)) - st.ceiling
+	return math.Max(math.Ceil(want), 0)
+}
+
+// spare is how many units the gateway's part of the ceiling can do without.
+func (g *Gateway) spare(st *store) float64 {
+	keep := math.Max(lendAhead*st.since+st.dry, lendKeep*g.set.Plans[st.plan].CeilingBurst*st.burstPart)
+	return math.Max(math.Floor(st.ceiling-keep), 0)
+}
+
+// lend takes units off the gateway's part of the ceiling for a peer that lacks them.
+func (g *Gateway) lend(st *store, to int) float64 {
+	if st.wants == nil || st.wide {
+		return 0
+	}
+	units := math.Min(st.wants[to], math.Ceil(g.spare(st)/2))
+	st.wants[to] = 0
+	st.ceiling -= units
+	st.lent[0] += units
+	return units
+}
+
+// heedLoan takes in the units that a peer lends, and what it lacks.
+func (g *Gateway) heedLoan(st *store, from int, e entry) {
+	if g.set.Plans[st.plan].CeilingRate <= 0 || st.wide {
+		return
+	}
+	st.ceiling += e.lent // bounded when it next fills
+	if st.wants == nil && e.lacks > 0 {
+		st.wants = make([]float64, g.set.Instances)
+	}
+	if st.wants != nil {
+		st.wants[from] = e.lacks
+	}
+	if e.lacks > 0 && g.spare(st) > 0 {
+		g.mark(st)
 	}
 }
 
@@ -349,7 +407,7 @@
 	kept := g.dirty[:0]
 	for _, st := range g.dirty {
 		st.untold -= math.Round(st.untold)
-		st.since, st.opened = 0, 0
+		st.since, st.opened, st.dry = 0, 0, 0
 		if st.zeros++; st.out > 0 {
 			st.zeros = 0
 		}
@@ -369,7 +427,7 @@
 		return
 	}
 	g.inbox++
-	if message[0] != kindTell {
+	if message[0] != kindTell && message[0] != kindOldTell {
 		g.heed(from, message)
 		return
 	}
@@ -381,6 +439,9 @@
 	if !p.heard || epoch != p.inEpoch {
 		// The peer has restarted: its numbers begin anew, and what still comes from before is ignored.
 		p.oldEpoch, p.inEpoch, p.inSeq, p.heard = p.inEpoch, epoch, 0, true
+		for i := range prev {
+			prev[i].lent = 0 // an earlier life of this gateway may have taken and spent it
+		}
 	}
 	if seq <= p.inSeq {
 		return
--- a/choice/handover.go
+++ b/choice/handover.go
@@ -39,6 +39,7 @@
 	Out, Opened, Zeros  int
 	Dirty               bool
 	Pass                float64
+	Lent                float64         `json:",omitempty"` // of the ceiling, and maybe under way
 	LevelsN             []int           `json:",omitempty"`
 	LevelsAt            []time.Duration `json:",omitempty"`
 	LeaseFrom           []int           `json:",omitempty"`
@@ -101,7 +102,8 @@
 		g.fillUp(st)
 		s := storeHanded{Key: st.key, Plan: st.plan, Spread: st.spread, First: st.first, At: st.at, Shut: st.shut,
 			Crowded: st.crowded, Level: st.level, Ceiling: st.ceiling, Since: st.since, Untold: st.untold, Out: st.out,
-			Opened: st.opened, Zeros: st.zeros, Dirty: st.dirty, Pass: st.pass}
+			Opened: st.opened, Zeros: st.zeros, Dirty: st.dirty, Pass: st.pass,
+			Lent: st.lent[0] + st.lent[1]}
 		for _, l := range st.levels {
 			s.LevelsN, s.LevelsAt = append(s.LevelsN, l.n), append(s.LevelsAt, l.at)
 		}
@@ -151,6 +153,7 @@
 		g.split(st, &h.Plans[s.Plan])
 		st.shut, st.crowded, st.level, st.ceiling, st.since, st.untold = s.Shut, s.Crowded, s.Level, s.Ceiling, s.Since, s.Untold
 		st.opened, st.zeros = s.Opened, s.Zeros
+		st.lent, st.lentAt = [2]float64{s.Lent}, now
 		if len(s.LevelsN) > 0 {
 			st.levels = make([]told, g.set.Instances)
 			for i, n := range s.LevelsN {
--- a/choice/handover_test.go
+++ b/choice/handover_test.go
@@ -125,7 +125,7 @@
 		t.Fatal("no tell was heard")
 	}
 	level := next.stores[1].level
-	body := next.appendEntry(nil, &store{key: 1, spread: 3, untold: 2})
+	body := next.appendEntry(nil, &store{key: 1, spread: 3, untold: 2}, 0)
 	next.Peer(now, 0, encodeTell(g.peers[0].inEpoch, g.peers[0].inSeq, 1, body, 0, nil), rn)
 	if next.stores[1].level != level {
 		t.Errorf("an old tell took %v", level-next.stores[1].level)
--- a/choice/state.go
+++ b/choice/state.go
@@ -102,6 +102,10 @@
 	burstPart float64       // this gateway's part of the ceiling's burst
 	ratePart  float64       // and of its rate
 	crowded   time.Duration // refused of late: until then, less is spent on a chance
+	dry       float64       // units refused for want of the ceiling since the last tell
+	wants     []float64     // per peer: units of the ceiling that it lacks
+	lent      [2]float64    // units of the ceiling that were lent and may be under way: of late, and before
+	lentAt    time.Duration // since when the first of these counts
 }
 
 // lease is a place under an open cap that a holder gave to a gateway.
@@ -442,9 +446,22 @@
 	dt := (g.now - st.at).Seconds()
 	st.at = g.now
 	st.level = math.Min(st.level+p.Rate/st.parts*dt, p.Burst/st.parts)
-	st.ceiling = math.Min(st.ceiling+p.CeilingRate*st.ratePart*dt, p.CeilingBurst*st.burstPart)
+	if age := g.now - st.lentAt; age >= 2*g.lendTime() {
+		st.lent, st.lentAt = [2]float64{}, g.now
+	} else if age >= g.lendTime() {
+		st.lent, st.lentAt = [2]float64{0, st.lent[0]}, st.lentAt+g.lendTime()
+	}
+	st.ceiling = math.Min(st.ceiling+p.CeilingRate*st.ratePart*dt, g.ceilingMost(st))
+}
+
+// ceilingMost is what this gateway's part of the ceiling holds at most: units that it has lent may be under way.
+func (g *Gateway) ceilingMost(st *store) float64 {
+	return g.set.Plans[st.plan].CeilingBurst*st.burstPart - st.lent[0] - st.lent[1]
 }
 
+// lendTime is how long a tell, and its repeat in the next, may be under way.
+func (g *Gateway) lendTime() time.Duration { return max(lendLeast, lendGaps*g.tellGap) }
+
 // take takes units of a request inside the quota, now or when it settles.
 func (g *Gateway) take(st *store, units float64) {
 	if g.set.Plans[st.plan].Rate > 0 {
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -11,17 +11,19 @@
 // A tell holds the sender's epoch, its number, a count of
 // entries and the entries, then the same of the tell before. All are varints.
 // An entry holds the customer, a code of plan, spread and first, the units as
-// a signed delta, and for a plan with Open the attempts out as a level.
+// a signed delta, for a plan with Open the attempts out as a level, and for a plan with a ceiling
+// the units lent to the peer and the units that the sender lacks.
 
-// entryMost is the longest encoding of an entry: a key, a code, units and a level.
-const entryMost = 10 + 5 + 4 + 4
+// entryMost is the longest encoding of an entry: a key, a code, units, a level, a loan and a lack.
+const entryMost = 10 + 5 + 4 + 4 + 4 + 4
 
 // The first byte of a message says what it is.
 const (
-	kindTell = iota
+	kindOldTell = iota // without loans: no gateway sends it any more
 	kindAsk
 	kindAnswer
 	kindBack
+	kindTell
 )
 
 // messageMost is the longest message that the wire takes.
@@ -40,13 +42,18 @@
 	return append(msg, last...)
 }
 
-func (g *Gateway) appendEntry(b []byte, st *store) []byte {
+// appendEntry words what is told of a store to a peer.
+func (g *Gateway) appendEntry(b []byte, st *store, peer int) []byte {
 	b = binary.AppendUvarint(b, st.key)
 	b = binary.AppendUvarint(b, g.code(st))
 	b = binary.AppendVarint(b, int64(math.Round(st.untold)))
 	if g.set.Plans[st.plan].Open > 0 {
 		b = binary.AppendUvarint(b, uint64(st.out))
 	}
+	if g.set.Plans[st.plan].CeilingRate > 0 {
+		b = binary.AppendUvarint(b, uint64(g.lend(st, peer)))
+		b = binary.AppendUvarint(b, uint64(g.lack(st)))
+	}
 	return b
 }
 
@@ -56,6 +63,7 @@
 	plan, spread, first int
 	units               float64
 	out                 int
+	lent, lacks         float64 // units of the ceiling
 }
 
 // decodeTell decodes a tell; ok is false for one that is malformed in any part.
@@ -72,6 +80,9 @@
 			if g.set.Plans[e.plan].Open > 0 {
 				e.out = int(min(r.uint(), 1<<20))
 			}
+			if b[0] == kindTell && g.set.Plans[e.plan].CeilingRate > 0 {
+				e.lent, e.lacks = float64(min(r.uint(), 1<<20)), float64(min(r.uint(), 1<<20))
+			}
 			es = append(es, e)
 		}
 		return es
@@ -224,7 +235,7 @@
 	for _, st := range g.dirty {
 		if about(st) {
 			n++
-			if body = g.appendEntry(body, st); len(body) > tellMost-entryMost {
+			if body = g.appendEntry(body, st, peer); len(body) > tellMost-entryMost {
 				flush()
 			}
 		}
