Upgrades: nothing changes hands until the successor says that it serves

A new process that was killed between taking the state and serving left the old one without its listening socket, its peers and, on a wait of 2 s each, its clients; one that had died before left the old process trying to hand over to nobody; a second upgrade cut off the clients that the first old process still had; an operator's drain that came as the node ended could start a goroutine that nothing waited for; PROXY_ACCEPT_FD could name any TCP socket, which clients found out.

Now the successor says which form of the handover it knows and, before it accepts, that it has taken over. Until then the predecessor keeps a descriptor of the listening socket and the peers' socket, and on the successor's end goes on with both and drains as at a planned restart. A successor that is silent for 2 s but alive keeps what it has: both must not decide. A process waits for the one before it and passes its clients on. The state says its form. A process logs its last figures. Rejected: an answer after the first accept (both could have spent the same units in between), and serving on after a failed handover (SIGKILL follows SIGTERM in any case).

--- a/choice/handover.go
+++ b/choice/handover.go
@@ -10,8 +10,13 @@
 // what customers have spent, and what was learned of classes, servers and load. Requests under way
 // stay with the gateway that took them. Times are readings of the clock that both go by.
 
+// handedForm is the latest form that is understood. It grows with each change that an older successor, going
+// by what it knows of the text, would get wrong.
+const handedForm = 1
+
 // handedOver is the form of it; names stand for places, which may differ in the successor's settings.
 type handedOver struct {
+	Form          int // handedForm of who wrote it
 	Instances, Me int
 	Started       time.Duration
 	Plans         []Plan
@@ -81,7 +86,7 @@
 // HandOver returns the text for [Gateway.TakeOver]. The gateway goes on with the requests that it has.
 func (g *Gateway) HandOver(now time.Duration) ([]byte, error) {
 	g.now = now
-	h := handedOver{Instances: g.set.Instances, Me: g.set.Me, Started: g.started, Plans: g.set.Plans,
+	h := handedOver{Form: handedForm, Instances: g.set.Instances, Me: g.set.Me, Started: g.started, Plans: g.set.Plans,
 		Classes: map[string]latencyHanded{}, Kinds: make([]string, len(g.kinds)), Retries: g.retries,
 		InboxRate: g.inboxRate, OKRate: g.okRate, WarmRate: g.warmRate, ProbeDue: g.probeDue}
 	for name, i := range g.kinds {
@@ -133,6 +138,9 @@
 	if err := json.Unmarshal(text, &h); err != nil {
 		return fmt.Errorf("what was handed over: %w", err)
 	}
+	if h.Form > handedForm {
+		return fmt.Errorf("what was handed over has form %d, and %d is the latest known", h.Form, handedForm)
+	}
 	if h.Instances != g.set.Instances || h.Me != g.set.Me {
 		return fmt.Errorf("what was handed over is of gateway %d of %d, and this is %d of %d", h.Me, h.Instances, g.set.Me, g.set.Instances)
 	}
--- a/cmd/mulleinmux/main_test.go
+++ b/cmd/mulleinmux/main_test.go
@@ -96,3 +96,90 @@
 		t.Errorf("%v, logged %q", err, logs())
 	}
 }
+
+// freePort is an address on which nothing listens.
+func freePort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// logged waits until a process has logged something.
+func logged(t *testing.T, logs func() string, what string) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !strings.Contains(logs(), what); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never logged %q, but %q", what, logs())
+		}
+	}
+}
+
+// Three processes on one socket that the platform holds as descriptor 5: the first is killed while the second waits, which then
+// serves from nothing, and hands over to the third.
+func TestUpgradesOfProcesses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	door, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer door.Close()
+	dir := t.TempDir()
+	start := func() (*exec.Cmd, func() string) {
+		cmd, logs := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1","management":%q,
+			"limits":{"memory_mb":192,"sockets":1024},
+			"settings":{"instances":1,"lanes":[{"name":"c","idempotency":"retryable","onTime":0.4,"deadline":2}]}}`,
+			ln.Addr(), freePort(t)))
+		cmd.Env = append(cmd.Env, "TMPDIR="+dir, "PROXY_ACCEPT_FD=5")
+		cmd.ExtraFiles = []*os.File{door, door, door} // 3, 4 and 5
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return cmd, logs
+	}
+	healthy := func() {
+		t.Helper()
+		client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		resp, err := client.Get("http://" + ln.Addr().String() + "/health/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	first, firstLogs := start()
+	logged(t, firstLogs, "ready on")
+	second, secondLogs := start()
+	logged(t, secondLogs, "waiting for the predecessor")
+	if err := first.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	first.Wait()
+	logged(t, secondLogs, "beginning from nothing")
+	logged(t, secondLogs, "ready on")
+	healthy()
+	third, thirdLogs := start()
+	logged(t, secondLogs, "a successor waits")
+	second.Process.Signal(syscall.SIGTERM)
+	logged(t, thirdLogs, "ready on")
+	if strings.Contains(thirdLogs(), "beginning from nothing") {
+		t.Errorf("the third process: %s", thirdLogs())
+	}
+	healthy()
+	if err := second.Wait(); err != nil {
+		t.Errorf("the second process: %v, %s", err, secondLogs())
+	}
+	third.Process.Signal(syscall.SIGTERM)
+	if err := third.Wait(); err != nil {
+		t.Errorf("the third process: %v, %s", err, thirdLogs())
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -26,9 +26,7 @@
 	f.outEnd = end
 	f.outOfService.Store(true)
 	f.node.log.Printf("out of service")
-	f.node.work.Add(1)
-	go func() {
-		defer f.node.work.Done()
+	f.node.spawn(func() {
 		began, tick := time.Now(), time.NewTicker(shedEvery)
 		defer tick.Stop()
 		for {
@@ -50,7 +48,7 @@
 				c.Conn.Close()
 			}
 		}
-	}()
+	})
 }
 
 // enter ends a drain: the node is ready again.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -49,6 +50,7 @@
 	slots    *slots
 	ready    atomic.Bool
 	draining atomic.Bool
+	inherits atomic.Bool // a predecessor still hands clients over
 
 	outOfService atomic.Bool // by an operator's word
 	outMu        sync.Mutex
@@ -93,35 +95,35 @@
 }
 
 // handOver gives clients and what the module knows to the process that takes over, and
-// ends once its own requests are answered. ln, on which it accepted, is closed first; the
-// socket behind it stays with the successor. An error means that no client was handed over.
-func (f *front) handOver(h *heir, ln net.Listener) error {
+// ends once its own requests are answered and the process before it has no more clients to pass on.
+// ln, on which it accepted, is closed first; the socket behind it stays with the successor. An error
+// means that nothing has changed hands: the node goes on as it was, and accepts on again.
+func (f *front) handOver(h *heir, ln net.Listener) (again net.Listener, err error) {
+	door, err := keep(ln)
+	if err != nil {
+		return nil, err
+	}
+	defer door.Close()
 	ln.Close()
 	n := f.node
 	state, sock, err := n.retire()
-	if sock != nil {
-		defer sock.Close()
+	if err == nil {
+		h.retire()
+		err = h.giveAll(state, sock)
 	}
-	if err != nil {
-		return err
+	if err == nil {
+		err = h.answered()
 	}
-	h.retire()
-	if err := h.sendState(state); err != nil {
-		return err
+	if err != nil {
+		if sock != nil {
+			n.join(sock)
+		}
+		again, lnErr := net.FileListener(door)
+		return again, errors.Join(err, lnErr)
 	}
 	if sock != nil {
-		rc, err := sock.RawConn()
-		if err == nil {
-			err = h.send(msgPeers, nil, rc)
-		}
-		if err != nil {
-			return err
-		}
 		sock.Close() // from here on the successor hears the peers
 	}
-	if err := h.send(msgGo, nil, nil); err != nil {
-		return err
-	}
 	f.slots.moveAll(func(c *slotConn) error {
 		tc, ok := c.Conn.(syscall.Conn)
 		if !ok {
@@ -136,10 +138,25 @@
 	closeAll(n.up.idleAll())
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
-	for end := time.Now().Add(f.longest()); f.slots.count() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(f.longest()); (f.slots.count() > 0 || f.inherits.Load()) && time.Now().Before(end); {
 		<-tick.C
 	}
-	return nil
+	return nil, nil
+}
+
+// keep returns another descriptor of a listener's socket.
+func keep(ln net.Listener) (*os.File, error) {
+	l, ok := ln.(interface{ File() (*os.File, error) })
+	if !ok {
+		return nil, errors.New("handover: the clients' socket has no descriptor")
+	}
+	return l.File()
+}
+
+// serveLegacy answers the clients that a predecessor hands over, until it has none left.
+func (f *front) serveLegacy(before *legacy) {
+	defer f.inherits.Store(false)
+	f.serve(before)
 }
 
 // longest is how long the last request taken may still be under way.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,18 @@
 	n.up.shut()
 }
 
+// spawn runs f in a goroutine that close waits for; f ends with the node's context. It is false
+// once the node is closed.
+func (n *Node) spawn(f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.work.Go(f)
+	return true
+}
+
 // join gives the node the socket on which its peers are heard.
 func (n *Node) join(sock *peers.Socket) {
 	n.mu.Lock()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -43,7 +44,9 @@
 	defer side.Wait()
 	var before *legacy
 	if cfg.Handover != "" {
-		before = findPredecessor(cfg.Handover)
+		if before, err = findPredecessor(cfg.Handover); err != nil {
+			logger.Printf("%v: beginning from nothing", err)
+		}
 	}
 	if before == nil {
 		if err := n.listenToPeers(&side, nil); err != nil {
@@ -100,18 +103,20 @@
 	var h *heir
 	if cfg.Handover != "" {
 		// Without it the node serves all the same; only the next upgrade would be a restart.
-		if h, err = awaitHeir(cfg.Handover); err != nil {
+		if h, err = awaitHeir(cfg.Handover, logger); err != nil {
 			logger.Printf("%v", err)
 		} else {
 			defer h.close()
-			side.Go(func() { h.meet(logger) })
+			side.Go(h.meet)
 		}
 	}
-	side.Go(func() { failed <- f.serve(ln) })
 	if before != nil {
 		defer before.Close()
-		side.Go(func() { f.serve(before) }) // until the predecessor has no client left
+		before.serves()
+		f.inherits.Store(true)
+		side.Go(func() { f.serveLegacy(before) })
 	}
+	side.Go(func() { failed <- f.serve(ln) })
 	f.ready.Store(true)
 	waits.Store(false)
 	logger.Printf("%s: ready on %s, %d app servers known", cfg.Name, cfg.Listen, len(cfg.Known.Servers))
@@ -129,17 +134,21 @@
 	still := cfg.drainFor
 	if h.present() {
 		logger.Printf("%s: handing over", cfg.Name)
-		if err := f.handOver(h, ln); err != nil {
-			logger.Printf("%v", err)
+		again, err := f.handOver(h, ln)
+		if err != nil {
+			logger.Printf("%v: not handed over", err)
 		} else {
 			still = 0
 		}
+		if again != nil {
+			side.Go(func() { failed <- f.serve(again) })
+		}
 	}
 	logger.Printf("%s: draining", cfg.Name)
 	f.drain(still)
 	stop()
 	n.close()
-	logger.Printf("%s: drained", cfg.Name)
+	logger.Printf("%s: drained, figures at the end: %s", cfg.Name, strings.Join(strings.Fields(n.figures()), " "))
 	return nil
 }
 
