The link between sites: what crosses is bounded, paid once, and its fate can be proved

Need: the gateway works between two sites; so far an instance reached both halls itself, and what a broken way left unknown stayed so.

To the module an instance of another site is a server of that site's hall, reached over mutual TLS, so that choice, repeats and deadlines hold as they are. The far instance sends it on within its own hall alone, counts nothing, and says truthfully whether it never ran. After a connection that broke it is asked what became of the crossing; one that has not come is void from then on, so that what the broken link still delivers runs nothing. Crossings out have a budget by worth, licensee and first attempts.

--- a/choice/api.go
+++ b/choice/api.go
@@ -150,6 +150,7 @@
 	Spread   int           // number of gateways the customer comes in through
 	First    int           // number of the first of these; the others follow, counted round
 	Zone     string        // it may go to servers of this zone alone; empty: to any
+	Paid     bool          // another gateway has counted its units: neither quota nor ceiling bounds it here
 	Body     time.Duration // the rest of its body may take this long, and the client's wait begins after it; 0: it is here
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,12 +145,17 @@
 		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
 		return
 	}
-	if st.wide && now < st.shut && g.set.Plans[pi].OverWorth == 0 {
+	if st.wide && !q.Paid && now < st.shut && g.set.Plans[pi].OverWorth == 0 {
 		g.refuse(q.ID, st.shut-now)
 		return
 	}
 	g.reqs[q.ID], g.byNum[r.num] = r, r
 	g.out.SetTimer(r.num<<timerBits|timerEnd, max(r.ends-now, 0))
+	if q.Paid {
+		r.Units, r.granted = 0, true
+		g.admit(r, true, 0)
+		return
+	}
 	if r.holder = g.holder(st); st.wide && r.holder != g.set.Me {
 		g.ask(r)
 		return
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -47,6 +47,9 @@
 	// Health, if set, has the instance judge the halls: see package sites.
 	Health *sites.HealthConfig
 
+	// Link, if set, has the instance reach other sites' halls by way of their instances.
+	Link *LinkConfig
+
 	MaxClients     int           // connections of clients
 	MaxServers     int           // connections to servers
 	ConnectTimeout time.Duration // for a connection to a server
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -40,6 +40,8 @@
 	draining atomic.Bool
 	handlers sync.WaitGroup
 
+	link net.Listener // of other sites' instances; nil: none come
+
 	mu    sync.Mutex
 	conns map[*client]struct{}
 }
@@ -56,10 +58,12 @@
 	idleBy  time.Time // read deadline in force
 	writeBy time.Time // write deadline in force
 	busy    atomic.Bool
+	linked  bool // it is of another site's instance
 }
 
 // serve answers clients until the listener closes.
 func (f *front) serve(ln net.Listener) error {
+	_, linked := ln.(linkListener)
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -72,10 +76,10 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		c := &client{f: f, nc: nc}
+		c := &client{f: f, nc: nc, linked: linked}
 		c.rd = httpwire.NewReader(c)
 		c.fl.wake = make(chan struct{}, 1)
-		if c.raw, err = nc.(syscall.Conn).SyscallConn(); err != nil {
+		if c.raw, err = raw(nc); err != nil {
 			nc.Close()
 			continue
 		}
@@ -85,6 +89,10 @@
 			f.conns[c] = struct{}{}
 		}
 		f.mu.Unlock()
+		if full && linked { // the handshake is not worth a wait
+			nc.Close()
+			continue
+		}
 		if full {
 			nc.SetDeadline(time.Now().Add(restLimit))
 			io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
@@ -114,6 +122,9 @@
 		delete(c.f.conns, c)
 		c.f.mu.Unlock()
 	}()
+	if c.linked && !c.shows() {
+		return
+	}
 	// A connection that was made while the instance drains is answered once.
 	for first := true; first || !c.f.draining.Load(); first = false {
 		if now := time.Now(); c.reads > 1 || c.idleBy.Sub(now) < idleLimit-slack {
@@ -141,6 +152,7 @@
 	allow  string
 	wait   time.Duration // of a refusal
 	close  bool          // what follows on the connection can't be told apart
+	mayRun bool          // it is a second copy
 }
 
 func (e *badRequest) Error() string { return e.text }
@@ -152,6 +164,7 @@
 func (c *client) one() (again bool) {
 	fl := &c.fl
 	fl.body, fl.done, fl.pending, fl.waiting, fl.sent, fl.attempts, fl.call = nil, false, false, false, false, 0, nil
+	fl.mayRun, fl.linked, fl.over = false, c.linked, false
 	select {
 	case <-fl.wake: // crossed with the end of the last request's time
 	default:
@@ -185,12 +198,25 @@
 	if fl.head.Target == readyPath && fl.head.Method == "GET" {
 		return c.health()
 	}
+	if c.linked && fl.head.Method == "GET" && fl.head.Target == fatePath {
+		return c.tellFate()
+	}
+	if c.linked && fl.head.Method == "GET" && fl.head.Target == loadPath { // this instance lives
+		return c.finish(c.begin(http.StatusOK, "OK"), nil, 0)
+	}
 	q, err := c.f.parse(fl, began)
+	if err == nil && c.linked {
+		fl.counters = &Counters{} // it counts where it entered
+		err = c.come()
+	}
 	if err != nil {
 		return c.turnDown(err)
 	}
 	fl.deadline = began.Add(q.Grace + c.f.in.cfg.Settings.AnswerSlack)
 	c.f.in.carry(fl, q, c.gone)
+	if c.linked {
+		c.left()
+	}
 	return c.answer()
 }
 
@@ -412,6 +438,9 @@
 		}
 	case refused:
 		fl.counters.Refused.Add(1)
+		if c.linked && !fl.mayRun {
+			return c.neverRan("refused", fl.wait)
+		}
 		rec.Status = http.StatusTooManyRequests
 		b = c.begin(rec.Status, "Too Many Requests")
 		if fl.wait > 0 {
@@ -422,6 +451,9 @@
 		body = []byte("refused: trying again does no harm\n")
 	default:
 		fl.counters.Failed.Add(1)
+		if c.linked && !fl.mayRun {
+			return c.neverRan("failed: nothing was sent on", 0)
+		}
 		rec.Status = http.StatusBadGateway
 		b = c.begin(rec.Status, "Bad Gateway")
 		body = []byte("failed: it may have run\n")
@@ -445,7 +477,7 @@
 		b = appendSeconds(b, fl.age)
 		b = append(b, "\r\n"...)
 	}
-	if c.f.in.cfg.Observe != nil {
+	if c.f.in.cfg.Observe != nil && !c.linked {
 		c.f.in.cfg.Observe(rec)
 	}
 	fl.rep.body = nil
@@ -463,6 +495,9 @@
 	if e.close {
 		c.fl.head.Close = true
 	}
+	if c.linked && !e.close && !e.mayRun { // whatever it is, it did not run here, and the client is not ours to tell
+		return c.neverRan(e.text, e.wait)
+	}
 	if e.status != http.StatusNoContent && e.wait == 0 {
 		c.f.in.bad.Add(1)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"mulleinmux/choice"
 	"mulleinmux/contract"
 	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/raftnode"
 	"mulleinmux/internal/standin"
 )
 
@@ -37,13 +38,14 @@
 
 // halls is a set of scripted servers, which hand each request to the test.
 type halls struct {
-	t    *testing.T
-	regs map[string]*standin.Register
-	came chan *arrival
-	life sync.WaitGroup
-	mu   sync.Mutex
-	open []net.Conn
-	quit chan struct{} // closed when the test ends
+	t         *testing.T
+	regs      map[string]*standin.Register
+	authority *raftnode.Authority // of the link's certificates
+	came      chan *arrival
+	life      sync.WaitGroup
+	mu        sync.Mutex
+	open      []net.Conn
+	quit      chan struct{} // closed when the test ends
 }
 
 func newHalls(t *testing.T) *halls {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -51,6 +51,7 @@
 
 	mu       sync.Mutex
 	gw       *choice.Gateway
+	link     *link         // nil: it reaches all halls itself
 	keys     *sites.Keys   // nil: keyed requests are kept to a hall for one request only
 	health   *sites.Health // nil: halls are not judged
 	flights  map[string]*flight
@@ -123,6 +124,11 @@
 	sent     bool   // an attempt was written whole
 	key      uint64 // of a keyed request that sites decides on
 	homed    bool   // it is one
+	mayRun   bool   // an attempt may have run
+
+	linked     bool   // it came over the link
+	crossingID string // then
+	over       bool   // the attempt under way crosses the link
 
 	// Under the instance's mutex:
 	done     bool // answer is final
@@ -174,6 +180,12 @@
 			return nil, err
 		}
 	}
+	if cfg.Link != nil {
+		if in.link, err = newLink(cfg.Link); err != nil {
+			return nil, err
+		}
+		in.servers.secure = in.link.secure
+	}
 	if cfg.Health != nil {
 		if in.health, err = sites.NewHealth(*cfg.Health); err != nil {
 			return nil, err
@@ -261,6 +273,11 @@
 		}
 		ctx, stop := context.WithCancel(in.ctx)
 		in.halls[h.Name] = &watch{h.Register, stop}
+		if in.link != nil && !in.link.owns(h.Name) {
+			list, _ := in.link.far(h.Name)
+			in.take(now, h.Name, list, out)
+			continue
+		}
 		f := &register.Follower{Addr: h.Register, Silent: register.Silent,
 			Apply: func(l register.List) { in.list(ctx, h.Name, l) },
 			Logf:  func(format string, args ...any) { in.log.Printf("hall "+h.Name+": "+format, args...) }}
@@ -463,8 +480,14 @@
 		fl.id = string(strconv.AppendUint(b[:0], in.number, 36))
 		q.ID = fl.id
 		in.flights[fl.id] = fl
+		if fl.linked { // nothing crosses twice
+			q.Zone, q.Paid = in.link.cfg.Own[0], true
+		}
 		if fl.homed {
 			v := in.keys.Route(now, fl.key)
+			if v.Hall != "" && fl.linked && !in.link.owns(v.Hall) {
+				v = sites.Verdict{Wait: minWait} // the other site goes by older homes, or this one does
+			}
 			if q.Zone = v.Hall; v.Hall == "" {
 				in.end(fl, refused, min(max(v.Wait, minWait), in.cfg.Settings.MaxRetryAfter))
 				return
@@ -504,8 +527,13 @@
 	var result choice.Result
 	sent := in.now()
 	fl.rep.whole, fl.rep.since = false, time.Time{}
-	let := true
-	if fl.homed { // the homes may have changed since the request was admitted
+	let, full := true, false
+	if fl.over = crosses(at.server); fl.over {
+		if full = !in.link.take(fl); !full {
+			defer in.link.done(fl)
+		}
+	}
+	if fl.homed && !full { // the homes may have changed since the request was admitted
 		in.event(func(now time.Duration, out choice.Actions) {
 			hall, _, _ := strings.Cut(at.server, "/")
 			if let = in.keys.Send(now, fl.key, hall); !let && fl.sent {
@@ -515,7 +543,9 @@
 			}
 		})
 	}
-	if !let {
+	if full {
+		result = choice.Full // no more may cross now
+	} else if !let {
 		result = choice.Moot
 	} else if fl.attempts > 1 && gone() {
 		result = choice.Moot
@@ -523,7 +553,11 @@
 	} else {
 		result = in.servers.exchange(in.ctx, fl.call, at.server, at.until, fl.head.Method == "HEAD", &fl.rep,
 			func(b []byte) []byte { return fl.word(b, at.until) })
+		if fl.over && result == choice.Reset {
+			result = in.settle(fl, at)
+		}
 	}
+	fl.mayRun = fl.mayRun || fl.rep.whole && result != choice.Full
 	if fl.rep.whole {
 		fl.counters.Attempts.Add(1)
 		if !fl.sent {
@@ -535,8 +569,10 @@
 	report := fl.rep.report()
 	return in.step(fl, func(now time.Duration, out choice.Actions) {
 		fl.call = nil
-		in.met(now, at.server, result, sent)
-		if fl.homed && let {
+		if !fl.over || result != choice.Full && result != choice.ErrorAnswer { // the far instance's word says nothing of its hall
+			in.met(now, at.server, result, sent)
+		}
+		if fl.homed && let && !full {
 			in.keys.Ended(fl.key, !fl.rep.whole || result == choice.Full || result == choice.ConnectFailed || result == choice.Moot)
 		}
 		if result == choice.OK {
@@ -634,7 +670,9 @@
 		report = load.Parse(string(rep.body))
 	}
 	in.event(func(now time.Duration, out choice.Actions) {
-		in.met(now, id, result, sent)
+		if !crosses(id) || result != choice.OK {
+			in.met(now, id, result, sent)
+		}
 		in.gw.Probed(now, id, result, report, out)
 	})
 }
--- /dev/null
+++ b/internal/gateway/link_test.go
@@ -0,0 +1,408 @@
+package gateway
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinmux/internal/raftnode"
+)
+
+// way is the network between two sites: a forwarder whose connections can be broken, or kept from the far side
+// while they look well from the near one.
+type way struct {
+	ln   net.Listener
+	to   string
+	life sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []net.Conn // of the near side
+	all   []net.Conn
+	hold  chan struct{} // what comes waits for its close; nil: nothing waits
+	came  chan bool     // takes a word for each piece that waits
+}
+
+func newWay(t *testing.T, to string) *way {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &way{ln: ln, to: to, came: make(chan bool, 100)}
+	w.life.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", w.to)
+			if err != nil {
+				c.Close()
+				continue
+			}
+			w.mu.Lock()
+			w.conns, w.all = append(w.conns, c), append(w.all, c, far)
+			w.mu.Unlock()
+			w.life.Go(func() { w.forward(c, far) })
+			w.life.Go(func() { io.Copy(c, far); c.Close() })
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		w.mu.Lock()
+		for _, c := range w.all {
+			c.Close()
+		}
+		w.mu.Unlock()
+		w.life.Wait()
+	})
+	return w
+}
+
+func (w *way) forward(near, far net.Conn) {
+	defer far.Close()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := near.Read(buf)
+		w.mu.Lock()
+		hold := w.hold
+		w.mu.Unlock()
+		if n > 0 && hold != nil {
+			w.came <- true
+			<-hold
+		}
+		if _, werr := far.Write(buf[:n]); werr != nil || err != nil {
+			return
+		}
+	}
+}
+
+// breakAll resets the connections of the near side.
+func (w *way) breakAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	w.conns = nil
+}
+
+// setHold has what comes from now on wait.
+func (w *way) setHold(on bool) (release func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hold = nil
+	if on {
+		hold := make(chan struct{})
+		w.hold = hold
+		return func() { close(hold) }
+	}
+	return nil
+}
+
+// twoSites starts an instance of each site, a link between them, and a server at the far hall alone.
+func twoSites(t *testing.T, h *halls, change func(near, far *LinkConfig)) (near, far *running, w *way) {
+	auth, err := raftnode.NewAuthority("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.authority = auth
+	part := func(member uint64, own string) *LinkConfig {
+		creds, err := auth.Credentials(member)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := creds.TLS()
+		c.SessionTicketsDisabled = true
+		return &LinkConfig{Own: []string{own}, TLS: c, Verify: func(s tls.ConnectionState) (uint64, error) { return raftnode.MemberOf("test", s) }}
+	}
+	a, b := part(1, "hall-a"), part(2, "hall-b")
+	if b.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	if a.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	w = newWay(t, b.listener.Addr().String())
+	a.Far = map[string][]LinkPeer{"hall-b": {{2, w.ln.Addr().(*net.TCPAddr).AddrPort()}}}
+	if change != nil {
+		change(a, b)
+	}
+	h.server("hall-b", "s1")
+	far = start(t, h, 1, func(c *Config) { c.Link = b })
+	near = start(t, h, 1, func(c *Config) { c.Link = a })
+	return near, far, w
+}
+
+// A request crosses as it came, with less time than it came with, and is counted where it entered alone.
+func TestCrossing(t *testing.T) {
+	h := newHalls(t)
+	near, far, _ := twoSites(t, h, nil)
+	c := dial(t, near.addr)
+	c.send(get("GET /visits/new", "X-Expires-In: 1.000", "X-Mulleinmux-Crossing: mine"))
+	a := h.next()
+	if left := a.header.Get("X-Expires-In"); a.server != "hall-b/s1" || left < "0.5" || left > "0.985" {
+		t.Errorf("reached %s with %s s left of 1", a.server, left)
+	}
+	if a.header.Get(crossingField) != "" {
+		t.Error("the crossing's id goes on to the hall")
+	}
+	a.answer <- answerText(200, "X-Of-Hall: 1\r\n", "slots")
+	if got := c.read(); got.status != 200 || got.body != "slots" || got.header.Get("X-Of-Hall") != "1" {
+		t.Errorf("%+v", got)
+	}
+	if units, sent, answers := near.totals(); units == 0 || sent != 1 || answers != 1 {
+		t.Errorf("where it entered: %d units, %d sent, %d answers", units, sent, answers)
+	}
+	if units, sent, answers := far.totals(); units+sent+answers != 0 {
+		t.Errorf("where it crossed to: %d units, %d sent, %d answers", units, sent, answers)
+	}
+}
+
+// What the far hall can't take is told truthfully: never ran, which the near instance may try again elsewhere or
+// refuse; and "it may have run", which it may not.
+func TestCrossingThatFails(t *testing.T) {
+	h := newHalls(t)
+	near, _, _ := twoSites(t, h, nil)
+	c := dial(t, near.addr)
+	c.send(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: k1"))
+	for a := h.next(); ; a = h.next() { // each attempt may be tried again
+		a.answer <- answerText(503, "X-Never-Ran: 1\r\n", "")
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := c.br.Peek(1); err == nil {
+			break
+		}
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	if got := c.read(); got.status != 429 {
+		t.Errorf("never ran: %+v", got)
+	}
+	c.send(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: k2"))
+	for a := h.next(); ; a = h.next() {
+		a.answer <- "" // the connection breaks, and it may have run
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := c.br.Peek(1); err == nil {
+			break
+		}
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	if got := c.read(); got.status != 502 {
+		t.Errorf("may have run: %+v", got)
+	}
+}
+
+// The link breaks with the request at the hall: the answer is fetched over another connection, and the booking has run once.
+func TestLinkBreaksBeforeTheAnswer(t *testing.T) {
+	h := newHalls(t)
+	near, _, w := twoSites(t, h, nil)
+	c := dial(t, near.addr)
+	c.send(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: k"))
+	a := h.next()
+	w.breakAll()
+	time.Sleep(2 * fateEvery) // it is asked for while it is under way
+	a.answer <- answerText(201, "Content-Type: text/plain\r\n", "booked")
+	if got := c.read(); got.status != 201 || got.body != "booked" || got.header.Get("Content-Type") != "text/plain" {
+		t.Errorf("%+v", got)
+	}
+	h.none()
+}
+
+// The link breaks before the request has come through, and delivers it later: once it was asked for it is void.
+func TestLinkDeliversLate(t *testing.T) {
+	h := newHalls(t)
+	near, _, w := twoSites(t, h, nil)
+	near.warm(h, 20) // the connection is there, and further attempts are earned
+	release := w.setHold(true)
+	c := dial(t, near.addr)
+	c.send(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: k"))
+	<-w.came
+	w.setHold(false)
+	w.breakAll()
+	a := h.next() // the further attempt
+	release()     // and now the first one comes through
+	h.none()
+	a.answer <- answerText(201, "", "")
+	if got := c.read(); got.status != 201 {
+		t.Errorf("%+v", got)
+	}
+	h.none()
+}
+
+// What has come over the link goes to the hall's own servers or nowhere.
+func TestNothingCrossesTwice(t *testing.T) {
+	h := newHalls(t)
+	third, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer third.Close()
+	near, _, _ := twoSites(t, h, func(_, far *LinkConfig) {
+		// The far site's instance could go on to a third site.
+		far.Far = map[string][]LinkPeer{"hall-a": {{9, third.Addr().(*net.TCPAddr).AddrPort()}}}
+	})
+	h.list("hall-b", "s1", "127.0.0.1:1", "removed")
+	c := dial(t, near.addr)
+	got := c.ask(get("GET /visits/new"))
+	for end := time.Now().Add(patience); got.status == 200 && time.Now().Before(end); {
+		got = c.ask(get("GET /visits/new"))
+	}
+	if got.status != 429 {
+		t.Errorf("%+v", got)
+	}
+	h.none()
+	third.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Millisecond))
+	if c, err := third.Accept(); err == nil {
+		c.Close()
+		t.Error("what has crossed goes on to a third site")
+	}
+}
+
+// What a site says over the link of requests that were refused: never ran, or not known; and a second copy of a
+// crossing runs nothing.
+func TestLinkTellsTheTruth(t *testing.T) {
+	h := newHalls(t)
+	var as *tls.Config
+	var door string
+	twoSites(t, h, func(a, b *LinkConfig) { as, door = a.TLS, b.listener.Addr().String() })
+	tc, err := tls.Dial("tcp", door, as)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tc.Close()
+	tc.SetDeadline(time.Now().Add(patience))
+	c := &asker{tc, bufio.NewReader(tc), t, ""}
+	fate := func(id string) string {
+		return c.ask(get("GET "+fatePath, crossingField+": "+id)).header.Get(fateField)
+	}
+	got := c.ask(get("GET /unknown", crossingField+": a.1"))
+	if got.status != 503 || got.header.Get("X-Never-Ran") != "1" || fate("a.1") != "never" {
+		t.Errorf("an operation that is not known here: %+v", got)
+	}
+	c.send(get("GET /visits/new", crossingField+": b.1"))
+	tries := make(chan bool)
+	go func() { // a safe request may be tried again, and refused after it ran
+		defer close(tries)
+		for {
+			select {
+			case a := <-h.came:
+				a.answer <- answerText(500, "", "")
+			case <-tries:
+				return
+			}
+		}
+	}()
+	got = c.read()
+	tries <- true
+	<-tries
+	if got.status == 200 || got.header.Get("X-Never-Ran") != "" || fate("b.1") != "unknown" {
+		t.Errorf("refused after it may have run: %+v", got)
+	}
+	if got := c.ask(get("GET /visits/new", crossingField+": b.1")); got.status != 502 || got.header.Get("X-Never-Ran") != "" {
+		t.Errorf("a second copy: %+v", got)
+	}
+	h.none()
+}
+
+// An instance without a certificate of this cluster is not heard, and one that is another member than expected is sent nothing.
+func TestLinkKnowsWhoIsThere(t *testing.T) {
+	h := newHalls(t)
+	var door string
+	dir := t.TempDir()
+	var operator *tls.Config
+	near, _, _ := twoSites(t, h, func(a, b *LinkConfig) {
+		door = b.listener.Addr().String()
+		a.Far["hall-b"][0].Member = 7
+		auth := h.authority
+		if err := errors.Join(auth.Write(dir), auth.WriteOperator(dir, "op")); err != nil {
+			t.Fatal(err)
+		}
+		creds, err := raftnode.LoadNamed(dir, raftnode.OperatorFile("op"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		operator = creds.TLS()
+	})
+	if got := dial(t, near.addr).ask(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: k")); got.status != 429 {
+		t.Errorf("by a member that is not the one expected: %+v", got)
+	}
+	for name, cfg := range map[string]*tls.Config{"a stranger": {InsecureSkipVerify: true}, "an operator": operator} {
+		c, err := tls.Dial("tcp", door, cfg)
+		if err != nil {
+			continue
+		}
+		defer c.Close() // in TLS 1.3 the client learns of it with its first read
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, strings.Replace(get("GET /visits/new"), "\r\n\r\n", "\r\n"+crossingField+": x.1\r\n\r\n", 1))
+		if n, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%d bytes for %s", n, name)
+		}
+	}
+	h.none()
+}
+
+// Where a request enters its units are counted; the far instance, which has a count of its own clients, does not
+// refuse it for that.
+func TestCrossingIsPaidWhereItEntered(t *testing.T) {
+	h := newHalls(t)
+	near, far, _ := twoSites(t, h, nil)
+	ask := func(r *running) int {
+		c := dial(t, r.addr)
+		c.send(get("GET /visits/new", "X-Licensee: small"))
+		c.SetReadDeadline(time.Now().Add(patience))
+		got := make(chan int, 1)
+		go func() { got <- c.read().status }()
+		for {
+			select {
+			case a := <-h.came:
+				a.answer <- answerText(200, "", "")
+			case status := <-got:
+				return status
+			}
+		}
+	}
+	for status := 200; status == 200; { // until the far instance has none left for it
+		status = ask(far)
+	}
+	if status := ask(near); status != 200 {
+		t.Errorf("a crossing that was paid for: %d", status)
+	}
+}
+
+// No more crosses at once than the budget allows: the surplus is refused at once, and a place that is free again is used.
+func TestCrossingsAreBounded(t *testing.T) {
+	h := newHalls(t)
+	near, _, _ := twoSites(t, h, func(near, _ *LinkConfig) { near.Most = 2 })
+	for began := time.Now(); time.Since(began) < 300*time.Millisecond; {
+		near.warm(h, 1) // or the module would take two out at one server for a jam
+	}
+	var out []*asker
+	var at []*arrival
+	book := func(key string) *asker {
+		c := dial(t, near.addr)
+		c.send(post("POST /visits", `{"installers": 1}`, "Idempotency-Key: "+key))
+		return c
+	}
+	for _, key := range []string{"a", "b"} {
+		out = append(out, book(key))
+		at = append(at, h.next())
+	}
+	if got := book("c").read(); got.status != 429 {
+		t.Errorf("a third crossing: %+v", got)
+	}
+	h.none()
+	at[0].answer <- answerText(201, "", "")
+	out[0].read()
+	next := book("d")
+	h.next().answer <- answerText(201, "", "")
+	if got := next.read(); got.status != 201 {
+		t.Errorf("with a place free again: %+v", got)
+	}
+	at[1].answer <- answerText(201, "", "")
+	out[1].read()
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,8 +75,20 @@
 	side.Go(func() { in.servers.reap(life) })
 
 	f := &front{in: in, conns: map[*client]struct{}{}}
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	side.Go(func() { failed <- f.serve(ln) })
+	if cfg.Link != nil {
+		lln := cfg.Link.listener
+		if lln == nil {
+			if lln, err = net.Listen("tcp", cfg.Link.Listen.String()); err != nil {
+				ln.Close()
+				return fmt.Errorf("link: %w", err)
+			}
+		}
+		f.link = lln
+		defer lln.Close()
+		side.Go(func() { failed <- f.serve(linkListener{lln, in.link}) })
+	}
 	f.ready.Store(true)
 	if setup.Table != nil {
 		logger.Printf("%s: ready on %s, %d operations", cfg.Name, ln.Addr(), len(setup.Table.Operations))
@@ -104,6 +116,9 @@
 	f.draining.Store(true)
 	<-time.After(f.in.cfg.DrainFor)
 	ln.Close()
+	if f.link != nil {
+		f.link.Close()
+	}
 	f.mu.Lock()
 	for c := range f.conns {
 		if !c.busy.Load() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -45,6 +45,7 @@
 	dialer  net.Dialer
 	maxIdle time.Duration
 	most    int
+	secure  func(ctx context.Context, server string, nc net.Conn) (net.Conn, error) // for instances of other sites
 
 	mu   sync.Mutex
 	byID map[string]*server
@@ -53,6 +54,7 @@
 
 // server is a server and its idle connections, the latest used last.
 type server struct {
+	id   string
 	addr netip.AddrPort
 	boot time.Duration
 	up   bool
@@ -113,7 +115,7 @@
 			continue
 		}
 		if s == nil {
-			s = &server{addr: e.Addr, boot: e.Boot}
+			s = &server{id: e.ID, addr: e.Addr, boot: e.Boot}
 			u.byID[e.ID] = s
 		}
 		if s.up = e.State == choice.Up; !s.up {
@@ -230,9 +232,17 @@
 		u.mu.Unlock()
 		return nil, err
 	}
+	if u.secure != nil && crosses(s.id) {
+		safe, err := u.secure(ctx, s.id, nc)
+		if err != nil {
+			u.discard(&conn{nc: nc})
+			return nil, err
+		}
+		nc = safe
+	}
 	c := &conn{nc: nc, of: s, made: time.Now()}
 	c.rd = httpwire.NewReader(c)
-	if c.raw, err = nc.(syscall.Conn).SyscallConn(); err != nil {
+	if c.raw, err = raw(nc); err != nil {
 		u.discard(c)
 		return nil, err
 	}
@@ -530,6 +540,10 @@
 	b = httpwire.AppendField(b, "X-Trace-Id", fl.trace)
 	b = append(b, "X-Expires-In: "...)
 	b = appendSeconds(b, time.Until(until))
+	if fl.over {
+		b = append(b, "\r\n"+crossingField+": "...)
+		b = append(b, fl.crossing()...)
+	}
 	b = append(b, "\r\nX-Mulleinmux-Version: "...)
 	b = strconv.AppendUint(b, fl.version.number, 10)
 	b = append(b, "\r\n"...)
@@ -549,6 +563,8 @@
 		return strings.EqualFold(name, "X-Trace-Id")
 	case 12:
 		return strings.EqualFold(name, "X-Expires-In")
+	case len(crossingField):
+		return strings.EqualFold(name, crossingField)
 	case 20:
 		return strings.EqualFold(name, "X-Mulleinmux-Version") || strings.EqualFold(name, "X-Mulleinmux-Explain")
 	}
--- a/internal/raftnode/transport.go
+++ b/internal/raftnode/transport.go
@@ -104,17 +104,26 @@
 // verify checks that the other side is a member of the cluster, and which. The chain was
 // checked against the authority by the library; host names play no part.
 func (t *transport) verify(state tls.ConnectionState, want uint64) (uint64, error) {
+	id, err := MemberOf(t.cluster, state)
+	if err == nil && want != 0 && id != want {
+		err = fmt.Errorf("member %d answers where member %d is expected", id, want)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// MemberOf names the member of a cluster at the other end of a connection.
+func MemberOf(cluster string, state tls.ConnectionState) (uint64, error) {
 	if len(state.PeerCertificates) == 0 {
 		return 0, errors.New("no certificate")
 	}
 	name := state.PeerCertificates[0].Subject.CommonName
 	var id uint64
-	cluster, rest, ok := cutLast(name, '/')
-	if _, err := fmt.Sscanf(rest, "%d", &id); !ok || err != nil || cluster != t.cluster || name != memberName(cluster, id) {
-		return 0, fmt.Errorf("certificate of %q, not of a member of %q", name, t.cluster)
-	}
-	if want != 0 && id != want {
-		return 0, fmt.Errorf("member %d answers where member %d is expected", id, want)
+	of, rest, ok := cutLast(name, '/')
+	if _, err := fmt.Sscanf(rest, "%d", &id); !ok || err != nil || of != cluster || name != memberName(cluster, id) {
+		return 0, fmt.Errorf("certificate of %q, not of a member of %q", name, cluster)
 	}
 	return id, nil
 }
--- /dev/null
+++ b/sites/crossing_test.go
@@ -0,0 +1,137 @@
+package sites
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// A link that drops, delivers late what was written before, and asks that arrive before what they ask about: over
+// 1,000 seeds nothing runs that the other side was told never will, and nothing runs twice.
+func TestArrivalsSeeds(t *testing.T) {
+	for seed := range uint64(1000) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		a, err := NewArrivals(time.Second, 40)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Unix(0, 0)
+		type crossing struct {
+			comes, ends time.Time
+			ran         int
+			never       bool
+		}
+		all := map[string]*crossing{}
+		var ids []string
+		for n := range 3000 {
+			now = now.Add(time.Millisecond)
+			if rng.IntN(12) == 0 {
+				id := fmt.Sprint(n)
+				all[id] = &crossing{comes: now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)}
+				ids = append(ids, id)
+			}
+			for i := max(0, len(ids)-60); i < len(ids); i++ {
+				id := ids[i]
+				c := all[id]
+				switch {
+				case !c.comes.IsZero() && now.After(c.comes):
+					if rng.IntN(8) > 0 { // some come twice, as from a link that repeats
+						c.comes = time.Time{}
+					}
+					if fate, ok := a.Come(now, id); ok {
+						c.ran++
+						c.ends = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
+					} else if fate == Never && c.ran > 0 {
+						t.Fatalf("seed %d: %s ran, and its second copy is answered as never", seed, id)
+					}
+				case !c.ends.IsZero() && now.After(c.ends):
+					c.ends = time.Time{}
+					a.Ended(now, id, Ran, id)
+				case rng.IntN(200) == 0:
+					fate, kept := a.Ask(now, id)
+					c.never = c.never || fate == Never
+					if fate == Ran && (kept != id || c.ran != 1) {
+						t.Fatalf("seed %d: %s is said to have run with answer %v, and ran %d times", seed, id, kept, c.ran)
+					}
+				}
+				if c.ran > 1 || c.never && c.ran > 0 {
+					t.Fatalf("seed %d: %s ran %d times and was said never to: %v", seed, id, c.ran, c.never)
+				}
+			}
+			if a.Len() > 40 || len(a.ages) > 41 {
+				t.Fatalf("seed %d: %d crossings remembered, %d ages", seed, a.Len(), len(a.ages))
+			}
+		}
+	}
+}
+
+// With no room nothing comes in, and what has not come can't be promised never to.
+func TestArrivalsFull(t *testing.T) {
+	a, _ := NewArrivals(time.Second, 1)
+	now := time.Unix(0, 0)
+	if _, ok := a.Come(now, "a"); !ok {
+		t.Fatal("one place is none")
+	}
+	if f, ok := a.Come(now, "b"); ok || f != Never {
+		t.Fatalf("one place is two: %v", f)
+	}
+	if f, _ := a.Ask(now, "b"); f != Unknown {
+		t.Errorf("%v, want unknown", f)
+	}
+	late := now.Add(time.Hour)
+	if f, _ := a.Ask(late, "a"); f != Underway {
+		t.Errorf("one that runs for long is forgotten: %v", f)
+	}
+	a.Ended(late, "a", Never, nil)
+	if f, _ := a.Ask(late.Add(time.Minute), "b"); f != Never {
+		t.Errorf("%v after the first was forgotten", f)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b, err := NewBudget(BudgetConfig{Most: 8, Retries: 0.25, Saved: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	take := func(licensee string, value float64, want int) {
+		t.Helper()
+		n := 0
+		for n < 20 && b.Take(licensee, value, false) {
+			n++
+		}
+		if n != want {
+			t.Fatalf("%s took %d places at value %v, want %d", licensee, n, value, want)
+		}
+	}
+	take("cheap", 0, 4)       // half of the bound
+	take("cheap", 1, 4)       // alone, the worthiest may have all
+	take("other", 1, 0)       // and then there is none left
+	b.Done("cheap")           // but once one is free
+	take("cheap", 0.5, 0)     // a less worthy class still waits
+	take("other", 1, 1)       // and another licensee comes before one that has most
+	b.Done("cheap")           // (8 places, 2 licensees)
+	take("cheap", 1, 0)       // which is past its equal part
+	take("other", 1, 1)       //
+	for range 6 + 2 + 3 + 9 { // places that were never taken give nothing back
+		b.Done("cheap")
+		b.Done("other")
+	}
+	if b.Out() != 0 {
+		t.Errorf("%d out", b.Out())
+	}
+	// Further attempts: one is saved up at first, then each takes four first ones.
+	for i, want := range []bool{true, false} {
+		if got := b.Take("a", 1, true); got != want {
+			t.Errorf("further attempt %d: %v", i, got)
+		}
+		b.Done("a")
+	}
+	for range 4 {
+		b.Take("a", 1, false)
+		b.Done("a")
+	}
+	if !b.Take("a", 1, true) || b.Take("a", 1, true) {
+		t.Error("four first crossings earn one further")
+	}
+}
