The link's settings in a member's file; members reach a far hall through each other

[cluster.link] names where other sites' instances come in, how many crossings may be out and the far instances by hall; each field that can't be is named with its place. A member fills in its certificates. Tests: the file, and two members of which one does not reach the hall: served by way of the other, counted where it entered.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -125,6 +126,12 @@
 		gate.Health = &sites.HealthConfig{Me: cfg.Member, Least: hallLeast, LostAfter: hallLost, Fresh: hallFresh, Hold: hallHold,
 			HoldMost: hallHoldMost, Calm: hallCalm, Ramp: gate.Settings.RampTime}
 	}
+	if l := gate.Link; l != nil {
+		l.TLS = cfg.Credentials.TLS()
+		// A ticket that is not read yet would make an idle connection look used.
+		l.TLS.SessionTicketsDisabled = true
+		l.Verify = func(s tls.ConnectionState) (uint64, error) { return raftnode.MemberOf(cfg.Cluster, s) }
+	}
 	if gate.Agreed == nil {
 		gate.Agreed = &gateway.Agreed{}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -58,6 +59,7 @@
 	cfg    *Config
 	agreed gateway.Agreed
 	listen string
+	link   *gateway.LinkConfig
 	fleet  *Fleet
 	stop   context.CancelFunc
 	done   chan error
@@ -156,6 +158,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	gate.Link = m.link
 	gate.On(ln, nil)
 	m.stop, m.done = stop, make(chan error, 1)
 	begun := make(chan *Fleet, 1)
@@ -659,3 +662,26 @@
 		}
 	}
 }
+
+// A member that does not reach a hall itself sends its requests over the link to one that does.
+func TestLinkOfMembers(t *testing.T) {
+	r := newRig(t, 2)
+	addr := netip.MustParseAddrPort(freeAddr(t))
+	for id, l := range map[uint64]*gateway.LinkConfig{
+		1: {Own: []string{"hall-z"}, Listen: netip.MustParseAddrPort(freeAddr(t)), Far: map[string][]gateway.LinkPeer{"hall-a": {{Member: 2, Addr: addr}}}},
+		2: {Own: []string{"hall-a"}, Listen: addr},
+	} {
+		r.halt(id)
+		r.members[id].link = l
+	}
+	r.start(1)
+	r.start(2)
+	o := r.propose(r.first())
+	r.everywhere(o.Version)
+	r.served(1)
+	n := int64(0)
+	r.members[2].fleet.Instance().Count(func(_ string, c *gateway.Counters) { n += c.Sent.Load() })
+	if n != 0 {
+		t.Errorf("the far member counts %d requests that entered at the other", n)
+	}
+}
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -91,7 +91,16 @@
 		StaleAfter duration `toml:"stale_after"`
 		WhenStale  string   `toml:"when_stale"`
 		Keys       string   `toml:"keys"`
-		Members    []struct {
+		Link       *struct {
+			Listen string `toml:"listen"`
+			Most   int    `toml:"most"`
+			Far    []struct {
+				Hall    string `toml:"hall"`
+				Member  uint64 `toml:"member"`
+				Address string `toml:"address"`
+			} `toml:"far"`
+		} `toml:"link"`
+		Members []struct {
 			Number uint64 `toml:"number"`
 			Raft   string `toml:"raft"`
 			Admin  string `toml:"admin"`
@@ -321,6 +330,30 @@
 		r.bad("cluster.keys", "%q is unknown: \"home\" or \"anywhere\" is wanted", c.Keys)
 	}
 	out.Config.Agreed = agreed
+	if c.Link == nil {
+		return
+	}
+	l := &gateway.LinkConfig{Own: []string{in.Zone}, Listen: r.address("cluster.link.listen", c.Link.Listen), Most: c.Link.Most, Far: map[string][]gateway.LinkPeer{}}
+	if l.Most < 0 || l.Most == 1 || l.Most > 1<<16 {
+		r.bad("cluster.link.most", "%d is outside 2 to %d", l.Most, 1<<16)
+	}
+	if len(c.Link.Far) == 0 {
+		r.bad("cluster.link.far", "is missing: at least one instance of another site is wanted")
+	}
+	for i, f := range c.Link.Far {
+		at := fmt.Sprintf("cluster.link.far[%d]", i)
+		if f.Hall == "" || f.Hall == in.Zone {
+			r.bad(at+".hall", "%q is no hall of another site", f.Hall)
+		}
+		if _, known := k.Members[f.Member]; !known || f.Member == c.Number {
+			r.bad(at+".member", "%d is no other [[cluster.member]] of this file", f.Member)
+		}
+		if slices.ContainsFunc(l.Far[f.Hall], func(p gateway.LinkPeer) bool { return p.Member == f.Member }) {
+			r.bad(at+".member", "%d stands twice for %s", f.Member, f.Hall)
+		}
+		l.Far[f.Hall] = append(l.Far[f.Hall], gateway.LinkPeer{Member: f.Member, Addr: r.address(at+".address", f.Address)})
+	}
+	out.Config.Link = l
 }
 
 func (r *reader) halls(in *shared, c *gateway.Config) {
