--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -545,7 +545,11 @@
 		b = append(b, fl.crossing()...)
 	}
 	b = append(b, "\r\nX-Mulleinmux-Version: "...)
-	b = strconv.AppendUint(b, fl.version.number, 10)
+	if from, n := h.Values("X-Mulleinmux-Version"); fl.linked && n == 1 {
+		b = append(b, from...) // it keeps the version that it was matched with where it entered
+	} else {
+		b = strconv.AppendUint(b, fl.version.number, 10)
+	}
 	b = append(b, "\r\n"...)
 	if len(fl.body) > 0 || h.Length >= 0 {
 		b = append(b, "Content-Length: "...)
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -49,6 +49,7 @@
 	dir     string
 	members []*member
 	links   map[[2]int]*link // from, to
+	ways    map[[2]int]*link // between sites, likewise
 	clients []*fleet.Client  // one for each operator
 	chaos   bool
 	rng     *rand.Rand
@@ -67,7 +68,7 @@
 type member struct {
 	id                 uint64
 	listen, admin, udp string
-	raft               string
+	raft, site         string
 	cmd                *exec.Cmd
 	ended              chan error
 	runs               int
@@ -90,7 +91,7 @@
 
 // playCluster plays a scenario with processes.
 func (w *world) playCluster(ctx context.Context) (v *Verdict, err error) {
-	c := &cluster{w: w, links: map[[2]int]*link{}, rng: rand.New(rand.NewPCG(w.opt.Seed, 0xc1)), chaos: w.scenario.Name == "chaos-config"}
+	c := &cluster{w: w, links: map[[2]int]*link{}, ways: map[[2]int]*link{}, rng: rand.New(rand.NewPCG(w.opt.Seed, 0xc1)), chaos: w.scenario.Name == "chaos-config"}
 	if c.dir, err = os.MkdirTemp("", "mulleingate-lab-"); err != nil {
 		return nil, err
 	}
@@ -160,8 +161,10 @@
 		m.listen, e1 = standin.FreeAddr("tcp")
 		m.admin, e2 = standin.FreeAddr("tcp")
 		m.raft, e3 = standin.FreeAddr("tcp")
+		var e5 error
+		m.site, e5 = standin.FreeAddr("tcp")
 		m.udp, e4 = standin.FreeAddr("udp")
-		if err := errors.Join(e1, e2, e3, e4, auth.WriteMembers(certs, []uint64{m.id})); err != nil {
+		if err := errors.Join(e1, e2, e3, e4, e5, auth.WriteMembers(certs, []uint64{m.id})); err != nil {
 			return err
 		}
 		c.members = append(c.members, m)
@@ -175,6 +178,11 @@
 			if c.links[[2]int{i, j}], err = newLink(to.raft); err != nil {
 				return err
 			}
+			if c.w.scenario.sites && i%2 != j%2 {
+				if c.ways[[2]int{i, j}], err = newLink(to.site); err != nil {
+					return err
+				}
+			}
 		}
 	}
 	for i, m := range c.members {
@@ -226,6 +234,14 @@
 	if i == instances-1 {
 		fmt.Fprintf(&b, "stale_after = %q\nwhen_stale = \"refuse\"\n", shortStale)
 	}
+	if c.w.scenario.sites {
+		fmt.Fprintf(&b, "[cluster.link]\nlisten = %q\n", m.site)
+		for j, o := range c.members {
+			if way := c.ways[[2]int{i, j}]; way != nil {
+				fmt.Fprintf(&b, "[[cluster.link.far]]\nhall = %q\nmember = %d\naddress = %q\n", hallName(j%2), o.id, way.addr())
+			}
+		}
+	}
 	for j, o := range c.members {
 		raft := o.raft
 		if l := c.links[[2]int{i, j}]; l != nil {
@@ -376,6 +392,9 @@
 	for _, l := range c.links {
 		l.close()
 	}
+	for _, l := range c.ways {
+		l.close()
+	}
 	for _, cl := range c.clients {
 		cl.Close()
 	}
@@ -772,6 +791,37 @@
 	}
 }
 
+// linkDrops has the ways between the sites fall silent and break, each for itself, until the end is near.
+func linkDrops(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	until = until.Add(-c.w.opt.For / 6)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		for _, way := range c.ways {
+			if c.rng.IntN(2) == 0 {
+				way.setCut(true)
+			}
+		}
+		pause(ctx, time.Duration(20+c.rng.IntN(200))*time.Millisecond)
+		for _, way := range c.ways {
+			way.setCut(false)
+		}
+		c.flaps++
+		pause(ctx, time.Duration(100+c.rng.IntN(500))*time.Millisecond)
+	}
+}
+
+// bothCut cuts the sites from each other, for clients' requests, in the middle third.
+func bothCut(ctx context.Context, c *cluster) {
+	pause(ctx, c.w.opt.For/3)
+	for _, way := range c.ways {
+		way.setCut(true)
+	}
+	pause(ctx, c.w.opt.For/3)
+	for _, way := range c.ways {
+		way.setCut(false)
+	}
+}
+
 // lossMost is the longest that a loss, or a return, may stay unknown in the lab, with the hold of the third loss.
 const lossMost = 6 * time.Second
 
@@ -913,7 +963,7 @@
 		v.Figures[fmt.Sprint("hall_lost_ms_", i+1)] = math.Round(l[0].Seconds() * 1000)
 		v.Figures[fmt.Sprint("hall_back_ms_", i+1)] = math.Round(l[1].Seconds() * 1000)
 	}
-	if c.flaps > 0 {
+	if c.flaps > 0 && len(c.ways) == 0 {
 		// A loss takes half a second of silence, a return a hold that doubles.
 		lost, most := 0, 0
 		for _, r := range history {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -47,6 +47,7 @@
 	price       func(version int, operation string, units int) int
 	during      func(context.Context, *world)   // runs beside the clients, until ctx ends
 	cluster     func(context.Context, *cluster) // likewise, with instances as processes that agree
+	sites       bool                            // an instance reaches its own hall alone, the other over the link
 }
 
 // Scenarios are all that can be played.
@@ -72,6 +73,10 @@
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "flapping", About: "the same with a hall that falls silent and answers again all the time", mix: stubbornMix, price: sameUnits, cluster: flapping,
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
+		{Name: "link-drops", About: "processes that agree, each at one of two sites; the way between the sites falls silent and breaks all the time", mix: stubbornMix, price: sameUnits, cluster: linkDrops, sites: true,
+			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
+		{Name: "both-cut", About: "the same, and the way between the sites stays cut: each is alone", mix: stubbornMix, price: sameUnits, cluster: bothCut, sites: true,
+			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
