--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -80,17 +80,23 @@
 	return cfg
 }
 
-// An upgrade: connections of clients go over to the successor without a break, whether
-// silent, idle or with a request on them, and so does what customers have spent.
-func TestUpgrade(t *testing.T) {
-	hold, held := make(chan bool), make(chan bool, 1)
-	app := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+// newHoldingServer is an app server that says on held that it has a request with "hold" in its target, and
+// answers that one once hold is closed.
+func newHoldingServer(t *testing.T) (app *appServer, held, hold chan bool) {
+	hold, held = make(chan bool), make(chan bool, 1)
+	return newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
 		if strings.Contains(r.RequestURI, "hold") {
 			held <- true
 			<-hold
 		}
 		return say(okAnswer)(c, r, body)
-	})
+	}), held, hold
+}
+
+// An upgrade: connections of clients go over to the successor without a break, whether
+// silent, idle or with a request on them, and so does what customers have spent.
+func TestUpgrade(t *testing.T) {
+	app, held, hold := newHoldingServer(t)
 	spender := []string{"X-Contract", "tight", "", "GET /check/a?customer=0000000000000007 HTTP/1.1"}
 	dir, door := t.TempDir(), newShared(t)
 	old := door.start(t, upgradable(t, dir, app.instance("a")))
@@ -303,14 +309,7 @@
 // A second upgrade begins while the first old process still has work: the connection on which that is
 // goes through both, and the figures of all three add up to what clients asked.
 func TestSecondUpgradeBeforeTheFirstHasEnded(t *testing.T) {
-	hold, held := make(chan bool), make(chan bool, 1)
-	app := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		if strings.Contains(r.RequestURI, "hold") {
-			held <- true
-			<-hold
-		}
-		return say(okAnswer)(c, r, body)
-	})
+	app, held, hold := newHoldingServer(t)
 	dir, door := t.TempDir(), newShared(t)
 	first := door.start(t, upgradable(t, dir, app.instance("a")))
 	first.says(t, "ready on")
