The ramp of a hall that returns is shared out among all instances by leases

Need: what a cold server may be sent is a fact of that server. Each instance guessed its part (one of N, or what it sends to warm ones), so that with two sites, where only a hall's own instances reach it, half of the ramp was lost, and a far instance, which carries a whole hall's load, counted as one warm server.

Change: sites.Ramp (no I/O): equal shares, lent by leases that begin with the ask; what a warm server can take is learned together from work sent and busy share. choice.SetCold has the module go by it. Far instances need no ramp.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,7 @@
 	forgetAfter  = 5 * time.Second        // time constant for forgetting what was learned of a server
 	coldShare    = 0.5                    // share of the fall-over budget that is used: work varies
 	meanShare    = 0.05                   // share of a new sample in the slow means
+	utilShare    = 0.3                    // share of a new report in a server's busy share
 	triedWeight  = 4                      // cost factor of a server that this request has tried
 	crossWeight  = 1.1                    // cost factor of another zone where crossing has a price
 	slowDevs     = 10                     // mean deviations over the mean at which an attempt counts as slow
@@ -101,7 +102,7 @@
 	for _, e := range entries {
 		s := g.byID[e.ID]
 		if s == nil {
-			s = &server{lat: 1, queue: -1, credit: -1}
+			s = &server{lat: 1, queue: -1, credit: -1, util: -1}
 			g.byID[e.ID] = s
 			g.servers = append(g.servers, s)
 		}
@@ -653,6 +654,7 @@
 // pick returns the server with the least expected delay that the request may go to, or nil.
 func (g *Gateway) pick(r *request) *server {
 	var best *server
+	var short *coldZone // of a server left out because it is cold
 	bestCost := math.Inf(1)
 	// Gateways that all took the best of all servers would crowd it. Each looks at a random part.
 	looks := max(len(g.servers)/g.set.Instances+1, 2)
@@ -663,7 +665,11 @@
 		j := i + g.rng.IntN(len(g.servers)-i)
 		g.servers[i], g.servers[j] = g.servers[j], g.servers[i]
 		s := g.servers[i]
-		if r.Zone != "" && s.Zone != r.Zone || !s.takes() || !g.maySend(r, s) || !g.coldRoom(s, r.class) {
+		if r.Zone != "" && s.Zone != r.Zone || !s.takes() || !g.maySend(r, s) {
+			continue
+		}
+		if !g.coldRoom(s, r.class) {
+			short = g.cold[s.Zone]
 			continue
 		}
 		cost := g.cost(s)
@@ -686,6 +692,9 @@
 			best, bestCost = s, cost
 		}
 	}
+	if short != nil && (best == nil || g.cold[best.Zone] != short) {
+		short.short += g.work(r.class)
+	}
 	return best
 }
 
@@ -708,14 +717,20 @@
 // of gateways with less than one request a window to send must not all send it at once.
 func (g *Gateway) coldRoom(s *server, class int) bool {
 	w := g.warmth(s)
-	if w >= 1 {
+	c := g.cold[s.Zone]
+	if w >= 1 || c != nil && c.free {
 		s.credit = -1
 		return true
 	}
 	work := g.work(class)
 	// A server does at least a second's work a second, which counts where no warm one is seen.
-	rate := coldShare * g.set.FallMultiple * w * g.weight(s) *
-		math.Max(g.warmRate, 1/float64(g.set.Instances))
+	carries := math.Max(g.warmRate, 1/float64(g.set.Instances))
+	if c != nil && g.now <= c.until {
+		carries = c.rate
+	} else if c != nil {
+		carries = 0
+	}
+	rate := coldShare * g.set.FallMultiple * w * g.weight(s) * carries
 	most := math.Max(work, rate*g.set.OverloadFor.Seconds()/2)
 	if s.credit < 0 {
 		s.credit = most * g.rng.Float64()
@@ -809,6 +824,9 @@
 	g.mark(r.store)
 	if g.warmth(s) < 1 {
 		s.credit = math.Max(s.credit-g.work(r.class), 0)
+		if c := g.cold[s.Zone]; c != nil {
+			c.sent += g.work(r.class)
+		}
 	}
 	a := attempt{server: s, sent: g.now, zone: s.Zone, cell: s.Cell, begun: r.Body > 0}
 	r.attempts = append(r.attempts, a)
@@ -905,6 +923,9 @@
 		// draining servers or a guess that proves too high would inflate what cold ones may be sent.
 		if g.warmth(s) >= 1 && s.takes() {
 			g.okWarm += g.learnedWork(r.class)
+			if c := g.cold[s.Zone]; c != nil {
+				c.okWarm += g.learnedWork(r.class)
+			}
 		}
 	case Moot, Cancelled:
 		return
@@ -1061,6 +1082,7 @@
 	g.okRate += share * (g.oks/probeEvery.Seconds() - g.okRate)
 	g.inboxRate += rateShare * (g.inbox/probeEvery.Seconds() - g.inboxRate)
 	g.okWarm, g.oks, g.inbox = 0, 0, 0
+	g.carried()
 	// Probes are priced and cost work: a gateway that sends seldom probes half as often as it sends.
 	g.probeDue = math.Min(g.probeDue+g.aro.pool[poolSent]/2, 1)
 	if g.set.Probes && g.set.Report != ReportNone && len(g.servers) > 0 && g.probeDue >= 1 {
--- a/choice/settings.go
+++ b/choice/settings.go
@@ -40,3 +40,6 @@
 	}
 	return nil
 }
+
+// ColdMultiple is the multiple of what a cold server can take that gateways together send it at the most.
+func (s *Settings) ColdMultiple() float64 { return coldShare * s.FallMultiple }
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,6 +19,7 @@
 	ejected  time.Duration // ejected until then
 	strikes  int           // ejections in a row
 	queue    float64       // reported queue
+	util     float64       // reported busy share, averaged; below 0: not reported
 	credit   float64       // work that may be sent while cold; below 0: not begun
 	credited time.Duration
 	listed   bool
@@ -165,6 +166,7 @@
 	overdue          float64 // of these, as of the last probe: past their aim, at servers that are not lost
 	oks              float64 // answers since the last probe
 	okRate           float64 // answers per second, averaged
+	cold             map[string]*coldZone
 	okWarm           float64 // work answered by warm servers since the last probe
 	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
 	probeDue         float64 // probes earned by sends
@@ -203,7 +205,7 @@
 	g := &Gateway{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
-		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)),
+		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)), cold: map[string]*coldZone{},
 	}
 	g.set.Classes = append([]Class(nil), s.Classes...)
 	g.set.Plans = append([]Plan(nil), s.Plans...)
@@ -372,6 +374,82 @@
 	return sum
 }
 
+// coldZone is what a host that shares out the ramp of cold servers has told of a zone, and what came of it.
+type coldZone struct {
+	free        bool          // its servers need no ramp
+	rate        float64       // this gateway's part of what a warm server of unit weight can take, work a second
+	until       time.Duration // it holds so long; then nothing is sent to cold servers there
+	okWarm      float64       // work answered by warm servers since the last probe
+	warmRate    float64       // per second and unit of weight, averaged
+	sent, short float64       // work sent to cold servers, and work that found no room there, since the last Cold
+}
+
+// SetCold tells this gateway's part of what a warm server of unit weight in a zone can take, as work a second (seconds
+// of a request served alone). Until then it goes by that instead of its own estimate for servers there that are
+// cold. A rate of +Inf says that servers of this zone need no ramp: gateways of another site.
+func (g *Gateway) SetCold(zone string, rate float64, until time.Duration) {
+	c := g.cold[zone]
+	if c == nil {
+		c = &coldZone{}
+		g.cold[zone] = c
+	}
+	c.free, c.rate, c.until = math.IsInf(rate, 1), rate, until
+}
+
+// Cold returns what the cold servers of a zone are worth, by weight and warmth; the work that was sent to them since it was last
+// called; and the work for which they had no room.
+func (g *Gateway) Cold(now time.Duration, zone string) (servers, sent, short float64) {
+	g.now = now
+	for _, s := range g.servers {
+		if w := g.warmth(s); s.Zone == zone && s.takes() && !s.lost && w < 1 {
+			servers += g.weight(s) * w
+		}
+	}
+	if c := g.cold[zone]; c != nil {
+		sent, short = c.sent, c.short
+		c.sent, c.short = 0, 0
+	}
+	return servers, sent, short
+}
+
+// Warm returns the work a second that this gateway sends to a warm server of unit weight in a zone that it was told of by
+// SetCold, and the busy share that those there report, on average; below 0: none does.
+func (g *Gateway) Warm(now time.Duration, zone string) (rate, util float64) {
+	g.now = now
+	n := 0.0
+	for _, s := range g.servers {
+		if s.Zone == zone && s.takes() && g.warmth(s) >= 1 && s.util >= 0 && now-s.reported < forgetAfter {
+			util += s.util
+			n++
+		}
+	}
+	if c := g.cold[zone]; c != nil {
+		rate = c.warmRate
+	}
+	if n == 0 {
+		return rate, -1
+	}
+	return rate, util / n
+}
+
+// carried learns, once a probe, what a warm server of each zone that was told of takes from this gateway.
+func (g *Gateway) carried() {
+	for zone, c := range g.cold {
+		var weight float64
+		for _, s := range g.servers {
+			if s.Zone == zone && s.takes() && !s.lost && g.warmth(s) >= 1 {
+				weight += g.weight(s)
+			}
+		}
+		if weight > 0 {
+			c.warmRate += meanShare * (c.okWarm/weight/probeEvery.Seconds() - c.warmRate)
+		} else {
+			c.warmRate = 0
+		}
+		c.okWarm = 0
+	}
+}
+
 // takes tells whether the server is in the list and not draining.
 func (s *server) takes() bool { return s.listed && s.State == Up }
 
@@ -496,6 +574,10 @@
 	}
 	if l.Util >= 0 {
 		s.reported = g.now
+		if s.util < 0 {
+			s.util = l.Util
+		}
+		s.util += utilShare * (math.Min(l.Util, 1) - s.util)
 		g.aro.sample(math.Min(l.Util, 1))
 	}
 }
--- a/internal/fleet/homes.go
+++ b/internal/fleet/homes.go
@@ -33,6 +33,7 @@
 	hallHoldMost = 30 * time.Second
 	hallCalm     = time.Minute
 	hallJudge    = 50 * time.Millisecond // between two judgements
+	rampLease    = 500 * time.Millisecond
 )
 
 // judgeHalls has the leader propose what becomes of the halls, until ctx ends. Any member might:
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -47,6 +47,9 @@
 	// Health, if set, has the instance judge the halls: see package sites.
 	Health *sites.HealthConfig
 
+	// Ramp, if set, has the instances share out what cold servers may be sent: see package sites.
+	Ramp *sites.RampConfig
+
 	// Link, if set, has the instance reach other sites' halls by way of their instances.
 	Link *LinkConfig
 
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -54,6 +54,7 @@
 	link     *link         // nil: it reaches all halls itself
 	keys     *sites.Keys   // nil: keyed requests are kept to a hall for one request only
 	health   *sites.Health // nil: halls are not judged
+	ramp     *sites.Ramp   // nil: what cold servers are sent is each instance's own guess
 	flights  map[string]*flight
 	after    []func() // what the event under way leaves to do without the mutex
 	closed   bool     // no more events
@@ -191,6 +192,11 @@
 			return nil, err
 		}
 	}
+	if cfg.Ramp != nil {
+		if in.ramp, err = sites.NewRamp(*cfg.Ramp); err != nil {
+			return nil, err
+		}
+	}
 	in.alarm = time.AfterFunc(time.Hour, in.ring)
 	in.alarmAt = math.MaxInt64
 	in.version.Store(&version{table: &contract.Table{}})
@@ -311,16 +317,50 @@
 // TellKeys is [sites.Keys.Tell].
 func (in *Instance) TellKeys(most int) (m sites.Message, more bool) {
 	in.event(func(now time.Duration, _ choice.Actions) {
-		if m, more = in.keys.Tell(now, most); !more && in.health != nil {
+		if m, more = in.keys.Tell(now, most); more {
+			return
+		}
+		if in.health != nil {
 			for name := range in.halls {
 				in.health.Carries(name, in.gw.Carries(now, name))
 			}
 			m.Views = in.health.Views(now)
 		}
+		if in.ramp != nil {
+			w := in.climb(now)
+			m.Ramp = &w
+		}
 	})
 	return m, more
 }
 
+// rampFor is how long a part of a hall's ramp holds unless it is told again, each time that words go out.
+const rampFor = 200 * time.Millisecond
+
+// climb has the module go by this instance's part in the ramps of the halls, and returns what to tell the others.
+// Called under the mutex.
+func (in *Instance) climb(now time.Duration) sites.RampWord {
+	var carried []sites.Carried
+	for name := range in.halls {
+		if in.link != nil && !in.link.owns(name) { // its own instances know which of its servers are cold
+			in.gw.SetCold(name, math.Inf(1), now+rampFor)
+			continue
+		}
+		if rate, util := in.gw.Warm(now, name); rate > 0 {
+			carried = append(carried, sites.Carried{Hall: name, Rate: rate, Util: util})
+		}
+		servers, sent, short := in.gw.Cold(now, name)
+		in.ramp.Met(now, name, sites.ColdWork{Servers: servers, Sent: sent, Short: short})
+	}
+	w := in.ramp.Tell(now, carried)
+	for name := range in.halls {
+		if in.link == nil || in.link.owns(name) {
+			in.gw.SetCold(name, in.ramp.Warm(now, name)*in.ramp.Share(now, name), now+rampFor)
+		}
+	}
+	return w
+}
+
 // HearKeys is [sites.Keys.Hear].
 func (in *Instance) HearKeys(m sites.Message) {
 	in.event(func(now time.Duration, _ choice.Actions) {
@@ -328,6 +368,9 @@
 		if in.health != nil && m.Views != nil {
 			in.health.Hear(now, m.From, m.Views)
 		}
+		if in.ramp != nil && m.Ramp != nil {
+			in.ramp.Hear(now, m.From, *m.Ramp)
+		}
 	})
 }
 
@@ -337,6 +380,9 @@
 		if in.health != nil {
 			in.health.Agree(now, halls, lost, members)
 		}
+		if in.ramp != nil {
+			in.ramp.Agree(now, halls, members)
+		}
 	})
 }
 
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -67,6 +67,7 @@
 	Sent        []Sent        // since the message before
 	Full        bool          // it has sent keys that it could not remember
 	Views       []View        `json:",omitempty"` // of the halls: see [Health]; nil: as before
+	Ramp        *RampWord     `json:",omitempty"` // nil: as before
 }
 
 // Sent is a key that may have run.
