--- a/choice/choice.go
+++ b/choice/choice.go
@@ -142,7 +142,7 @@
 	r.ends = now + q.Body + q.Grace - 2*g.set.Tick
 	late, l := g.late(ci, q.Grace), &g.lat[ci]
 	tooShort := l.n >= batchLeast && q.Grace.Seconds() < l.mean
-	if g.jammed(ci) || late && g.aro.rho >= pressed || tooShort {
+	if g.jammed(ci, q.Zone, g.set.Plans[pi].Price) || late && g.aro.rho >= pressed || tooShort {
 		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
 		return
 	}
@@ -590,23 +590,37 @@
 // piles up. By Little's law the attempts out over the answers per second are the delay that a new
 // request meets; where that leaves no hope of its aim, it is refused. It covers overload, stalls,
 // lost servers and retry storms alike; it harms where latency is long by nature, not by waiting.
-func (g *Gateway) jammed(class int) bool {
-	best := 0.0
+// Where requests are kept to zones, each zone has a bound of its own: work that piles up at one must not keep
+// others idle.
+func (g *Gateway) jammed(class int, zone string, price float64) bool {
+	best, dearest := 0.0, 0.0
 	for c := range g.set.Classes {
 		best = math.Max(best, g.set.Classes[c].Worth/g.work(c))
 	}
+	for p := range g.set.Plans {
+		dearest = math.Max(dearest, g.set.Plans[p].Price)
+	}
 	c := &g.set.Classes[class]
 	rank := 1.0
-	if best > 0 {
-		rank = (1 + c.Worth/g.work(class)/best) / 2
+	if best > 0 && dearest > 0 {
+		rank = (1 + c.Worth/g.work(class)/best*math.Min(price/dearest, 1)) / 2
+	}
+	answered := jamShare * rank * c.Aim.Seconds() // in which what is out must be answered
+	if len(g.cold) > 0 {
+		jammed := true
+		for name, z := range g.cold {
+			z.jammed = z.servers == 0 || g.outAt(name) >= math.Max(z.okRate*answered, jamFloor*z.servers*z.Part)
+			jammed = jammed && (z.jammed || zone != "" && zone != name)
+		}
+		return jammed
 	}
-	bound := g.okRate * jamShare * rank * c.Aim.Seconds()
+	bound := g.okRate * answered
 	out, servers := g.inReach()
 	floor := jamFloor * servers / float64(g.set.Instances)
 	if bound < samplesLeast && g.inboxRate > 1 && out < jamSure*math.Max(bound, floor) {
 		// Few attempts are out by chance or not: the mean over the gateways it hears from must say so too.
 		// That comes seconds late: what can't be chance doesn't wait for it, or a burst would come in whole.
-		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * jamShare * rank * c.Aim.Seconds()
+		bound = g.aro.pool[poolOKs] / probeEvery.Seconds() * answered
 		return out >= math.Max(bound, floor) && g.aro.pool[poolHeld] >= math.Max(bound, floor)
 	}
 	return out >= math.Max(bound, floor)
@@ -668,6 +682,9 @@
 		if r.Zone != "" && s.Zone != r.Zone || !s.takes() || !g.maySend(r, s) {
 			continue
 		}
+		if z := g.cold[s.Zone]; z != nil && z.jammed && r.Zone == "" && len(r.attempts) == 0 {
+			continue // it was let in for the sake of another zone
+		}
 		if !g.coldRoom(s, r.class) {
 			short = g.cold[s.Zone]
 			continue
@@ -718,17 +735,15 @@
 func (g *Gateway) coldRoom(s *server, class int) bool {
 	w := g.warmth(s)
 	c := g.cold[s.Zone]
-	if w >= 1 || c != nil && c.free {
+	if w >= 1 || c != nil && c.Far {
 		s.credit = -1
 		return true
 	}
 	work := g.work(class)
 	// A server does at least a second's work a second, which counts where no warm one is seen.
 	carries := math.Max(g.warmRate, 1/float64(g.set.Instances))
-	if c != nil && g.now <= c.until {
-		carries = c.rate
-	} else if c != nil {
-		carries = 0
+	if c != nil {
+		carries = c.Ramp
 	}
 	rate := coldShare * g.set.FallMultiple * w * g.weight(s) * carries
 	most := math.Max(work, rate*g.set.OverloadFor.Seconds()/2)
@@ -738,6 +753,15 @@
 		s.credit = math.Min(s.credit+rate*(g.now-s.credited).Seconds(), most)
 	}
 	s.credited = g.now
+	if c != nil && c.Ramp > 0 { // what is worth less for its work leaves the others room: it is mostly smaller, and would take all
+		best := 0.0
+		for k := range g.set.Classes {
+			best = math.Max(best, g.set.Classes[k].Worth/g.work(k))
+		}
+		if best > 0 {
+			work += (1 - g.set.Classes[class].Worth/work/best) * most / 2
+		}
+	}
 	return s.credit >= work
 }
 
@@ -918,6 +942,9 @@
 		bad = 0
 		s.seen, s.strikes = g.now, 0
 		g.oks++
+		if c := g.cold[s.Zone]; c != nil {
+			c.oks++
+		}
 		g.observe(r.class, s, o.Took)
 		// Rule 4: only of servers that count in the mean, and only work that is known: answers of
 		// draining servers or a guess that proves too high would inflate what cold ones may be sent.
@@ -931,6 +958,9 @@
 		return
 	case Full:
 		s.seen = g.now
+		if z := g.cold[s.Zone]; z != nil && z.Far {
+			return // the other site's gateway refuses one request; it has room for others
+		}
 		g.aro.sample(1)
 		s.ejected = max(s.ejected, g.now+probeEvery)
 		return
--- a/choice/state.go
+++ b/choice/state.go
@@ -374,26 +374,62 @@
 	return sum
 }
 
-// coldZone is what a host that shares out the ramp of cold servers has told of a zone, and what came of it.
+// Zone is what a host tells of a zone where gateways share out what its servers may be sent.
+type Zone struct {
+	Far  bool    // its servers are gateways of another site, which need no ramp
+	Ramp float64 // this gateway's part of what a warm server of unit weight can take, work a second (seconds of a request served alone)
+	Part float64 // this gateway's part of the attempts that may be out there
+	Back float64 // with Far: warm servers behind them all; 0: not known
+}
+
+// coldZone is a zone that a host has told of, and what came of it.
 type coldZone struct {
-	free        bool          // its servers need no ramp
-	rate        float64       // this gateway's part of what a warm server of unit weight can take, work a second
-	until       time.Duration // it holds so long; then nothing is sent to cold servers there
-	okWarm      float64       // work answered by warm servers since the last probe
-	warmRate    float64       // per second and unit of weight, averaged
-	sent, short float64       // work sent to cold servers, and work that found no room there, since the last Cold
-}
-
-// SetCold tells this gateway's part of what a warm server of unit weight in a zone can take, as work a second (seconds
-// of a request served alone). Until then it goes by that instead of its own estimate for servers there that are
-// cold. A rate of +Inf says that servers of this zone need no ramp: gateways of another site.
-func (g *Gateway) SetCold(zone string, rate float64, until time.Duration) {
-	c := g.cold[zone]
+	Zone
+	jammed      bool    // as of the request under way
+	servers     float64 // warm ones, as of the last probe; a cold one as the part of one that it is
+	okWarm      float64 // work answered by warm servers since the last probe
+	warmRate    float64 // per second and unit of weight, averaged
+	oks, okRate float64 // answers since the last probe, and per second, averaged
+	sent, short float64 // work sent to cold servers, and work that found no room there, since the last Cold
+}
+
+// SetZone tells of a zone. For its cold servers the gateway goes by the ramp told instead of its own estimate, and the
+// bound on work out is the zone's own. It is to be told of all zones or none, again whenever a figure changes; a host that has
+// nothing to go by any more tells of a ramp of 0.
+func (g *Gateway) SetZone(name string, z Zone) {
+	c := g.cold[name]
 	if c == nil {
-		c = &coldZone{}
-		g.cold[zone] = c
+		c = &coldZone{okRate: g.okRate / float64(len(g.cold)+1)}
+		g.cold[name] = c
+		g.reachOf(name, c)
+	}
+	c.Zone = z
+}
+
+// DropZone forgets a zone.
+func (g *Gateway) DropZone(name string) { delete(g.cold, name) }
+
+// outAt counts the attempts out at servers of a zone that are held to be alive.
+func (g *Gateway) outAt(zone string) (out float64) {
+	for _, s := range g.servers {
+		if s.Zone == zone && !s.lost {
+			out += float64(s.out)
+		}
+	}
+	return out
+}
+
+// reachOf counts the servers of a zone that take requests and answer.
+func (g *Gateway) reachOf(zone string, c *coldZone) {
+	c.servers = 0
+	for _, s := range g.servers {
+		if s.Zone == zone && s.takes() && !s.lost {
+			c.servers += g.warmth(s)
+		}
+	}
+	if c.Far && c.servers > 0 && c.Back > 0 {
+		c.servers = c.Back
 	}
-	c.free, c.rate, c.until = math.IsInf(rate, 1), rate, until
 }
 
 // Cold returns what the cold servers of a zone are worth, by weight and warmth; the work that was sent to them since it was last
@@ -413,7 +449,7 @@
 }
 
 // Warm returns the work a second that this gateway sends to a warm server of unit weight in a zone that it was told of by
-// SetCold, and the busy share that those there report, on average; below 0: none does.
+// SetZone, and the busy share that those there report, on average; below 0: none does.
 func (g *Gateway) Warm(now time.Duration, zone string) (rate, util float64) {
 	g.now = now
 	n := 0.0
@@ -446,7 +482,9 @@
 		} else {
 			c.warmRate = 0
 		}
-		c.okWarm = 0
+		c.okRate += rateShare * (c.oks/probeEvery.Seconds() - c.okRate)
+		c.okWarm, c.oks = 0, 0
+		g.reachOf(zone, c)
 	}
 }
 
--- a/contract/table.go
+++ b/contract/table.go
@@ -375,3 +375,16 @@
 	}
 	return o.path, values
 }
+
+// KeyLife is the longest time over which a client repeats a request that has a key, and the shortest for which halls drop
+// repeats, as declared; 0 without such operations.
+func (t *Table) KeyLife() (deadline, window time.Duration) {
+	for _, op := range t.Operations {
+		if c := &op.Class; op.Key.In != Nowhere {
+			if deadline = max(deadline, c.Deadline); window == 0 || c.Window < window {
+				window = c.Window
+			}
+		}
+	}
+	return deadline, window
+}
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -225,6 +225,17 @@
 	return err
 }
 
+// MovesHomes tells whether an entry may change homes of keys once it is applied. One that can't be read may.
+func MovesHomes(entry []byte) bool {
+	if !bytes.Contains(entry, []byte(`"hall"`)) && !bytes.Contains(entry, []byte(`"lost"`)) {
+		return false // a description may be long: it is read once, when it is applied
+	}
+	p, err := decode(entry)
+	return err != nil || slices.ContainsFunc(p.Changes, func(c Change) bool { return c.movesHomes() })
+}
+
+func (c *Change) movesHomes() bool { return c.Kind == "hall" || c.Kind == "lost" }
+
 // Apply applies the next entry. An error means that the entry can't be read: the state is
 // as it was, and the instance must stop, since others may have read it.
 func (s *State) Apply(entry []byte) (id string, o Outcome, err error) {
@@ -243,7 +254,7 @@
 		s.version++
 		s.objects = objects
 		for _, c := range p.Changes {
-			if c.Kind == "hall" || c.Kind == "lost" {
+			if c.movesHomes() {
 				s.homes = s.version
 			}
 			if c.Op == "put" && c.Kind == "plan" && !slices.Contains(s.places, c.Name) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,6 +125,7 @@
 	if gate.Keys != nil {
 		gate.Health = &sites.HealthConfig{Me: cfg.Member, Least: hallLeast, LostAfter: hallLost, Fresh: hallFresh, Hold: hallHold,
 			HoldMost: hallHoldMost, Calm: hallCalm, Ramp: gate.Settings.RampTime}
+		gate.Consent = &sites.ConsentConfig{Me: cfg.Member, Incarnation: bolt.Starts()}
 		if gate.Settings.FallMultiple > 0 && gate.Settings.RampTime > 0 {
 			gate.Ramp = &sites.RampConfig{Me: cfg.Member, Incarnation: bolt.Starts(), Lease: rampLease, Fresh: hallFresh, Multiple: gate.Settings.ColdMultiple()}
 		}
--- a/internal/fleet/homes.go
+++ b/internal/fleet/homes.go
@@ -103,11 +103,11 @@
 	if f.gate.Keys == nil {
 		return 0
 	}
-	s, members, err := f.node.FreezeWith(ctx)
+	s, m, err := f.node.FreezeWith(ctx)
 	if err != nil {
 		return 0
 	}
-	h := sites.Homes{Epoch: s.Homes(), Instances: members}
+	h := sites.Homes{Epoch: s.Homes(), Instances: m.Members}
 	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
 	lost := fleetconfig.Read[fleetconfig.LostHall](s, "lost")
 	var agreed []sites.Hall
@@ -120,8 +120,8 @@
 		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed && (!gone || l.Part > 0), Part: l.Part})
 		agreed = append(agreed, sites.Hall{Name: name, Open: !halls[name].Closed})
 	}
-	f.in.InstallHomes(h)
-	f.in.AgreeHalls(agreed, parts, members)
+	f.in.InstallHomes(h, m.Index, m.Voters, m.Joint)
+	f.in.AgreeHalls(agreed, parts, m.Members)
 	return h.Epoch
 }
 
@@ -137,7 +137,7 @@
 		}
 		for more := true; more; {
 			var m sites.Message
-			m, more = f.in.TellKeys(keysWord)
+			m, more = f.in.TellKeys(keysWord, f.node.Fence)
 			text, err := json.Marshal(&m)
 			if err == nil {
 				err = f.node.Tell(text)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -47,6 +47,9 @@
 	// Health, if set, has the instance judge the halls: see package sites.
 	Health *sites.HealthConfig
 
+	// Consent, if set, has homes of keys confirmed by as many voters as no new homes can do without.
+	Consent *sites.ConsentConfig
+
 	// Ramp, if set, has the instances share out what cold servers may be sent: see package sites.
 	Ramp *sites.RampConfig
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -164,7 +164,7 @@
 func (c *client) one() (again bool) {
 	fl := &c.fl
 	fl.body, fl.done, fl.pending, fl.waiting, fl.sent, fl.attempts, fl.call = nil, false, false, false, false, 0, nil
-	fl.mayRun, fl.linked, fl.over = false, c.linked, false
+	fl.mayRun, fl.linked, fl.over, fl.why = false, c.linked, false, ""
 	select {
 	case <-fl.wake: // crossed with the end of the last request's time
 	default:
@@ -415,7 +415,7 @@
 func (c *client) answer() bool {
 	fl := &c.fl
 	rec := Record{Trace: fl.trace, Operation: fl.op.ID, Licensee: fl.licensee, Version: fl.version.number, Units: fl.units,
-		Sent: fl.sent, Attempts: fl.attempts, Answer: fl.answer.String()}
+		Sent: fl.sent, Attempts: fl.attempts, Answer: fl.answer.String(), Why: fl.why}
 	var b, body []byte
 	length := 0
 	switch fl.answer {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -54,7 +54,8 @@
 	link     *link         // nil: it reaches all halls itself
 	keys     *sites.Keys   // nil: keyed requests are kept to a hall for one request only
 	health   *sites.Health // nil: halls are not judged
-	ramp     *sites.Ramp   // nil: what cold servers are sent is each instance's own guess
+	consent  *sites.Consent
+	ramp     *sites.Ramp // nil: what cold servers are sent is each instance's own guess
 	flights  map[string]*flight
 	after    []func() // what the event under way leaves to do without the mutex
 	closed   bool     // no more events
@@ -105,8 +106,9 @@
 	Units     int    `json:"units"`
 	Sent      bool   `json:"sent"` // an attempt was written whole: the units count
 	Attempts  int    `json:"attempts"`
-	Status    int    `json:"status"` // of the final answer
-	Answer    string `json:"answer"` // "served", "refused" or "failed"
+	Status    int    `json:"status"`        // of the final answer
+	Answer    string `json:"answer"`        // "served", "refused" or "failed"
+	Why       string `json:"why,omitempty"` // a request with a key was refused for the sake of its key
 }
 
 // flight is a request of a client until it has its final answer.
@@ -135,6 +137,7 @@
 	done     bool // answer is final
 	answer   answerKind
 	wait     time.Duration // of a refusal
+	why      string        // of one for the sake of its key
 	next     attempt       // asked for and not begun
 	pending  bool          // next is set
 	call     *call         // the attempt under way
@@ -192,6 +195,11 @@
 			return nil, err
 		}
 	}
+	if cfg.Consent != nil {
+		if in.consent, err = sites.NewConsent(*cfg.Consent); err != nil {
+			return nil, err
+		}
+	}
 	if cfg.Ramp != nil {
 		if in.ramp, err = sites.NewRamp(*cfg.Ramp); err != nil {
 			return nil, err
@@ -232,6 +240,9 @@
 			return
 		}
 		in.version.Store(in.prepare(s, old))
+		if deadline, window := s.Table.KeyLife(); in.keys != nil && deadline > 0 {
+			in.keys.SetLife(now, deadline+keyWay, window)
+		}
 		in.watchHalls(now, s.Halls, out)
 	})
 	return err
@@ -268,6 +279,7 @@
 			continue
 		} else if !ok {
 			in.take(now, name, register.List{Full: true}, out)
+			in.gw.DropZone(name)
 			delete(in.known, name)
 		}
 		w.stop()
@@ -299,12 +311,21 @@
 	}
 }
 
+// keyWay is how long a request may be on its way beyond its client's deadline.
+const keyWay = 500 * time.Millisecond
+
 // minWait is the least that a client is told to wait where its key has no hall now.
 const minWait = 50 * time.Millisecond
 
-// InstallHomes takes over an agreed epoch of homes.
-func (in *Instance) InstallHomes(h sites.Homes) {
-	in.event(func(now time.Duration, _ choice.Actions) { in.keys.Install(now, h) })
+// InstallHomes takes over an agreed epoch of homes: what an entry of the log, the voters of that moment (joint: they
+// change) and all before it come to.
+func (in *Instance) InstallHomes(h sites.Homes, index uint64, voters []uint64, joint bool) {
+	in.event(func(now time.Duration, _ choice.Actions) {
+		in.keys.Install(now, h)
+		if in.consent != nil {
+			in.consent.Agree(index, voters, joint)
+		}
+	})
 }
 
 // ConfirmHomes tells that the epoch in force was confirmed by a quorum that was asked at a time.
@@ -314,28 +335,38 @@
 	})
 }
 
-// TellKeys is [sites.Keys.Tell].
-func (in *Instance) TellKeys(most int) (m sites.Message, more bool) {
+// TellKeys is [sites.Keys.Tell], with what else goes to the other instances. fence tells this member's: see
+// [sites.Consent].
+func (in *Instance) TellKeys(most int, fence func() uint64) (m sites.Message, more bool) {
 	in.event(func(now time.Duration, _ choice.Actions) {
 		if m, more = in.keys.Tell(now, most); more {
 			return
 		}
 		if in.health != nil {
 			for name := range in.halls {
-				in.health.Carries(name, in.gw.Carries(now, name))
+				if far := in.link != nil && !in.link.owns(name); far {
+					in.health.Far(name, true)
+				} else {
+					in.health.Carries(name, in.gw.Carries(now, name))
+				}
 			}
 			m.Views = in.health.Views(now)
 		}
-		if in.ramp != nil {
+		if in.ramp != nil && in.health != nil {
 			w := in.climb(now)
 			m.Ramp = &w
 		}
+		if in.consent != nil {
+			w := in.consent.Tell(now, fence())
+			m.Consent = &w
+			in.agreeHomes()
+		}
 	})
 	return m, more
 }
 
-// rampFor is how long a part of a hall's ramp holds unless it is told again, each time that words go out.
-const rampFor = 200 * time.Millisecond
+// rampFill is the part of what a cold server can take, as warm as it is, that all instances together send it.
+const rampFill = 0.9
 
 // climb has the module go by this instance's part in the ramps of the halls, and returns what to tell the others.
 // Called under the mutex.
@@ -343,7 +374,6 @@
 	var carried []sites.Carried
 	for name := range in.halls {
 		if in.link != nil && !in.link.owns(name) { // its own instances know which of its servers are cold
-			in.gw.SetCold(name, math.Inf(1), now+rampFor)
 			continue
 		}
 		if rate, util := in.gw.Warm(now, name); rate > 0 {
@@ -354,9 +384,13 @@
 	}
 	w := in.ramp.Tell(now, carried)
 	for name := range in.halls {
-		if in.link == nil || in.link.owns(name) {
-			in.gw.SetCold(name, in.ramp.Warm(now, name)*in.ramp.Share(now, name), now+rampFor)
+		servers, near := in.health.Carried(now, name)
+		z := choice.Zone{Far: in.link != nil && !in.link.owns(name), Part: 1 / float64(in.cfg.Settings.Instances), Back: servers}
+		if !z.Far {
+			z.Ramp = rampFill / in.cfg.Settings.ColdMultiple() * in.ramp.Warm(now, name) * in.ramp.Share(now, name)
+			z.Part = 1 / float64(max(near, 1))
 		}
+		in.gw.SetZone(name, z)
 	}
 	return w
 }
@@ -371,9 +405,20 @@
 		if in.ramp != nil && m.Ramp != nil {
 			in.ramp.Hear(now, m.From, *m.Ramp)
 		}
+		if in.consent != nil && m.Consent != nil {
+			in.consent.Hear(m.From, *m.Consent)
+			in.agreeHomes()
+		}
 	})
 }
 
+// agreeHomes confirms the homes in force where enough others consent. Called under the mutex.
+func (in *Instance) agreeHomes() {
+	if at, ok := in.consent.Confirmed(); ok {
+		in.keys.Confirm(at)
+	}
+}
+
 // AgreeHalls takes over which halls there are, which of them are lost, and the members.
 func (in *Instance) AgreeHalls(halls []sites.Hall, lost map[string]int, members []uint64) {
 	in.event(func(now time.Duration, _ choice.Actions) {
@@ -532,9 +577,10 @@
 		if fl.homed {
 			v := in.keys.Route(now, fl.key)
 			if v.Hall != "" && fl.linked && !in.link.owns(v.Hall) {
-				v = sites.Verdict{Wait: minWait} // the other site goes by older homes, or this one does
+				v = sites.Verdict{Wait: minWait, Why: "the sites differ on its home"} // the other site goes by older homes, or this one does
 			}
 			if q.Zone = v.Hall; v.Hall == "" {
+				fl.why = v.Why
 				in.end(fl, refused, min(max(v.Wait, minWait), in.cfg.Settings.MaxRetryAfter))
 				return
 			}
@@ -585,6 +631,7 @@
 			if let = in.keys.Send(now, fl.key, hall); !let && fl.sent {
 				in.end(fl, failed, 0)
 			} else if !let {
+				fl.why = "its home has moved meanwhile"
 				in.end(fl, refused, minWait)
 			}
 		})
--- /dev/null
+++ b/internal/lab/oracle.go
@@ -0,0 +1,246 @@
+package lab
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/internal/standin"
+)
+
+// The scenario hall-lost-surge loses a hall that is needed and has it back cold, and holds what was served against
+// an oracle that knows the true state of all servers at once, has no wait between sites, and chooses among all that was
+// asked for. No gateway can serve more than it.
+
+// Moments of the scenario, as shares of its length: a hall is lost, and returns.
+const (
+	surgeLost   = 0.2
+	surgeBack   = 0.48
+	surgeAfter  = 10 * time.Second // looked at after the loss, at most until the return
+	surgeReturn = 20 * time.Second // after the return, at most until the end
+	oracleStep  = 20 * time.Millisecond
+	fullShare   = 0.9 // of what a hall did before it was lost: full use
+)
+
+// surge is what happened to the hall.
+type surge struct {
+	hall                  string
+	calm, lost, back, end time.Time
+}
+
+// hallLostSurge has a hall that carries half of the load fall silent, and come back with cold servers alone.
+func hallLostSurge(ctx context.Context, c *cluster) {
+	began := time.Now()
+	until := func(share float64) {
+		pause(ctx, time.Until(began.Add(time.Duration(share*float64(c.w.opt.For)))))
+	}
+	h := c.w.halls[c.rng.IntN(2)]
+	s := &surge{hall: h.Name}
+	until(surgeLost / 2)
+	s.calm = time.Now()
+	until(surgeLost)
+	s.lost = time.Now()
+	h.Cut(true)
+	until(surgeBack)
+	ids := []string{"cold-0", "cold-1", "cold-2", "cold-3", "cold-4"}[:c.w.servers()]
+	if err := h.Empty(ids...); err != nil {
+		c.note("%v", err)
+	}
+	s.back = time.Now()
+	h.Cut(false)
+	until(0.99)
+	s.end = time.Now()
+	c.surge = s
+}
+
+// wish is what one client wants, over all its tries.
+type wish struct {
+	at       time.Time
+	licensee string
+	units    int
+	value    float64 // its worth if served within its aim
+	late     float64 // after that
+	aim      time.Duration
+	work     float64 // seconds
+	served   time.Time
+}
+
+// wishes joins tries to wishes. Units of a request that no hall has seen are those of its operation's others.
+func wishes(tries []standin.Try, byTrace map[string][]standin.Arrival) []*wish {
+	classes, plans, prices, units := classes(), map[string]string{}, map[string]float64{}, map[string]int{}
+	for _, l := range licensees() {
+		plans[l.Name] = l.Plan
+	}
+	for _, p := range settings(0).Plans {
+		prices[p.Name] = p.Price
+	}
+	for _, as := range byTrace {
+		units[as[0].Operation] = as[0].Units
+	}
+	byFirst := map[string]*wish{}
+	var all []*wish
+	for _, t := range tries {
+		w := byFirst[t.First]
+		if w == nil {
+			k, work := classes[0], checkWork
+			if t.Operation == "bookVisit" {
+				k, work = classes[1], bookWork
+			}
+			price := prices[plans[t.Licensee]]
+			w = &wish{at: t.At, licensee: t.Licensee, units: max(units[t.Operation], 1), value: k.Worth * price, late: k.Worth * k.Late * price, aim: k.Aim, work: work.Seconds()}
+			byFirst[t.First] = w
+			all = append(all, w)
+		}
+		if w.at.After(t.At) {
+			w.at = t.At
+		}
+		if t.Served && (w.served.IsZero() || t.Ended.Before(w.served)) {
+			w.served = t.Ended
+		}
+	}
+	slices.SortFunc(all, func(a, b *wish) int { return a.at.Compare(b.at) })
+	return all
+}
+
+// capacity is the seconds of work a second that all halls can do at a moment, as the stand-ins have it.
+func (s *surge) capacity(at time.Time, servers, cores int) float64 {
+	full := float64(servers * cores)
+	switch {
+	case at.Before(s.lost):
+		return 2 * full
+	case at.Before(s.back):
+		return full
+	}
+	return full + full*s.warmth(at)
+}
+
+func (s *surge) warmth(at time.Time) float64 {
+	set := settings(0)
+	return math.Min(set.ColdFrom+(1-set.ColdFrom)*at.Sub(s.back).Seconds()/set.RampTime.Seconds(), 1)
+}
+
+// oracle plays the whole run: which wishes can be served within their aim. Each takes units of its licensee's store, in the
+// order in which they come, and waits for them within its aim, as a client does that tries again; of those that have them,
+// what is worth most for its work is served first.
+func (s *surge) oracle(all []*wish, servers, cores int) (served map[*wish]bool) {
+	type store struct {
+		plan  choice.Plan
+		level float64
+		queue []*wish
+	}
+	var stores []*store
+	byName := map[string]*store{}
+	for _, l := range licensees() {
+		for _, p := range settings(0).Plans {
+			if p.Name == l.Plan {
+				byName[l.Name] = &store{plan: p, level: p.Burst}
+				stores = append(stores, byName[l.Name])
+			}
+		}
+	}
+	served = map[*wish]bool{}
+	left := map[*wish]float64{}
+	var open []*wish
+	next := 0
+	for at := all[0].at; next < len(all) || len(open) > 0; at = at.Add(oracleStep) {
+		over := func(w *wish) bool { return at.Sub(w.at) > w.aim }
+		for ; next < len(all) && all[next].at.Before(at.Add(oracleStep)); next++ {
+			st := byName[all[next].licensee]
+			st.queue = append(st.queue, all[next])
+		}
+		for _, st := range stores {
+			st.level = math.Min(st.level+st.plan.Rate*oracleStep.Seconds(), st.plan.Burst)
+			st.queue = slices.DeleteFunc(st.queue, over)
+			for len(st.queue) > 0 && st.level >= float64(st.queue[0].units) {
+				w := st.queue[0]
+				st.queue = st.queue[1:]
+				st.level -= float64(w.units)
+				open = append(open, w)
+				left[w] = w.work
+			}
+		}
+		open = slices.DeleteFunc(open, func(w *wish) bool { return left[w] <= 0 || over(w) })
+		slices.SortStableFunc(open, func(a, b *wish) int { return cmp.Compare(b.value/b.work, a.value/a.work) })
+		can := s.capacity(at, servers, cores) * oracleStep.Seconds()
+		for _, w := range open {
+			part := math.Min(can, left[w])
+			can -= part
+			if left[w] -= part; left[w] <= 1e-12 {
+				left[w], served[w] = 0, true
+			}
+			if can <= 0 {
+				break
+			}
+		}
+	}
+	return served
+}
+
+// worth is what was served, and what the oracle serves, of the wishes that begin in a span.
+func worth(all []*wish, oracle map[*wish]bool, from, to time.Time) (got, best float64) {
+	for _, w := range all {
+		if w.at.Before(from) || !w.at.Before(to) {
+			continue
+		}
+		if oracle[w] {
+			best += w.value
+		}
+		switch {
+		case w.served.IsZero():
+		case w.served.Sub(w.at) <= w.aim:
+			got += w.value
+		default:
+			got += w.late
+		}
+	}
+	return got, best
+}
+
+// figures holds what was served against the oracle, and the time to full use against the shortest.
+func (s *surge) figures(j *judge, tries []standin.Try, arrivals []standin.Arrival, byTrace map[string][]standin.Arrival, servers, cores int) {
+	all := wishes(tries, byTrace)
+	oracle := s.oracle(all, servers, cores)
+	share := func(name string, from, to time.Time) {
+		got, best := worth(all, oracle, from, to)
+		j.v.Figures[name] = math.Round(got/best*1000) / 1000
+	}
+	earliest := func(a, b time.Time) time.Time {
+		if a.Before(b) {
+			return a
+		}
+		return b
+	}
+	share("worth_before_of_oracle", s.calm, s.lost)
+	share("worth_after_loss_of_oracle", s.lost, earliest(s.lost.Add(surgeAfter), s.back))
+	share("worth_after_return_of_oracle", s.back, earliest(s.back.Add(surgeReturn), s.end))
+
+	// Work done at the hall, by second.
+	done := func(from, to time.Time) (work float64) {
+		for _, a := range arrivals {
+			if a.Hall == s.hall && a.Status >= 200 && a.Status < 300 && !a.Ended.Before(from) && a.Ended.Before(to) {
+				work += workOf(a.Operation).Seconds()
+			}
+		}
+		return work / to.Sub(from).Seconds()
+	}
+	wanted := fullShare * done(s.calm, s.lost)
+	set := settings(0)
+	shortest := math.Max((wanted/float64(servers*cores)-set.ColdFrom)/(1-set.ColdFrom)*set.RampTime.Seconds(), 0)
+	j.v.Figures["full_use_shortest_s"] = math.Round(shortest*10) / 10
+	for at := s.back; at.Add(time.Second).Before(s.end); at = at.Add(100 * time.Millisecond) {
+		if done(at, at.Add(time.Second)) >= wanted {
+			j.v.Figures["full_use_s"] = math.Round(at.Add(time.Second/2).Sub(s.back).Seconds()*10) / 10
+			break
+		}
+	}
+}
+
+func workOf(operation string) time.Duration {
+	if operation == "bookVisit" {
+		return bookWork
+	}
+	return checkWork
+}
--- a/internal/raftnode/core.go
+++ b/internal/raftnode/core.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -71,6 +72,9 @@
 	snapAt  uint64 // index of the last snapshot
 	snapNow bool   // the members have changed: a new one takes no snapshot that lacks it
 	conf    *pb.ConfState
+	fence   uint64        // index of the last entry applied here that changed homes or members, or a later one
+	tail    []uint64      // of those saved behind the applied ones, in order
+	fenced  atomic.Uint64 // the last of all these, for [Core.Fence]
 
 	ready   bool // a quorum has confirmed, since the start, a version that is applied here
 	reads   map[uint64]*read
@@ -154,6 +158,7 @@
 	if err := c.mem.Append(kept.Entries); err != nil {
 		return nil, fmt.Errorf("log: %w", err)
 	}
+	c.fences(kept.Entries)
 	c.rn, err = raft.NewRawNode(&raft.Config{ID: cfg.ID, ElectionTick: cfg.ElectionTicks, HeartbeatTick: heartbeatTicks, Storage: c.mem, Applied: c.applied,
 		MaxSizePerMsg: maxPerMessage, MaxCommittedSizePerReady: 16 << 20, MaxUncommittedEntriesSize: maxUncommitted, MaxInflightMsgs: maxInflight,
 		MaxInflightBytes: maxInflightB, CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, StepDownOnRemoval: true, Logger: cfg.Logger})
@@ -367,6 +372,7 @@
 				return c.fail(err)
 			}
 		}
+		c.setFence()
 		for _, rs := range rd.ReadStates {
 			if r := c.reads[binary.BigEndian.Uint64(rs.RequestCtx)]; r != nil && r.index == 0 {
 				r.index = max(rs.Index, 1)
@@ -414,7 +420,43 @@
 			return err
 		}
 	}
-	return c.mem.Append(rd.Entries)
+	if err := c.mem.Append(rd.Entries); err != nil {
+		return err
+	}
+	c.fences(rd.Entries)
+	return nil
+}
+
+// Fence is the index of the last entry saved here that changes homes of keys or members, committed or not. It is
+// told before any message goes out that acknowledges the entry. It may be called from any goroutine.
+func (c *Core) Fence() uint64 { return c.fenced.Load() }
+
+// fences takes in entries that were saved: those behind the first of them are gone.
+func (c *Core) fences(entries []*pb.Entry) {
+	if len(entries) > 0 {
+		first := entries[0].GetIndex()
+		c.tail = slices.DeleteFunc(c.tail, func(i uint64) bool { return i >= first })
+	}
+	for _, e := range entries {
+		if e.GetType() != pb.EntryNormal || len(e.GetData()) > 0 && fleetconfig.MovesHomes(e.GetData()) {
+			c.tail = append(c.tail, e.GetIndex())
+		}
+	}
+	c.setFence()
+}
+
+// setFence moves what is applied out of the tail.
+func (c *Core) setFence() {
+	n := 0
+	for ; n < len(c.tail) && c.tail[n] <= c.applied; n++ {
+		c.fence = max(c.fence, c.tail[n])
+	}
+	c.tail = c.tail[n:]
+	last := c.fence
+	if k := len(c.tail); k > 0 {
+		last = max(last, c.tail[k-1])
+	}
+	c.fenced.Store(last)
 }
 
 // restore takes over a snapshot.
@@ -423,6 +465,8 @@
 		return err
 	}
 	c.applied, c.snapAt, c.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
+	c.fence = max(c.fence, c.snapAt) // which entry it was is not known any more
+	c.setFence()
 	return nil
 }
 
--- a/internal/raftnode/node.go
+++ b/internal/raftnode/node.go
@@ -7,6 +7,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -271,12 +272,26 @@
 	return s, err
 }
 
+// Moment is what was in force at one moment.
+type Moment struct {
+	Index   uint64 // of the last entry applied
+	Members []uint64
+	Voters  []uint64
+	Joint   bool // voters are changing, in two steps
+}
+
 // FreezeWith is Freeze with the members of the same moment.
-func (n *Node) FreezeWith(ctx context.Context) (s *fleetconfig.State, members []uint64, err error) {
-	err = n.ask(ctx, func() { s, members = n.core.State().Freeze(), n.core.all() })
-	return s, members, err
+func (n *Node) FreezeWith(ctx context.Context) (s *fleetconfig.State, m Moment, err error) {
+	err = n.ask(ctx, func() {
+		v, _ := n.core.Members()
+		s, m = n.core.State().Freeze(), Moment{n.core.Index(), n.core.all(), slices.Clone(v), len(n.core.conf.GetVotersOutgoing()) > 0}
+	})
+	return s, m, err
 }
 
+// Fence is [Core.Fence].
+func (n *Node) Fence() uint64 { return n.core.Fence() }
+
 // ask runs f on the member's goroutine and waits for its end.
 func (n *Node) ask(ctx context.Context, f func()) error {
 	done := make(chan struct{})
--- a/sites/health.go
+++ b/sites/health.go
@@ -57,8 +57,9 @@
 type View struct {
 	Hall   string
 	Silent bool
-	For    time.Duration // it has been so
+	For    time.Duration // it has been so; below 0: it has met nothing of late
 	Carry  float64       // warm servers that it is worth, as far as is known; 0: nothing is
+	Far    bool          `json:",omitempty"` // it reaches the hall by way of another site's instances alone
 }
 
 // HallChange is what should be agreed on.
@@ -76,6 +77,7 @@
 	since  time.Duration
 	at     time.Duration // when it was heard or taken; out of date after Fresh
 	carry  float64
+	far    bool
 }
 
 // own is what this instance has met at a hall itself.
@@ -103,6 +105,8 @@
 	halls   map[string]*agreedHall
 	mine    map[string]*own
 	others  map[uint64]map[string]sight
+	spoke   map[uint64]time.Duration // when a member was last heard
+	far     map[string]bool          // halls that this instance reaches by way of others alone
 }
 
 // NewHealth returns a view of halls that are all well. An error names the figure that can't be.
@@ -110,7 +114,7 @@
 	if cfg.Least < 1 || cfg.LostAfter <= 0 || cfg.Fresh <= 0 || cfg.Hold <= 0 || cfg.HoldMost < cfg.Hold {
 		return nil, errors.New("sites: Least, LostAfter, Fresh and Hold must be above 0, HoldMost at least Hold")
 	}
-	return &Health{cfg: cfg, halls: map[string]*agreedHall{}, mine: map[string]*own{}, others: map[uint64]map[string]sight{}}, nil
+	return &Health{cfg: cfg, halls: map[string]*agreedHall{}, mine: map[string]*own{}, others: map[uint64]map[string]sight{}, spoke: map[uint64]time.Duration{}, far: map[string]bool{}}, nil
 }
 
 // Agree takes over what is agreed on: the halls, which of them are closed, the lost ones with the part of their
@@ -148,10 +152,20 @@
 	for id := range h.others {
 		if !slices.Contains(members, id) {
 			delete(h.others, id)
+			delete(h.spoke, id)
 		}
 	}
 }
 
+// Far tells that this instance reaches a hall by way of another site's instances alone. What it meets there then says
+// as much of the way as of the hall: see votes.
+func (h *Health) Far(hall string, far bool) {
+	h.far[hall] = far
+	if o := h.own(hall); o != nil {
+		o.far = far
+	}
+}
+
 func (h *Health) own(hall string) *own {
 	o := h.mine[hall]
 	if o == nil && h.halls[hall] != nil {
@@ -168,7 +182,7 @@
 		return
 	}
 	if !o.known || o.silent {
-		o.sight = sight{known: true, since: now, carry: o.carry}
+		o.sight = sight{known: true, since: now, carry: o.carry, far: o.far}
 	}
 	o.at, o.heard, o.misses = now, now, 0
 }
@@ -185,7 +199,7 @@
 	}
 	if o.misses >= h.cfg.Least {
 		if !o.known || !o.silent {
-			o.sight = sight{known: true, silent: true, since: o.first, carry: o.carry}
+			o.sight = sight{known: true, silent: true, since: o.first, carry: o.carry, far: o.far}
 		}
 		o.at = now
 	}
@@ -202,7 +216,9 @@
 func (h *Health) Views(now time.Duration) (views []View) {
 	for name, o := range h.mine {
 		if o.known && now-o.at <= h.cfg.Fresh {
-			views = append(views, View{name, o.silent, max(now-o.since, 0), o.carry})
+			views = append(views, View{name, o.silent, max(now-o.since, 0), o.carry, o.far})
+		} else if o.far { // it follows those that know
+			views = append(views, View{Hall: name, For: -1, Far: true})
 		}
 	}
 	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Hall, b.Hall) })
@@ -217,34 +233,66 @@
 	seen := make(map[string]sight, len(views))
 	for _, v := range views {
 		if h.halls[v.Hall] != nil {
-			seen[v.Hall] = sight{known: true, silent: v.Silent, since: now - v.For, at: now, carry: v.Carry}
+			seen[v.Hall] = sight{known: v.For >= 0, silent: v.Silent, since: now - v.For, at: now, carry: v.Carry, far: v.Far}
 		}
 	}
-	h.others[from] = seen
+	h.others[from], h.spoke[from] = seen, now
 }
 
-// votes counts the members that have met silence at a hall for a time, and those that have
-// heard it for a time.
+// votes counts the members that have met silence at a hall for a time, and those that have heard it for a time. One
+// that reaches it by way of others alone goes by those that reach it themselves, as long as any of them tells: it has
+// heard the hall if one of them has, and met silence if all of them have. Where none tells, it goes by what it has met.
 func (h *Health) votes(now time.Duration, hall string, silentFor, heardFor time.Duration) (silent, heard int) {
-	count := func(s sight) {
-		switch age := s.at - s.since; { // as far as it was seen
-		case !s.known || now-s.at > h.cfg.Fresh:
-		case s.silent && age >= silentFor:
-			silent++
-		case !s.silent && age >= heardFor:
-			heard++
+	follow, near, nearSilent, nearHeard := 0, 0, 0, 0
+	var met []sight // of those that follow
+	for _, id := range h.members {
+		at, spoke := h.spoke[id]
+		s, speaks, far := h.others[id][hall], spoke && now-at <= h.cfg.Fresh, false
+		if id == h.cfg.Me {
+			s, speaks, far = sight{}, true, h.far[hall]
+			if o := h.mine[hall]; o != nil {
+				s = o.sight
+			}
+		}
+		switch fresh := s.known && now-s.at <= h.cfg.Fresh; {
+		case !speaks:
+		case s.far || far:
+			follow++
+			met = append(met, s)
+		case fresh:
+			near++
+			a, b := s.says(silentFor, heardFor)
+			nearSilent, nearHeard = nearSilent+a, nearHeard+b
 		}
 	}
-	for _, id := range h.members {
-		if id != h.cfg.Me {
-			count(h.others[id][hall])
-		} else if o := h.mine[hall]; o != nil {
-			count(o.sight)
+	silent, heard = nearSilent, nearHeard
+	switch {
+	case near > 0 && nearHeard > 0:
+		heard += follow
+	case near > 0 && nearSilent == near:
+		silent += follow
+	case near == 0:
+		for _, s := range met {
+			if s.known && now-s.at <= h.cfg.Fresh {
+				a, b := s.says(silentFor, heardFor)
+				silent, heard = silent+a, heard+b
+			}
 		}
 	}
 	return silent, heard
 }
 
+// says counts a sight as one of silence or of an answer, if it has lasted so long, as far as it was seen.
+func (s *sight) says(silentFor, heardFor time.Duration) (silent, heard int) {
+	switch age := s.at - s.since; {
+	case s.silent && age >= silentFor:
+		return 1, 0
+	case !s.silent && age >= heardFor:
+		return 0, 1
+	}
+	return 0, 0
+}
+
 func (h *Health) majority(n int) bool { return 2*n > len(h.members) }
 
 // hold is for how long a hall must be heard before it counts as back.
@@ -257,36 +305,47 @@
 	return min(hold, h.cfg.HoldMost)
 }
 
-// part is how many eighths of its keys a hall can take: by the median of what the members know of it, beside
-// the hall that can carry most. Where nothing is known it is all of them.
+// part is how many eighths of its keys a hall can take, so that all halls that take keys are as busy as each other: by
+// the median of what the members know of each. Where nothing is known it is all of them.
 func (h *Health) part(now time.Duration, hall string) int {
-	carries := func(name string) float64 {
-		var all []float64
-		for _, id := range h.members {
-			s := h.others[id][name]
-			if id == h.cfg.Me {
-				if s = (sight{}); h.mine[name] != nil {
-					s = h.mine[name].sight
-				}
-			}
-			if s.known && now-s.at <= h.cfg.Fresh && s.carry > 0 {
-				all = append(all, s.carry)
+	sum, n := 0.0, 0
+	for name, a := range h.halls {
+		if c, _ := h.Carried(now, name); name == hall || c > 0 && !a.closed && !(a.lost && a.part == 0) {
+			sum += c
+			n++
+		}
+	}
+	if sum <= 0 {
+		return eighths
+	}
+	c, _ := h.Carried(now, hall)
+	return min(max(int(eighths*c*float64(n)/sum+0.5), 1), eighths)
+}
+
+// Carried is what a hall can carry, in warm servers, as the members that reach it itself see it in the median (0: not
+// known), and how many these are.
+func (h *Health) Carried(now time.Duration, hall string) (servers float64, near int) {
+	var all []float64
+	for _, id := range h.members {
+		s := h.others[id][hall]
+		if id == h.cfg.Me {
+			if s = (sight{}); h.mine[hall] != nil {
+				s = h.mine[hall].sight
+				s.far = h.far[hall]
 			}
 		}
-		if len(all) == 0 {
-			return 0
+		if !s.known || s.far || now-s.at > h.cfg.Fresh {
+			continue
+		}
+		if near++; s.carry > 0 {
+			all = append(all, s.carry)
 		}
-		slices.Sort(all)
-		return all[len(all)/2]
-	}
-	most := 0.0
-	for name := range h.halls {
-		most = max(most, carries(name))
 	}
-	if most <= 0 {
-		return eighths
+	if len(all) == 0 {
+		return 0, near
 	}
-	return min(max(int(eighths*carries(hall)/most+0.5), 1), eighths)
+	slices.Sort(all)
+	return all[len(all)/2], near
 }
 
 const eighths = 8
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -31,8 +31,8 @@
 	Me          uint64        // number of this instance
 	Incarnation uint64        // of this process: above those of the processes before it
 	Lease       time.Duration // for which an epoch may be sent on after it was confirmed
-	Life        time.Duration // from a client's first try with a key until nothing of it can arrive any more
-	Memory      time.Duration // for which a hall drops repeats, from the first send that may have run
+	Life        time.Duration // from a client's first try with a key until nothing of it can arrive any more; see [Keys.SetLife]
+	Memory      time.Duration // for which a hall drops repeats, from the first send that may have run; likewise
 	Most        int           // keys that are remembered
 }
 
@@ -66,8 +66,10 @@
 	Epoch       uint64        // it sends by no older one from here on
 	Sent        []Sent        // since the message before
 	Full        bool          // it has sent keys that it could not remember
+	Life        time.Duration // of the keys that it has sent of late
 	Views       []View        `json:",omitempty"` // of the halls: see [Health]; nil: as before
 	Ramp        *RampWord     `json:",omitempty"` // nil: as before
+	Consent     *ConsentWord  `json:",omitempty"` // likewise
 }
 
 // Sent is a key that may have run.
@@ -92,6 +94,13 @@
 	epoch       uint64
 	whole       time.Duration // since when no word of it is missing
 	full        bool
+	life        time.Duration
+}
+
+// span is a life and a memory that were in force.
+type span struct {
+	life, memory time.Duration
+	until        time.Duration // it counts until then
 }
 
 // past is an epoch that others may still send by.
@@ -116,6 +125,7 @@
 	seq       uint64
 	told      uint64 // epoch
 	peers     map[uint64]*peer
+	spans     []span // that were in force of late
 }
 
 type aged struct {
@@ -130,12 +140,60 @@
 	switch {
 	case cfg.Lease <= 0 || cfg.Life <= 0 || cfg.Most <= 0:
 		return nil, errors.New("sites: Lease, Life and Most must be above 0")
-	case cfg.Memory < cfg.Life:
-		return nil, errors.New("sites: Memory is shorter than Life: a hall would forget a key that its client still repeats")
+	case cfg.Memory <= 0:
+		return nil, errors.New("sites: Memory must be above 0")
 	}
 	return &Keys{cfg: cfg, began: now, past: []past{{nil, now}}, keys: map[uint64]entry{}, peers: map[uint64]*peer{}}, nil
 }
 
+// SetLife tells that clients repeat keys for another time, or halls remember them for another, from now on. A longer life
+// and a shorter memory count at once; the life before this one counts until nothing that was sent by it can arrive
+// any more. Other instances may still go by it for longer: each tells its own, and the longest counts.
+func (k *Keys) SetLife(now, life, memory time.Duration) {
+	if life <= 0 || memory <= 0 || life == k.cfg.Life && memory == k.cfg.Memory {
+		return
+	}
+	k.spans = append(k.spans, span{k.cfg.Life, k.cfg.Memory, now + k.cfg.Lease + k.cfg.Life})
+	k.cfg.Life, k.cfg.Memory = life, memory
+}
+
+// life is how long the keys may live that this instance has sent of late.
+func (k *Keys) life(now time.Duration) (life time.Duration) {
+	k.spans = slices.DeleteFunc(k.spans, func(s span) bool { return now >= s.until })
+	life = k.cfg.Life
+	for _, s := range k.spans {
+		life = max(life, s.life)
+	}
+	return life
+}
+
+// longest is that over all instances, as far as they are known.
+func (k *Keys) longest(now time.Duration) time.Duration {
+	life := k.life(now)
+	for _, p := range k.peers {
+		life = max(life, p.life)
+	}
+	return life
+}
+
+// memory is how long a hall can be trusted to remember a key.
+func (k *Keys) memory() time.Duration {
+	memory := k.cfg.Memory
+	for _, s := range k.spans {
+		memory = min(memory, s.memory)
+	}
+	return memory
+}
+
+// kept is how long a key is remembered here: while its hall remembers it and, after that, as long as it may come again.
+func (k *Keys) kept(now time.Duration) time.Duration {
+	kept := k.cfg.Memory
+	for _, s := range k.spans {
+		kept = max(kept, s.memory)
+	}
+	return kept + k.longest(now)
+}
+
 // Install takes over an agreed epoch. Older ones than that in force are dropped.
 func (k *Keys) Install(now time.Duration, h Homes) {
 	if k.homes != nil {
@@ -201,7 +259,7 @@
 	if e, ok := k.keys[key]; ok {
 		name := k.names[e.hall]
 		switch {
-		case now-e.first > k.cfg.Memory:
+		case now-e.first > k.memory():
 			return Verdict{Why: "it may have run so long ago that its hall no longer knows it"}
 		case !k.homes.open(name):
 			return Verdict{Wait: k.cfg.Lease, Why: "it may have run at " + name + ", which takes no keys"}
@@ -218,7 +276,7 @@
 			continue // it has not moved
 		}
 		if !k.lifted(now, p.homes) {
-			return Verdict{Wait: min(retryIn, p.ended+k.cfg.Lease+k.cfg.Life-now), Why: "its home has moved, and it may have been sent to the old one"}
+			return Verdict{Wait: min(retryIn, p.ended+k.cfg.Lease+k.longest(now)-now), Why: "its home has moved, and it may have been sent to the old one"}
 		}
 	}
 	return Verdict{Hall: home}
@@ -227,18 +285,20 @@
 // forgetPast drops the epochs that nobody can have sent by for so long that no client repeats
 // what was sent by them.
 func (k *Keys) forgetPast(now time.Duration) {
-	k.past = slices.DeleteFunc(k.past, func(p past) bool { return now-p.ended > k.cfg.Lease+k.cfg.Life })
+	life := k.longest(now)
+	k.past = slices.DeleteFunc(k.past, func(p past) bool { return now-p.ended > k.cfg.Lease+life })
 }
 
 // lifted tells whether all other instances, those of an old epoch and those of the one in
 // force, send by the latter and have told all that they sent before.
 func (k *Keys) lifted(now time.Duration, old *Homes) bool {
+	life := k.longest(now)
 	says := func(id uint64) bool {
 		if id == k.cfg.Me {
-			return now-k.began > k.cfg.Life && now >= k.fullTill // what the process before this one sent is forgotten
+			return now-k.began > life && now >= k.fullTill // what the process before this one sent is forgotten
 		}
 		p := k.peers[id]
-		return p != nil && p.epoch >= k.homes.Epoch && !p.full && now-p.whole > k.cfg.Life
+		return p != nil && p.epoch >= k.homes.Epoch && !p.full && now-p.whole > life
 	}
 	for _, id := range k.homes.Instances {
 		if !says(id) {
@@ -267,12 +327,15 @@
 	if !ok {
 		if len(k.keys) >= k.cfg.Most {
 			// It can't be remembered. Its home is safe as long as homes don't move; when they do,
-			// the fence of time is all that counts.
-			k.fullTill = now + k.cfg.Life
+			// the fence of time is all that counts. A hall that forgets it sooner than its client does must not have it.
+			if k.memory() < k.longest(now) {
+				return false
+			}
+			k.fullTill = now + k.longest(now)
 			return true
 		}
 		e = entry{hall: k.name(hall), first: now}
-		k.ages = append(k.ages, aged{now + k.cfg.Memory + k.cfg.Life, key})
+		k.ages = append(k.ages, aged{now + k.kept(now), key})
 		k.untold = append(k.untold, key)
 	}
 	e.out++
@@ -299,14 +362,17 @@
 	}
 }
 
-// forget drops keys that no client repeats any more.
+// forget drops keys that no client repeats any more. Those whose life has grown are looked at again.
 func (k *Keys) forget(now time.Duration) {
-	n := 0
-	for n < len(k.ages) && k.ages[n].until <= now {
-		if e, ok := k.keys[k.ages[n].key]; ok && now-e.first >= k.cfg.Memory+k.cfg.Life {
-			delete(k.keys, k.ages[n].key)
+	n, kept := 0, k.kept(now)
+	for end := len(k.ages); n < end && k.ages[n].until <= now; n++ {
+		a := k.ages[n]
+		if e, ok := k.keys[a.key]; !ok {
+		} else if due := e.first + kept; now >= due {
+			delete(k.keys, a.key)
+		} else {
+			k.ages = append(k.ages, aged{due, a.key})
 		}
-		n++
 	}
 	k.ages = k.ages[n:]
 }
@@ -326,7 +392,7 @@
 	k.forget(now)
 	k.seq++
 	n := min(len(k.untold), most)
-	m = Message{From: k.cfg.Me, Incarnation: k.cfg.Incarnation, Seq: k.seq, Age: now - k.began, Full: now < k.fullTill}
+	m = Message{From: k.cfg.Me, Incarnation: k.cfg.Incarnation, Seq: k.seq, Age: now - k.began, Full: now < k.fullTill, Life: k.life(now)}
 	if more = n < len(k.untold); !more && k.homes != nil { // an epoch is told behind all that was sent before it
 		k.told = k.homes.Epoch
 	}
@@ -359,7 +425,7 @@
 	case m.Seq != p.seq+1:
 		p.whole = now
 	}
-	p.seq, p.epoch, p.full = m.Seq, max(p.epoch, m.Epoch), m.Full
+	p.seq, p.epoch, p.full, p.life = m.Seq, max(p.epoch, m.Epoch), m.Full, m.Life
 	k.forget(now)
 	for _, s := range m.Sent {
 		e, ok := k.keys[s.Key]
@@ -375,7 +441,7 @@
 		}
 		first := now - s.Ago
 		k.keys[s.Key] = entry{hall: k.name(s.Hall), first: first, ran: true}
-		k.ages = append(k.ages, aged{now + k.cfg.Memory + k.cfg.Life, s.Key})
+		k.ages = append(k.ages, aged{now + k.kept(now), s.Key})
 	}
 }
 
