--- a/choice/choice.go
+++ b/choice/choice.go
@@ -593,27 +593,19 @@
 // Where requests are kept to zones, each zone has a bound of its own: work that piles up at one must not keep
 // others idle.
 func (g *Gateway) jammed(class int, zone string, price float64) bool {
-	best, dearest := 0.0, 0.0
+	best := 0.0
 	for c := range g.set.Classes {
 		best = math.Max(best, g.set.Classes[c].Worth/g.work(c))
 	}
-	for p := range g.set.Plans {
-		dearest = math.Max(dearest, g.set.Plans[p].Price)
-	}
 	c := &g.set.Classes[class]
-	rank := 1.0
-	if best > 0 && dearest > 0 {
-		rank = (1 + c.Worth/g.work(class)/best*math.Min(price/dearest, 1)) / 2
+	value := 1.0
+	if best > 0 {
+		value = c.Worth / g.work(class) / best
 	}
-	answered := jamShare * rank * c.Aim.Seconds() // in which what is out must be answered
 	if len(g.cold) > 0 {
-		jammed := true
-		for name, z := range g.cold {
-			z.jammed = z.servers == 0 || g.outAt(name) >= math.Max(z.okRate*answered, jamFloor*z.servers*z.Part)
-			jammed = jammed && (z.jammed || zone != "" && zone != name)
-		}
-		return jammed
+		return g.zonesJammed(zone, jamShare*(1+value*g.priced(price))/2*c.Aim.Seconds())
 	}
+	answered := jamShare * (1 + value) / 2 * c.Aim.Seconds() // in which what is out must be answered
 	bound := g.okRate * answered
 	out, servers := g.inReach()
 	floor := jamFloor * servers / float64(g.set.Instances)
@@ -626,6 +618,28 @@
 	return out >= math.Max(bound, floor)
 }
 
+// zonesJammed holds each zone to its own bound: what is out there must be answered within a time.
+func (g *Gateway) zonesJammed(zone string, answered float64) bool {
+	jammed := true
+	for name, z := range g.cold {
+		z.jammed = z.servers == 0 || g.outAt(name) >= math.Max(z.okRate*answered, jamFloor*z.servers*z.Part)
+		jammed = jammed && (z.jammed || zone != "" && zone != name)
+	}
+	return jammed
+}
+
+// priced is a plan's price as a share of the dearest.
+func (g *Gateway) priced(price float64) float64 {
+	dearest := price
+	for p := range g.set.Plans {
+		dearest = math.Max(dearest, g.set.Plans[p].Price)
+	}
+	if dearest <= 0 {
+		return 1
+	}
+	return price / dearest
+}
+
 // observe learns from one answered attempt.
 func (g *Gateway) observe(class int, s *server, took time.Duration) {
 	c := &g.lat[class]
@@ -753,7 +767,8 @@
 		s.credit = math.Min(s.credit+rate*(g.now-s.credited).Seconds(), most)
 	}
 	s.credited = g.now
-	if c != nil && c.Ramp > 0 { // what is worth less for its work leaves the others room: it is mostly smaller, and would take all
+	if c != nil && c.Ramp > 0 {
+		// What is worth less for its work leaves the others room: it is mostly smaller, and would take all.
 		best := 0.0
 		for k := range g.set.Classes {
 			best = math.Max(best, g.set.Classes[k].Worth/g.work(k))
--- /dev/null
+++ b/choice/zone_test.go
@@ -0,0 +1,192 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// twoZones has a warm server in zone a, and one in zone b that started just now or, with far, stands for another site.
+func twoZones(t *testing.T, far bool) (*Gateway, *recorder) {
+	boot := t0 - ms
+	if far {
+		boot = 0
+	}
+	g, r := newGate(t, testSettings(), Server{ID: "s0", Kind: "k", Zone: "a"}, Server{ID: "s1", Kind: "k", Zone: "b", Boot: boot})
+	g.SetZone("a", Zone{Ramp: 1, Part: 1})
+	g.SetZone("b", Zone{Far: far, Ramp: 1, Part: 1, Back: 4})
+	return g, r
+}
+
+// A cold server is sent what the ramp that is told allows, in proportion, and nothing without one.
+func TestRampAsTold(t *testing.T) {
+	sent := func(ramp float64, boot time.Duration, class string) float64 {
+		g, r := newGate(t, testSettings(), Server{ID: "s1", Kind: "k", Zone: "b", Boot: boot})
+		g.SetZone("b", Zone{Ramp: ramp, Part: 1})
+		n := 0
+		for at := time.Duration(0); at < 6*time.Second; at += 20 * ms {
+			q := newRequest(int(at/ms), class, "rate", 1)
+			q.Zone = "b"
+			n += flood(g, r, t0+at, 1, q)
+			answer(g, r, t0+at, 10*ms, Full)
+			g.byID["s1"].ejected = 0
+		}
+		return float64(n) * g.work(g.class[class])
+	}
+	half, whole := sent(0.5, t0-ms, "safe"), sent(1, t0-ms, "safe")
+	if half == 0 || whole/half < 1.6 || whole/half > 3 {
+		t.Errorf("sent work of %.2f with half of the ramp and %.2f with the whole", half, whole)
+	}
+	if n := sent(0, t0-ms, "safe"); n != 0 {
+		t.Errorf("sent work of %.2f without a ramp", n)
+	}
+	if n := sent(0, 0, "safe"); n == 0 {
+		t.Error("a warm server needs a ramp")
+	}
+}
+
+// What found no room at cold servers is told, with what they are worth and what was sent.
+func TestColdTells(t *testing.T) {
+	g, r := twoZones(t, false)
+	q := newRequest(0, "keyed", "rate", 1)
+	q.Zone = "b"
+	n := flood(g, r, t0, 20, q)
+	servers, sent, short := g.Cold(t0, "b")
+	w := g.work(g.class["keyed"])
+	if n == 20 || math.Abs(sent-float64(n)*w) > 1e-9 || short <= 0 || servers <= 0 || servers >= 1 {
+		t.Errorf("%d sent: worth %.2f, sent %.2f, short %.2f", n, servers, sent, short)
+	}
+	if _, sent, short = g.Cold(t0, "b"); sent != 0 || short != 0 {
+		t.Errorf("told twice: %.2f, %.2f", sent, short)
+	}
+	if s, _, _ := g.Cold(t0, "a"); s != 0 {
+		t.Errorf("warm servers are told as cold ones: %.2f", s)
+	}
+}
+
+// The class that is worth less for its work leaves a cold server's room to the others.
+func TestColdRoomIsForTheWorthier(t *testing.T) {
+	g, r := twoZones(t, false)
+	s := g.byID["s1"]
+	g.SetZone("b", Zone{Ramp: 20, Part: 1}) // so that the store holds several requests
+	g.now, g.out, s.credited = t0, r, t0
+	s.credit = 1.1 * g.work(g.class["keyed"])
+	if g.coldRoom(s, g.class["safe"]) || !g.coldRoom(s, g.class["keyed"]) {
+		t.Errorf("room of %.2f goes to the class of work %.2f that is worth least, before %.2f", s.credit, g.work(g.class["safe"]), g.work(g.class["keyed"]))
+	}
+	if s.credit = 100; !g.coldRoom(s, g.class["safe"]) {
+		t.Error("room that nobody needs is kept")
+	}
+}
+
+// Work that piles up at one zone keeps requests from that one alone.
+func TestJamOfOneZone(t *testing.T) {
+	for _, far := range []bool{false, true} {
+		g, _ := twoZones(t, far)
+		g.byID["s1"].out, g.held = 50, 50
+		safe := g.class["safe"]
+		if !g.jammed(safe, "b", 1) || g.jammed(safe, "a", 1) || g.jammed(safe, "", 1) {
+			t.Errorf("far %v: 50 attempts out at b: jammed there %v, at a %v, at both %v", far, g.jammed(safe, "b", 1), g.jammed(safe, "a", 1), g.jammed(safe, "", 1))
+		}
+		if g.byID["s0"].out = 50; !g.jammed(safe, "", 1) {
+			t.Errorf("far %v: 50 attempts out at each", far)
+		}
+	}
+}
+
+// A request that is let in for the sake of a zone with room goes to that zone.
+func TestJammedZoneGetsNoneOfIt(t *testing.T) {
+	g, r := newGate(t, testSettings(), Server{ID: "s0", Kind: "k", Zone: "a"}, Server{ID: "s1", Kind: "k", Zone: "b"})
+	g.SetZone("a", Zone{Ramp: 1, Part: 1})
+	g.SetZone("b", Zone{Ramp: 1, Part: 1})
+	s := g.byID["s1"]
+	s.out, s.lat, s.seen = 50, 0.0001, t0
+	g.byID["s0"].lat, g.byID["s0"].queue = 100, 100 // dearer by far
+	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
+	if got := r.last(); !strings.HasPrefix(got, "send r1 s0") {
+		t.Errorf("%q", got)
+	}
+}
+
+// The least that may be out behind a far gateway follows the servers there, and this gateway's part of them.
+func TestLeastOutBehindFarGateways(t *testing.T) {
+	for _, part := range []float64{1, 0.5} {
+		g, _ := twoZones(t, true)
+		g.SetZone("b", Zone{Far: true, Part: part, Back: 4})
+		g.carried()
+		s := g.byID["s1"]
+		for s.out = 0; !g.jammed(0, "b", 1) && s.out < 1000; s.out++ {
+		}
+		if want := int(jamFloor * 4 * part); s.out != want {
+			t.Errorf("part %v: %d out, want %d", part, s.out, want)
+		}
+	}
+}
+
+// A far gateway that refuses one request is not overloaded for others, needs no ramp after a failed connection, and
+// stays in the choice. A server is and does.
+func TestFarRefusalIsNoOverload(t *testing.T) {
+	for _, far := range []bool{true, false} {
+		g, r := twoZones(t, far)
+		if !far {
+			g.List(t0, ListChanges, []Server{{ID: "s1", Kind: "k", Zone: "b"}}, r)
+		}
+		q := newRequest(1, "safe", "rate", 1)
+		q.Zone = "b"
+		g.Request(t0, q, r)
+		n := g.aro.n[g.aro.slot()]
+		g.Outcome(t0+ms, Outcome{ID: "r1", Result: Full, Server: "s1"}, r)
+		if s := g.byID["s1"]; far == s.aside(t0+2*ms) || far == (g.aro.n[g.aro.slot()] > n) {
+			t.Errorf("far %v: aside %v, %v samples of occupancy", far, s.aside(t0+2*ms), g.aro.n[g.aro.slot()]-n)
+		}
+		s := g.byID["s1"]
+		s.doubt(t0)
+		g.out = r
+		room := 0
+		for range 50 {
+			if g.coldRoom(s, 0) {
+				s.credit -= g.work(0)
+				room++
+			}
+		}
+		if far != (room == 50) {
+			t.Errorf("far %v: room for %d of 50 after a connection that failed", far, room)
+		}
+	}
+}
+
+// What a warm server carries is learned by zone, and how busy it is by reports.
+func TestWarmByZone(t *testing.T) {
+	set := testSettings()
+	set.Report = ReportAnswers
+	g, r := newGate(t, set, Server{ID: "s0", Kind: "k", Zone: "a"})
+	g.SetZone("a", Zone{Ramp: 1, Part: 1})
+	if rate, util := g.Warm(t0, "a"); rate != 0 || util >= 0 {
+		t.Errorf("%.2f, %.2f before anything was sent", rate, util)
+	}
+	for i := range 2000 {
+		now := t0 + time.Duration(i)*10*ms
+		q := newRequest(i, "safe", "rate", uint64(i))
+		q.Zone = "a"
+		g.Request(now, q, r)
+		for _, a := range r.acts {
+			var id, server string
+			if n, _ := fmt.Sscanf(a, "send %s %s", &id, &server); n == 2 {
+				g.Outcome(now, Outcome{ID: id, Result: OK, Server: server, Closed: true, Took: 20 * ms, Load: &Load{InFlight: -1, Queue: -1, Util: 0.5}}, r)
+			}
+		}
+		if r.acts = nil; i%int(probeEvery/(10*ms)) == 0 {
+			g.Timer(now, timerProbe, r)
+		}
+	}
+	rate, util := g.Warm(t0+20*time.Second, "a")
+	if want := 100 * g.work(0); math.Abs(rate/want-1) > 0.15 || math.Abs(util-0.5) > 0.01 {
+		t.Errorf("%.2f a second and %.2f busy, want about %.2f and 0.5", rate, util, want)
+	}
+	g.DropZone("a")
+	if rate, _ := g.Warm(t0+20*time.Second, "a"); rate != 0 {
+		t.Error("a zone that was dropped is remembered")
+	}
+}
--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -18,6 +18,7 @@
 	Rounds  int           `help:"Measurements of each; the medians count." default:"3"`
 	Profile string        `help:"File for a CPU profile of the gateway's last measurement." type:"path"`
 	Changes time.Duration `help:"Measure instead what a change of the agreed configuration at each such gap costs an instance."`
+	Link    bool          `help:"Measure instead what a request costs that crosses the link between two sites."`
 	JSON    bool          `help:"Print all results as JSON."`
 }
 
@@ -32,6 +33,9 @@
 	if c.Changes != 0 {
 		return c.changes(e, self)
 	}
+	if c.Link {
+		return c.crossing(e, self)
+	}
 	var all []bench.Result
 	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
 		all = append(all, r)
@@ -92,6 +96,28 @@
 	return nil
 }
 
+// crossing measures what the link between sites costs.
+func (c *benchCmd) crossing(e *env, self string) error {
+	var all []bench.Result
+	opt := bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds}
+	if err := bench.Crossing(e.ctx, opt, func(r bench.Result) {
+		all = append(all, r)
+		fmt.Fprintf(e.stderr, "%-8s %8.0f requests/s, %6.1f us CPU and %5.1f allocations a request, p50 %.0f us, p99 %.0f us, %d other answers\n", r.Front, r.PerS, r.CPU, r.Allocs, r.P50, r.P99, r.Other)
+	}); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(e.stdout, all)
+	}
+	var ratios []float64
+	for i := 0; i+1 < len(all); i += 2 {
+		ratios = append(ratios, all[i+1].CPU/all[i].CPU)
+	}
+	slices.Sort(ratios)
+	fmt.Fprintf(e.stdout, "a crossing costs %.2f times the CPU of a direct request (median of %d, from %.2f to %.2f)\n", ratios[len(ratios)/2], len(ratios), ratios[0], ratios[len(ratios)-1])
+	return nil
+}
+
 type partCmd struct {
 	Part string `arg:""`
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -58,7 +58,8 @@
 	idleBy  time.Time // read deadline in force
 	writeBy time.Time // write deadline in force
 	busy    atomic.Bool
-	linked  bool // it is of another site's instance
+	linked  bool   // it is of another site's instance
+	crossed string // then, the last crossing that came on it
 }
 
 // serve answers clients until the listener closes.
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -252,6 +252,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.crossed != "" { // a connection carries one after the other: the last one's answer has been read
+		l.arrivals.Settled(c.crossed)
+	}
+	c.crossed = id
 	if fate, ok := l.arrivals.Come(time.Now(), id); !ok && fate == sites.Never {
 		return &badRequest{status: http.StatusConflict, text: "the crossing is void or can't be remembered"}
 	} else if !ok {
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -165,6 +165,26 @@
 	}
 }
 
+// A far instance remembers one crossing for each connection whose answers are read, not all of half a minute.
+func TestAnsweredCrossingsAreForgotten(t *testing.T) {
+	h := newHalls(t)
+	near, far, _ := twoSites(t, h, nil)
+	c := dial(t, near.addr)
+	for range 20 {
+		c.send(get("GET /visits/new"))
+		(h.next()).answer <- answerText(200, "", "slots")
+		if got := c.read(); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	l := far.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := l.arrivals.Len(); n == 0 || n > 2 {
+		t.Errorf("%d crossings are remembered after 20, one after the other", n)
+	}
+}
+
 // What the far hall can't take is told truthfully: never ran, which the near instance may try again elsewhere or
 // refuse; and "it may have run", which it may not.
 func TestCrossingThatFails(t *testing.T) {
--- a/sites/crossing.go
+++ b/sites/crossing.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -36,8 +37,8 @@
 // each attempt. Asking about one that has not come voids it: bytes that a broken link still delivers later
 // run nothing. So an answer of Never is final, and with it the other side may send the request elsewhere.
 //
-// A crossing is remembered for a time after it came or was voided, or after its end. What comes later than
-// that after it was sent must be held off by the host (a link delivers in order, and its connections end).
+// A crossing is remembered until the other side has its answer, else for a time after it came or was voided, or after
+// its end. What comes later than that after it was sent must be held off by the host (a link delivers in order, and its connections end).
 // With no room left, nothing comes in and nothing can be voided: the answer is Unknown then.
 //
 // It is not safe for concurrent use.
@@ -103,6 +104,22 @@
 	return Never, nil
 }
 
+// Settled tells that the other side has the answer of a crossing: it will not ask, and as it sends each crossing once,
+// nothing of it can come any more. So what must be remembered follows from connections that break, not from how many
+// requests cross.
+func (a *Arrivals) Settled(id string) {
+	if r := a.byID[id]; r == nil || r.fate == Underway {
+		return
+	}
+	delete(a.byID, id)
+	if len(a.ages) > 2*len(a.byID)+agesLeast {
+		a.ages = slices.DeleteFunc(a.ages, func(g agedArrival) bool { return a.byID[g.id] == nil })
+	}
+}
+
+// agesLeast is for how many settled crossings ages are swept at once.
+const agesLeast = 1024
+
 // Len is the number of crossings remembered.
 func (a *Arrivals) Len() int { return len(a.byID) }
 
@@ -118,6 +135,9 @@
 	for ; n < len(a.ages) && !now.Before(a.ages[n].until); n++ {
 		id := a.ages[n].id
 		r := a.byID[id]
+		if r == nil {
+			continue // settled
+		}
 		if r.fate == Underway {
 			r.until = now.Add(a.life)
 		}
--- a/sites/sim_test.go
+++ b/sites/sim_test.go
@@ -436,3 +436,66 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "bytes/key")
 }
+
+// A client's repeat comes in by the other site a moment before its first try has its outcome: it may go where that went
+// and nowhere else, whatever homes do meanwhile; and if that hall takes no keys, nowhere.
+func TestRepeatByTheOtherSite(t *testing.T) {
+	key := uint64(42)
+	for _, c := range []struct {
+		name  string
+		moved bool // homes move while the first try is out
+		told  bool // and the other instance has heard of it
+		open  bool // its hall still takes keys
+		want  bool // the repeat may go, to the same hall
+	}{
+		{"homes stay", false, false, true, true},
+		{"homes move, nothing heard", true, false, true, false},
+		{"homes move, all told", true, true, true, true},
+		{"its hall closes, all told", true, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, h := testKeys(t, 1, 2)
+			b, err := New(Config{Me: 2, Incarnation: 1, Lease: simLease, Life: simLife, Memory: simMemory, Most: 100}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Install(0, h)
+			now := 10 * time.Second // long after both began
+			talk := func(from, to *Keys) {
+				m, _ := from.Tell(now, 100)
+				to.Hear(now, m)
+			}
+			a.Confirm(now)
+			b.Confirm(now)
+			talk(a, b)
+			talk(b, a)
+			hall := a.Route(now, key).Hall
+			if hall == "" || !a.Send(now, key, hall) {
+				t.Fatalf("the first try is not sent: %+v", a.Route(now, key))
+			}
+			if c.moved { // the key's hall closes; it opens again where the case wants it open
+				next := Homes{Epoch: 2, Halls: []Hall{{Name: "a", Open: hall != "a"}, {Name: "b", Open: hall != "b"}}, Instances: h.Instances}
+				if c.open {
+					next.Halls = []Hall{{Name: "a", Open: true, Part: 1}, {Name: "b", Open: true, Part: 1}}
+				}
+				for _, k := range []*Keys{a, b} {
+					k.Install(now, next)
+					k.Confirm(now)
+				}
+			}
+			now += 50 * time.Millisecond
+			if c.told {
+				talk(a, b)
+				talk(b, a)
+			}
+			v := b.Route(now, key)
+			if v.Hall != "" && v.Hall != hall || (v.Hall != "") != c.want {
+				t.Errorf("the repeat may go to %q (%s); the first try is out at %s", v.Hall, v.Why, hall)
+			}
+			a.Ended(key, false) // 1 ms later
+			if v := a.Route(now+time.Millisecond, key); v.Hall != "" && v.Hall != hall {
+				t.Errorf("a repeat at the first instance may go to %q", v.Hall)
+			}
+		})
+	}
+}
