--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -252,7 +252,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.crossed != "" { // a connection carries one after the other: the last one's answer has been read
+	if c.crossed != "" && c.crossed != id { // a connection carries one after the other: the last answer has been read
 		l.arrivals.Settled(c.crossed)
 	}
 	c.crossed = id
