--- a/choice/zone_test.go
+++ b/choice/zone_test.go
@@ -190,3 +190,21 @@
 		t.Error("a zone that was dropped is remembered")
 	}
 }
+
+// Of two requests of a class that with the higher price may come later into a zone that fills up.
+func TestPriceInAZone(t *testing.T) {
+	set := testSettings()
+	set.Plans[1].Price = 4
+	g, _ := newGate(t, set, Server{ID: "s0", Kind: "k", Zone: "a"})
+	g.SetZone("a", Zone{Ramp: 1, Part: 1})
+	g.cold["a"].okRate = 100
+	keyed, s := g.class["keyed"], g.byID["s0"]
+	most := func(price float64) int {
+		for s.out = 0; !g.jammed(keyed, "a", price); s.out++ {
+		}
+		return s.out
+	}
+	if low, high := most(1), most(4); low >= high || low < high/2 {
+		t.Errorf("%d out at price 1 and %d at 4", low, high)
+	}
+}
--- a/sites/sim_test.go
+++ b/sites/sim_test.go
@@ -499,3 +499,58 @@
 		})
 	}
 }
+
+// Lives that change: a longer one counts at once, a shorter one and a longer memory once what went by the old one is over;
+// the longest that any instance tells counts; and what a hall would forget before its client is not sent unremembered.
+func TestLivesOfKeys(t *testing.T) {
+	k, h := testKeys(t, 1, 2)
+	now := time.Minute
+	if k.longest(now) != simLife || k.memory() != simMemory {
+		t.Fatalf("life %v, memory %v", k.longest(now), k.memory())
+	}
+	long := 10 * time.Second
+	k.SetLife(now, long, 2*simMemory)
+	if k.longest(now) != long || k.memory() != simMemory {
+		t.Errorf("at once: life %v, memory %v", k.longest(now), k.memory())
+	}
+	if now += simLease + simLife; k.longest(now) != long || k.memory() != 2*simMemory {
+		t.Errorf("later: life %v, memory %v", k.longest(now), k.memory())
+	}
+	k.SetLife(now, simLife, simMemory)
+	if at := now + simLease + long; k.longest(at-1) != long || k.longest(at) != simLife {
+		t.Errorf("a shorter life counts from %v and %v", k.longest(at-1), k.longest(at))
+	}
+	now += time.Minute
+	k.Hear(now, Message{From: 2, Incarnation: 1, Seq: 1, Epoch: h.Epoch, Age: time.Hour, Life: long})
+	if k.longest(now) != long {
+		t.Errorf("another instance's life does not count: %v", k.longest(now))
+	}
+	// A key that was sent before lives grew stays remembered for as long as it now may come.
+	k.Hear(now, Message{From: 2, Incarnation: 1, Seq: 2, Epoch: h.Epoch, Life: simLife})
+	k.Confirm(now)
+	hall := k.Route(now, 7).Hall
+	if !k.Send(now, 7, hall) {
+		t.Fatal("not sent")
+	}
+	k.Ended(7, false)
+	k.SetLife(now, long, simMemory)
+	k.forget(now + simMemory + simLife + time.Second)
+	if k.Len() != 1 {
+		t.Error("forgotten by the life before")
+	}
+	if k.forget(now + simMemory + long); k.Len() != 0 {
+		t.Error("kept for ever")
+	}
+	// Full: what a hall forgets before its client is not sent.
+	for key := uint64(100); k.Len() < k.cfg.Most; key++ {
+		k.keys[key] = entry{hall: 0, first: now, ran: true}
+	}
+	if k.Confirm(now); k.Send(now, 7, k.Route(now, 7).Hall) {
+		t.Error("sent with a full ledger, though its hall forgets it sooner than its client")
+	}
+	k.SetLife(now, simLife, 2*long)
+	now += simLease + long
+	if k.Confirm(now); !k.Send(now, 8, k.Route(now, 8).Hall) {
+		t.Error("a full ledger stops what its hall remembers")
+	}
+}
