--- a/sites/health_test.go
+++ b/sites/health_test.go
@@ -369,15 +369,19 @@
 		fault func(w *healthWorld)
 		lost  bool
 		state HallState // as the other site sees it
+		few   bool      // its own site has a minority
 	}{
-		{"silent to its own site", func(w *healthWorld) { w.reach[1]["a"], w.reach[2]["a"] = false, false }, true, Lost},
-		{"silent to one of its site", func(w *healthWorld) { w.reach[1]["a"] = false }, false, Well},
-		{"the way between the sites is cut", func(w *healthWorld) { w.reach[3]["a"], w.reach[4]["a"] = false, false }, false, CutOff},
-		{"its site is gone", func(w *healthWorld) { w.paused[1], w.paused[2] = true, true }, false, CutOff},
+		{"silent to its own site", func(w *healthWorld) { w.reach[1]["a"], w.reach[2]["a"] = false, false }, true, Lost, false},
+		{"silent to one of its site", func(w *healthWorld) { w.reach[1]["a"] = false }, false, Well, false},
+		{"the way between the sites is cut", func(w *healthWorld) { w.reach[3]["a"], w.reach[4]["a"] = false, false }, false, CutOff, false},
+		{"the way is cut, and most are at the other side", func(w *healthWorld) { w.reach[2]["a"], w.reach[3]["a"], w.reach[4]["a"] = false, false, false }, false, CutOff, true},
+		{"its site is gone", func(w *healthWorld) { w.paused[1], w.paused[2] = true, true }, false, CutOff, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newHealthWorld(3, 4, "a", "b")
-			w.near = map[string][]uint64{"a": {1, 2}, "b": {3, 4}}
+			if w.near = map[string][]uint64{"a": {1, 2}, "b": {3, 4}}; c.few {
+				w.near = map[string][]uint64{"a": {1}, "b": {2, 3, 4}}
+			}
 			w.run(3, 2*time.Second, func() bool { return false })
 			c.fault(w)
 			w.run(3, 2*time.Second, func() bool { return false })
