--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"mulleinmux/internal/httpwire"
 	"mulleinmux/internal/raftnode"
+	"mulleinmux/sites"
 )
 
 // way is the network between two sites: a forwarder whose connections can be broken, or kept from the far side
@@ -426,3 +428,33 @@
 	at[1].answer <- answerText(201, "", "")
 	out[1].read()
 }
+
+// A key's home is the key's: the same with another body, another target's query or at another try; another licensee's key of
+// that name is another.
+func TestHomeIsTheKeys(t *testing.T) {
+	h := newHalls(t)
+	h.server("hall-a", "s1")
+	r := start(t, h, 1, func(c *Config) {
+		c.Keys = &sites.Config{Me: 1, Incarnation: 1, Lease: time.Second, Life: time.Second, Memory: time.Second, Most: 10}
+	})
+	f := &front{in: r.Instance}
+	number := func(body string, fields ...string) uint64 {
+		t.Helper()
+		var fl flight
+		if err := httpwire.NewReader(strings.NewReader(post("POST /visits", body, fields...))).Request(&fl.head); err != nil {
+			t.Fatal(err)
+		}
+		fl.body = []byte(body)
+		if _, err := f.parse(&fl, time.Now()); err != nil || !fl.homed {
+			t.Fatalf("%v, homed %v", err, fl.homed)
+		}
+		return fl.key
+	}
+	first := number(`{"installers": 1}`, "Idempotency-Key: k1")
+	if number(`{"installers": 2}`, "Idempotency-Key: k1", "X-Trace-Id: other") != first {
+		t.Error("another body moves the key")
+	}
+	if number(`{"installers": 1}`, "Idempotency-Key: k2") == first {
+		t.Error("two keys are one")
+	}
+}
