--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -365,8 +365,9 @@
 	return m, more
 }
 
-// rampFill is the part of what a cold server can take, as warm as it is, that all instances together send it.
-const rampFill = 0.9
+// rampFill is the multiple of what a cold server can take, as warm as it must be, that all instances together send it at the
+// most: half as much again may be saved up, and the whole stays below what pushes it over.
+const rampFill = 1.4
 
 // climb has the module go by this instance's part in the ramps of the halls, and returns what to tell the others.
 // Called under the mutex.
