One place for what a member makes of a hall, for far halls and for the bench's turns

Need: read again, votes and Carried looked a member's sight up each in its own way, lentOut repeated most, whether a hall is far was worded four times, and the bench's commands had twins of options and ratios.

--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -37,7 +37,7 @@
 		return c.crossing(e, self)
 	}
 	var all []bench.Result
-	err = bench.Run(e.ctx, bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}, func(r bench.Result) {
+	err = bench.Run(e.ctx, c.options(self), func(r bench.Result) {
 		all = append(all, r)
 		fmt.Fprintf(e.stderr, "%-12s %d procs: %8.0f requests/s, %6.1f us CPU and %5.1f allocations a request, p50 %.0f us, p99 %.0f us, %d other answers\n",
 			r.Front, r.Procs, r.PerS, r.CPU, r.Allocs, r.P50, r.P99, r.Other)
@@ -71,14 +71,26 @@
 	return nil
 }
 
+func (c *benchCmd) options(self string) bench.Options {
+	return bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}
+}
+
+// turns are the ratios of each second measurement to the one before it, sorted.
+func turns(all []bench.Result, f func(bench.Result) float64) (ratios []float64) {
+	for i := 0; i+1 < len(all); i += 2 {
+		ratios = append(ratios, f(all[i+1])/f(all[i]))
+	}
+	slices.Sort(ratios)
+	return ratios
+}
+
 // changes measures what changes of the agreed configuration cost.
 func (c *benchCmd) changes(e *env, self string) error {
 	if c.Changes < time.Millisecond {
 		return usage{fmt.Errorf("--changes: %v is below 1ms", c.Changes)}
 	}
 	var all []bench.Result
-	opt := bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}
-	if err := bench.Changes(e.ctx, opt, c.Changes, func(r bench.Result, changes int) {
+	if err := bench.Changes(e.ctx, c.options(self), c.Changes, func(r bench.Result, changes int) {
 		all = append(all, r)
 		fmt.Fprintf(e.stderr, "%-8s %8.0f requests/s, %6.1f us CPU a request, p50 %.0f us, p99 %.0f us, %d other answers, %d changes\n", r.Front, r.PerS, r.CPU, r.P50, r.P99, r.Other, changes)
 	}); err != nil {
@@ -87,11 +99,7 @@
 	if c.JSON {
 		return printJSON(e.stdout, all)
 	}
-	var ratios []float64
-	for i := 0; i+1 < len(all); i += 2 {
-		ratios = append(ratios, all[i+1].PerS/all[i].PerS)
-	}
-	slices.Sort(ratios)
+	ratios := turns(all, func(r bench.Result) float64 { return r.PerS })
 	fmt.Fprintf(e.stdout, "with a change every %v: %.3f of the requests/s without (median of %d, from %.3f to %.3f)\n", c.Changes, ratios[len(ratios)/2], len(ratios), ratios[0], ratios[len(ratios)-1])
 	return nil
 }
@@ -99,8 +107,7 @@
 // crossing measures what the link between sites costs.
 func (c *benchCmd) crossing(e *env, self string) error {
 	var all []bench.Result
-	opt := bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds}
-	if err := bench.Crossing(e.ctx, opt, func(r bench.Result) {
+	if err := bench.Crossing(e.ctx, c.options(self), func(r bench.Result) {
 		all = append(all, r)
 		fmt.Fprintf(e.stderr, "%-8s %8.0f requests/s, %6.1f us CPU and %5.1f allocations a request, p50 %.0f us, p99 %.0f us, %d other answers\n", r.Front, r.PerS, r.CPU, r.Allocs, r.P50, r.P99, r.Other)
 	}); err != nil {
@@ -109,11 +116,7 @@
 	if c.JSON {
 		return printJSON(e.stdout, all)
 	}
-	var ratios []float64
-	for i := 0; i+1 < len(all); i += 2 {
-		ratios = append(ratios, all[i+1].CPU/all[i].CPU)
-	}
-	slices.Sort(ratios)
+	ratios := turns(all, func(r bench.Result) float64 { return r.CPU })
 	fmt.Fprintf(e.stdout, "a crossing costs %.2f times the CPU of a direct request (median of %d, from %.2f to %.2f)\n", ratios[len(ratios)/2], len(ratios), ratios[0], ratios[len(ratios)-1])
 	return nil
 }
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -291,7 +291,7 @@
 		}
 		ctx, stop := context.WithCancel(in.ctx)
 		in.halls[h.Name] = &watch{h.Register, stop}
-		if in.link != nil && !in.link.owns(h.Name) {
+		if in.far(h.Name) {
 			list, _ := in.link.far(h.Name)
 			in.take(now, h.Name, list, out)
 			continue
@@ -344,7 +344,7 @@
 		}
 		if in.health != nil {
 			for name := range in.halls {
-				if far := in.link != nil && !in.link.owns(name); far {
+				if in.far(name) {
 					in.health.Far(name, true)
 				} else {
 					in.health.Carries(name, in.gw.Carries(now, name))
@@ -365,6 +365,9 @@
 	return m, more
 }
 
+// far tells whether a hall is reached by way of another site's instances alone.
+func (in *Instance) far(hall string) bool { return in.link != nil && !in.link.owns(hall) }
+
 // rampFill is the multiple of what a cold server can take, as warm as it must be, that all instances together send it at the
 // most: half as much again may be saved up, and the whole stays below what pushes it over.
 const rampFill = 1.4
@@ -374,7 +377,7 @@
 func (in *Instance) climb(now time.Duration) sites.RampWord {
 	var carried []sites.Carried
 	for name := range in.halls {
-		if in.link != nil && !in.link.owns(name) { // its own instances know which of its servers are cold
+		if in.far(name) { // its own instances know which of its servers are cold
 			continue
 		}
 		if rate, util := in.gw.Warm(now, name); rate > 0 {
@@ -386,7 +389,7 @@
 	w := in.ramp.Tell(now, carried)
 	for name := range in.halls {
 		servers, near := in.health.Carried(now, name)
-		z := choice.Zone{Far: in.link != nil && !in.link.owns(name), Part: 1 / float64(in.cfg.Settings.Instances), Back: servers}
+		z := choice.Zone{Far: in.far(name), Part: 1 / float64(in.cfg.Settings.Instances), Back: servers}
 		if !z.Far {
 			z.Ramp = rampFill / in.cfg.Settings.ColdMultiple() * in.ramp.Warm(now, name) * in.ramp.Share(now, name)
 			z.Part = 1 / float64(max(near, 1))
--- a/sites/health.go
+++ b/sites/health.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -247,16 +248,10 @@
 	var met []sight // of those that follow
 	for _, id := range h.members {
 		at, spoke := h.spoke[id]
-		s, speaks, far := h.others[id][hall], spoke && now-at <= h.cfg.Fresh, false
-		if id == h.cfg.Me {
-			s, speaks, far = sight{}, true, h.far[hall]
-			if o := h.mine[hall]; o != nil {
-				s = o.sight
-			}
-		}
+		s := h.sightOf(id, hall)
 		switch fresh := s.known && now-s.at <= h.cfg.Fresh; {
-		case !speaks:
-		case s.far || far:
+		case id != h.cfg.Me && (!spoke || now-at > h.cfg.Fresh):
+		case s.far:
 			follow++
 			met = append(met, s)
 		case fresh:
@@ -282,6 +277,18 @@
 	return silent, heard
 }
 
+// sightOf is what a member makes of a hall, by its own word or, of this one, by what it has met.
+func (h *Health) sightOf(id uint64, hall string) (s sight) {
+	if id != h.cfg.Me {
+		return h.others[id][hall]
+	}
+	if o := h.mine[hall]; o != nil {
+		s = o.sight
+	}
+	s.far = h.far[hall]
+	return s
+}
+
 // says counts a sight as one of silence or of an answer, if it has lasted so long, as far as it was seen.
 func (s *sight) says(silentFor, heardFor time.Duration) (silent, heard int) {
 	switch age := s.at - s.since; {
@@ -327,13 +334,7 @@
 func (h *Health) Carried(now time.Duration, hall string) (servers float64, near int) {
 	var all []float64
 	for _, id := range h.members {
-		s := h.others[id][hall]
-		if id == h.cfg.Me {
-			if s = (sight{}); h.mine[hall] != nil {
-				s = h.mine[hall].sight
-				s.far = h.far[hall]
-			}
-		}
+		s := h.sightOf(id, hall)
 		if !s.known || s.far || now-s.at > h.cfg.Fresh {
 			continue
 		}
@@ -354,12 +355,7 @@
 // this one comes to. The last hall that takes keys is never given up: to move all homes nowhere
 // helps nobody.
 func (h *Health) Judge(now time.Duration) (c HallChange, ok bool) {
-	names := make([]string, 0, len(h.halls))
-	for name := range h.halls {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(h.halls)) {
 		a := h.halls[name]
 		if a.lost && a.part == 0 {
 			hold := h.hold(now, a)
--- a/sites/ramp.go
+++ b/sites/ramp.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -187,11 +188,7 @@
 		if h.lent[to] = loans; len(loans) == 0 {
 			delete(h.lent, to)
 		}
-		most := 0.0 // a borrower uses the last one that it has heard
-		for _, l := range loans {
-			most = max(most, l.share)
-		}
-		sum += most
+		sum += h.most(to)
 	}
 	return sum
 }
@@ -284,12 +281,7 @@
 	r.askedAt[r.asked%rampAsks] = now
 	w := RampWord{Ask: r.asked, Carried: carried}
 	own := r.owns(now)
-	names := make([]string, 0, len(r.halls))
-	for name := range r.halls {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(r.halls)) {
 		h := r.halls[name]
 		keep := min(rampRoom*h.need, 1)
 		if h.cold && keep > own {
@@ -331,6 +323,7 @@
 	return grants
 }
 
+// most is the largest share that a borrower may be using: it uses the last one that it has heard.
 func (h *rampHall) most(id uint64) (share float64) {
 	for _, l := range h.lent[id] {
 		share = max(share, l.share)
