--- a/choice/choice.go
+++ b/choice/choice.go
@@ -593,15 +593,7 @@
 // Where requests are kept to zones, each zone has a bound of its own: work that piles up at one must not keep
 // others idle.
 func (g *Gateway) jammed(class int, zone string, price float64) bool {
-	best := 0.0
-	for c := range g.set.Classes {
-		best = math.Max(best, g.set.Classes[c].Worth/g.work(c))
-	}
-	c := &g.set.Classes[class]
-	value := 1.0
-	if best > 0 {
-		value = c.Worth / g.work(class) / best
-	}
+	c, value := &g.set.Classes[class], g.value(class)
 	if len(g.cold) > 0 {
 		return g.zonesJammed(zone, jamShare*(1+value*g.priced(price))/2*c.Aim.Seconds())
 	}
@@ -618,6 +610,18 @@
 	return out >= math.Max(bound, floor)
 }
 
+// value is what a class is worth for its work, as a share of the best class's.
+func (g *Gateway) value(class int) float64 {
+	best := 0.0
+	for c := range g.set.Classes {
+		best = math.Max(best, g.set.Classes[c].Worth/g.work(c))
+	}
+	if best <= 0 {
+		return 1
+	}
+	return g.set.Classes[class].Worth / g.work(class) / best
+}
+
 // zonesJammed holds each zone to its own bound: what is out there must be answered within a time.
 func (g *Gateway) zonesJammed(zone string, answered float64) bool {
 	jammed := true
@@ -769,13 +773,7 @@
 	s.credited = g.now
 	if c != nil && c.Ramp > 0 {
 		// What is worth less for its work leaves the others room: it is mostly smaller, and would take all.
-		best := 0.0
-		for k := range g.set.Classes {
-			best = math.Max(best, g.set.Classes[k].Worth/g.work(k))
-		}
-		if best > 0 {
-			work += (1 - g.set.Classes[class].Worth/work/best) * most / 2
-		}
+		work += (1 - g.value(class)) * most / 2
 	}
 	return s.credit >= work
 }
