A load that pushes a cold server over without the ramp: servers replaced under a crowd

No scenario showed what the ramp is for: a hall that returns whole was answering nothing, so that the bound on work out is small and holds.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -737,6 +737,21 @@
 	c.loseHalls(ctx, func(n int) int { return []int{1, perHall, perHall / 2}[n%3] })
 }
 
+// serversReplaced has the warm servers of a hall end a moment after a cold one has come, with the crowd that they served.
+func serversReplaced(ctx context.Context, c *cluster) {
+	until, _ := ctx.Deadline()
+	h := c.w.halls[c.rng.IntN(2)]
+	pause(ctx, c.w.opt.For/2)
+	if _, err := h.Start("cold", true); err != nil {
+		c.note("%v", err)
+	}
+	pause(ctx, time.Duration(300+c.rng.IntN(700))*time.Millisecond)
+	for n := range c.w.servers() {
+		h.Kill(fmt.Sprintf("s%d", n))
+	}
+	pause(ctx, time.Until(until))
+}
+
 // flapping has one hall fall silent and come back by the seed, for as long as the scenario lasts.
 func flapping(ctx context.Context, c *cluster) {
 	until, _ := ctx.Deadline()
@@ -817,7 +832,7 @@
 // bothCut cuts the sites from each other, for clients' requests and for the members' own messages, in the middle third.
 // Each must go on with the bookings whose home is its own hall.
 func bothCut(ctx context.Context, c *cluster) {
-	pause(ctx, c.w.opt.For/3)
+	pause(ctx, c.w.opt.For/2)
 	c.cutSites(true)
 	pause(ctx, cutSettles)
 	from := time.Now()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -33,7 +34,7 @@
 	Program  string            // mulleingate, for scenarios with processes
 	Env      []string          // added to its environment
 
-	RampOff      bool // the instances take every server for warm: hall-returns-empty must then show fallen ones
+	RampOff      bool // the instances take every server for warm: servers-replaced must then show a fallen one
 	KeysAnywhere bool // without the guard of keys: hall-closes must then show double bookings
 
 	breakRule func(*world) // a test breaks a rule on purpose
@@ -47,6 +48,7 @@
 	price       func(version int, operation string, units int) int
 	during      func(context.Context, *world)   // runs beside the clients, until ctx ends
 	cluster     func(context.Context, *cluster) // likewise, with instances as processes that agree
+	rush        float64                         // times what licensees ask for otherwise; 0: as much, or twice where it is small
 	small       bool                            // halls of three servers with one core: one alone can't carry the load
 	sites       bool                            // two instances at each of two sites; each reaches its own hall alone, the other over the link
 }
@@ -76,6 +78,7 @@
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "two-sites", About: "processes that agree, two at each of two sites, and no faults", mix: stubbornMix, price: sameUnits, cluster: func(ctx context.Context, _ *cluster) { <-ctx.Done() }, sites: true},
 		{Name: "hall-lost-surge", About: "a hall that carries half of the load is lost and comes back cold; what is served is held against an oracle", mix: stubbornMix, price: sameUnits, cluster: hallLostSurge, sites: true, small: true},
+		{Name: "servers-replaced", About: "a crowd asks for all that there is, and a hall's warm servers end a moment after a cold one has come", mix: stubbornMix, price: sameUnits, cluster: serversReplaced, sites: true, small: true, rush: 6},
 		{Name: "link-drops", About: "processes that agree, two at each of two sites; the way between the sites falls silent and breaks all the time", mix: stubbornMix, price: sameUnits, cluster: linkDrops, sites: true,
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "both-cut", About: "the same, and all ways between the sites stay cut: each is alone", mix: stubbornMix, price: sameUnits, cluster: bothCut, sites: true,
@@ -113,8 +116,8 @@
 func (w *world) asking() []standin.Licensee {
 	ls := licensees()
 	for i := range ls {
-		if w.scenario.small {
-			ls[i].Rate *= 2
+		if w.scenario.small || w.scenario.rush > 0 {
+			ls[i].Rate *= cmp.Or(w.scenario.rush, 2)
 		}
 	}
 	return ls
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -135,12 +135,16 @@
 		t.Errorf("what was under way: %d, close %v", a.status, a.close)
 	}
 	old.ends(t)
-	if a := busy.ask(request("check", "f")); a.status != 200 || a.close {
-		t.Errorf("the request after it: %d, close %v", a.status, a.close)
+	// Now all of them are the successor's for certain, and so is the count.
+	answered, deferred := checksOf(t, cfg)
+	for i, c := range []*client{busy, silent, idle} {
+		want := []int{200, 200, 429}[i]
+		if a := c.ask(request("check", fmt.Sprint("f", i), [][]string{nil, nil, spender}[i]...)); a.status != want || a.close {
+			t.Errorf("connection %d once the old one has ended: %d, close %v", i, a.status, a.close)
+		}
 	}
-	_, text := call(t, "GET", cfg.Manage, countersCall)
-	if !strings.Contains(text, "app.answered.check=3\n") || !strings.Contains(text, "app.deferred.check=1\n") {
-		t.Errorf("the successor's figures:\n%s", text)
+	if a, d := checksOf(t, cfg); a != answered+2 || d != deferred+1 {
+		t.Errorf("the successor counts %d answered and %d deferred, before %d and %d", a, d, answered, deferred)
 	}
 
 	// And once more: the successor has a successor.
@@ -158,6 +162,17 @@
 	third.ends(t)
 }
 
+// checksOf is how many checks an instance has answered and deferred, by its own figures.
+func checksOf(t *testing.T, cfg *Config) (answered, deferred int) {
+	t.Helper()
+	_, text := call(t, "GET", cfg.Manage, countersCall)
+	for _, line := range strings.Fields(text) {
+		fmt.Sscanf(line, "app.answered.check=%d", &answered)
+		fmt.Sscanf(line, "app.deferred.check=%d", &deferred)
+	}
+	return answered, deferred
+}
+
 // A client that is half way through a request when the upgrade comes is answered by the process
 // that has the first half.
 func TestUpgradeDuringARequest(t *testing.T) {
