confstream: how followers get the configuration, decided; objects in a persistent tree

fleetconfig keeps its objects in an immutable radix tree: a change no longer clones all of them, and trees of versions share what did not change. Kinds follower and epoch (format 3); an epoch only rises.

--- /dev/null
+++ b/confstream/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package confstream
+
+const raceEnabled = false
--- /dev/null
+++ b/confstream/publisher.go
@@ -0,0 +1,515 @@
+package confstream
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// PublisherConfig is what a member's side goes by.
+type PublisherConfig struct {
+	Member   uint64
+	Silence  time.Duration // without a word from a follower, after which its stream is ended and its state unknown
+	Answer   time.Duration // for which a push may go without a reply
+	Unsure   time.Duration // for which a sign of life waits for a quorum's word
+	Held     int           // versions that deltas are made from
+	Most     int           // followers at a time
+	PerS     float64       // followers that may come in a second
+	Burst    float64       // and at once
+	FullOnly bool          // no deltas: for comparison
+}
+
+// Hello is what a follower says of itself as its stream begins. Name is the one in its certificate.
+type Hello struct {
+	Name    string
+	Process uint64 // drawn by the process at its start
+	Start   uint64 // of its file: counts processes
+	Dial    uint64 // of the process: counts streams
+	Running *Ref   // nil: it has none, and nothing kept: it takes a version alone that a quorum confirms from here on
+	Since   time.Duration
+	Refused []Refusal
+	Format  int // the newest that it knows
+}
+
+// Result is what became of a push.
+type Result int
+
+// Results.
+const (
+	Stated      Result = iota // no reply to a push: the follower tells what it runs
+	Applied                   // it is in force, and kept
+	Refused                   // it is not, and never will be; why is told
+	NeedsFull                 // the base of the delta is not there, or does not make what was said
+	NotNewer                  // what runs is as new or newer
+	Unconfirmed               // the follower has nothing kept, and no quorum has confirmed the version since it came
+	Foreign                   // the epoch is that of two services
+	results
+)
+
+func (r Result) String() string {
+	if r < 0 || r >= results {
+		return "unknown"
+	}
+	return [...]string{"stated", "applied", "refused", "needs-full", "not-newer", "unconfirmed", "foreign"}[r]
+}
+
+// Valid tells whether there is such a result.
+func (r Result) Valid() bool { return r >= 0 && r < results }
+
+// Report is a follower's reply to a push, or what it states unasked.
+type Report struct {
+	Nonce    uint64 // of the push; 0: none
+	Result   Result
+	Ref      Ref // that was pushed
+	Running  *Ref
+	Problems []Problem
+	Unread   bool // of a refusal: see [Refusal]
+}
+
+// Push offers a version to a follower.
+type Push struct {
+	Nonce     uint64
+	Body      *Body
+	Confirmed bool // a quorum has confirmed, since the stream began, that nothing newer was agreed on
+}
+
+// Pong answers a sign of life.
+type Pong struct {
+	Seq       uint64
+	Newest    Ref // at this member
+	Homes     uint64
+	Confirmed bool   // a quorum has confirmed, since the sign of life came, that nothing newer was agreed on
+	Twin      string // why this follower is told nothing new: another process has its name
+}
+
+// Out is something that a publisher's host sends on a stream, or the end of one.
+type Out struct {
+	Session uint64
+	Push    *Push
+	Pong    *Pong
+	Close   string // why; empty: it goes on
+}
+
+// session is a stream to a follower.
+type session struct {
+	id      uint64
+	hello   Hello
+	began   time.Duration
+	heard   time.Duration
+	running *Ref
+	since   time.Duration
+	refused []Refusal
+	nonce   uint64 // of the push under way; 0: none
+	offered *Ref   // with it
+	pushed  time.Duration
+	whole   bool // the next push is no delta
+	ping    uint64
+	pinged  time.Duration
+	waits   bool // for a pong
+	twin    string
+}
+
+// Word is what a member tells the others of the followers that it serves. Ages are durations.
+type Word struct {
+	Member    uint64
+	Followers []Served
+}
+
+// Served is one follower in a word.
+type Served struct {
+	Name    string
+	Process uint64
+	Start   uint64
+	Dial    uint64
+	Began   time.Duration // ago
+	Heard   time.Duration // ago
+	Running *Ref
+	Since   time.Duration // ago
+	Offered *Ref
+	Refused *Refusal // of the newest version that it refused
+}
+
+// told is another member's word and when it came.
+type told struct {
+	at   time.Duration
+	word Word
+}
+
+// Publisher is a member's side.
+type Publisher struct {
+	cfg       PublisherConfig
+	newest    *Version
+	held      []*Version // the oldest first, the newest among them
+	confirmed time.Duration
+	sure      bool // of newest, as of confirmed
+	sessions  map[uint64]*session
+	others    map[uint64]told
+	last      map[string]Served // of followers that have gone; ages as of seen
+	seen      map[string]time.Duration
+	bodies    map[Ref]*Body // deltas to the newest, by base
+	full      *Body
+	credit    float64
+	credited  time.Duration
+	nonces    uint64
+}
+
+// NewPublisher returns a member's side. seed makes its nonces unlike those of its other processes.
+func NewPublisher(cfg PublisherConfig, seed uint64) *Publisher {
+	return &Publisher{cfg: cfg, sessions: map[uint64]*session{}, others: map[uint64]told{}, last: map[string]Served{}, seen: map[string]time.Duration{},
+		bodies: map[Ref]*Body{}, credit: cfg.Burst, nonces: seed &^ (1<<20 - 1)}
+}
+
+// Newest is the newest version published here; nil: none.
+func (p *Publisher) Newest() *Version { return p.newest }
+
+// Publish takes over a version that is agreed on. One that is not newer is left.
+func (p *Publisher) Publish(now time.Duration, v *Version) (outs []Out) {
+	if p.newest != nil && v.Order(p.newest.Ref) != Newer {
+		return nil
+	}
+	if p.newest != nil && p.newest.Epoch != v.Epoch {
+		p.held = nil
+	}
+	p.newest, p.sure, p.full = v, false, nil
+	p.held = append(p.held, v)
+	p.held = slices.Clone(p.held[max(len(p.held)-max(p.cfg.Held, 1), 0):])
+	clear(p.bodies)
+	for name := range p.last {
+		if !p.agreed(name) {
+			delete(p.last, name)
+			delete(p.seen, name)
+		}
+	}
+	return p.each(func(s *session) []Out {
+		if !p.agreed(s.hello.Name) {
+			return p.end(now, s, "is no longer agreed on as a follower")
+		}
+		return p.offer(now, s)
+	})
+}
+
+// Confirm says that a quorum has confirmed that, as of asked, nothing newer than ref was agreed on.
+func (p *Publisher) Confirm(now, asked time.Duration, ref Ref) []Out {
+	if p.newest == nil || p.newest.Ref != ref {
+		return nil
+	}
+	if !p.sure || asked > p.confirmed {
+		p.confirmed, p.sure = asked, true
+	}
+	return p.each(func(s *session) (outs []Out) {
+		if s.waits && s.pinged <= p.confirmed {
+			outs = append(outs, p.pong(s, true))
+		}
+		return append(outs, p.offer(now, s)...)
+	})
+}
+
+// each calls f for all streams in one order.
+func (p *Publisher) each(f func(*session) []Out) (outs []Out) {
+	for _, id := range slices.Sorted(maps.Keys(p.sessions)) {
+		outs = append(outs, f(p.sessions[id])...)
+	}
+	return outs
+}
+
+func (p *Publisher) agreed(name string) bool {
+	if p.newest == nil {
+		return false
+	}
+	_, ok := p.newest.Tree.Get([]byte("follower/" + name))
+	return ok
+}
+
+// Admit tells whether a further connection may come now: their handshakes are dear, and after a member has died all of its
+// followers come at once.
+func (p *Publisher) Admit(now time.Duration) bool {
+	p.credit = math.Min(p.credit+p.cfg.PerS*(now-p.credited).Seconds(), p.cfg.Burst)
+	p.credited = now
+	if p.credit < 1 || len(p.sessions) >= p.cfg.Most {
+		return false
+	}
+	p.credit--
+	return true
+}
+
+// Hello begins a stream. Sessions have numbers that are never used again.
+func (p *Publisher) Hello(now time.Duration, id uint64, h Hello) (outs []Out) {
+	if !p.agreed(h.Name) {
+		return []Out{{Session: id, Close: fmt.Sprintf("%q is not agreed on as a follower", h.Name)}}
+	}
+	if len(p.sessions) >= p.cfg.Most {
+		return []Out{{Session: id, Close: "too many followers here"}}
+	}
+	for _, o := range p.sessionsOf(h.Name) {
+		if o.hello.Process == h.Process && o.hello.Dial < h.Dial {
+			outs = append(outs, p.end(now, o, "the follower has begun another stream")...)
+		}
+	}
+	s := &session{id: id, hello: h, began: now, heard: now, running: h.Running, since: now - h.Since}
+	for _, r := range h.Refused {
+		s.refused = addRefusal(s.refused, r)
+	}
+	p.sessions[id] = s
+	return append(outs, p.offer(now, s)...)
+}
+
+func (p *Publisher) sessionsOf(name string) (all []*session) {
+	p.each(func(s *session) []Out {
+		if s.hello.Name == name {
+			all = append(all, s)
+		}
+		return nil
+	})
+	return all
+}
+
+// end ends a stream and remembers what was last known of its follower.
+func (p *Publisher) end(now time.Duration, s *session, why string) []Out {
+	p.Gone(now, s.id)
+	return []Out{{Session: s.id, Close: why}}
+}
+
+// Gone says that a stream has ended.
+func (p *Publisher) Gone(now time.Duration, id uint64) {
+	s := p.sessions[id]
+	if s == nil {
+		return
+	}
+	delete(p.sessions, id)
+	if was, ok := p.last[s.hello.Name]; p.agreed(s.hello.Name) && (!ok || s.heard >= p.seen[s.hello.Name]-was.Heard) {
+		p.last[s.hello.Name], p.seen[s.hello.Name] = p.served(now, s), now
+	}
+}
+
+// offer pushes the newest version to a follower that should have it. One push is under way at a time: what comes
+// meanwhile is not queued, the newest goes out with the reply.
+func (p *Publisher) offer(now time.Duration, s *session) []Out {
+	v := p.newest
+	if v == nil || s.nonce != 0 || s.twin != "" {
+		return nil
+	}
+	fresh := p.sure && p.confirmed >= s.began
+	if s.running == nil && !fresh {
+		return nil // it can't tell what is old
+	}
+	if s.running != nil && v.Order(*s.running) != Newer || refusalOf(s.refused, v.Ref) != nil {
+		return nil
+	}
+	p.nonces++
+	ref := v.Ref
+	s.nonce, s.offered, s.pushed = p.nonces, &ref, now
+	return []Out{{Session: s.id, Push: &Push{Nonce: s.nonce, Body: p.body(s), Confirmed: fresh}}}
+}
+
+// body is the newest version for a follower: what differs from what it runs, if that is held here and the smaller.
+func (p *Publisher) body(s *session) *Body {
+	if p.full == nil {
+		p.full = p.newest.Body(nil)
+	}
+	if s.running == nil || s.whole || p.cfg.FullOnly {
+		return p.full
+	}
+	if b, ok := p.bodies[*s.running]; ok {
+		return b
+	}
+	i := slices.IndexFunc(p.held, func(v *Version) bool { return v.Ref == *s.running })
+	if i < 0 {
+		return p.full
+	}
+	b := p.newest.Body(p.held[i])
+	if b.Size() >= p.full.Size() {
+		b = p.full
+	}
+	p.bodies[*s.running] = b
+	return b
+}
+
+// Hear takes in a follower's report.
+func (p *Publisher) Hear(now time.Duration, id uint64, r Report) []Out {
+	s := p.sessions[id]
+	if s == nil {
+		return nil
+	}
+	s.heard = now
+	if r.Running != nil && (s.running == nil || *s.running != *r.Running) {
+		s.running, s.since = r.Running, now
+	}
+	if r.Result == Refused {
+		s.refused = addRefusal(s.refused, Refusal{Ref: r.Ref, Problems: r.Problems, Unread: r.Unread})
+	}
+	if r.Nonce == 0 || r.Nonce != s.nonce {
+		return nil // a statement, or the reply to a push of another stream
+	}
+	again := false
+	switch s.nonce = 0; r.Result {
+	case Applied, Refused:
+		s.whole, again = false, true
+	case NeedsFull:
+		if s.whole {
+			return p.end(now, s, "the whole version did not reach it as it is")
+		}
+		s.whole, again = true, true
+	case NotNewer:
+		again = r.Running != nil && p.newest.Order(*r.Running) == Newer && s.offered != nil && p.newest.Ref != *s.offered
+	}
+	if !again {
+		return nil // the next version or confirmation goes out as it comes
+	}
+	return p.offer(now, s)
+}
+
+// Ping takes in a sign of life. It is answered once a quorum's word tells more, or after a while without.
+func (p *Publisher) Ping(now time.Duration, id, seq uint64) []Out {
+	if s := p.sessions[id]; s != nil {
+		s.heard, s.ping, s.pinged, s.waits = now, seq, now, true
+	}
+	return nil
+}
+
+func (p *Publisher) pong(s *session, confirmed bool) Out {
+	s.waits = false
+	return Out{Session: s.id, Pong: &Pong{Seq: s.ping, Newest: p.newest.Ref, Homes: p.newest.Homes, Confirmed: confirmed && s.twin == "", Twin: s.twin}}
+}
+
+// Tick ends streams that are silent or don't take what is pushed, answers signs of life that wait, and finds twins.
+func (p *Publisher) Tick(now time.Duration) []Out {
+	for member, o := range p.others {
+		if now-o.at > 10*p.cfg.Silence {
+			delete(p.others, member)
+		}
+	}
+	return p.each(func(s *session) (outs []Out) {
+		switch {
+		case now-s.heard > p.cfg.Silence:
+			return p.end(now, s, "silent")
+		case s.nonce != 0 && now-s.pushed > p.cfg.Answer:
+			return p.end(now, s, "does not reply to a push")
+		}
+		if before := s.twin; p.findTwin(now, s) && before == "" || s.waits && now-s.pinged > p.cfg.Unsure {
+			outs = append(outs, p.pong(s, false))
+		} else if before != "" && s.twin == "" {
+			outs = append(outs, p.offer(now, s)...)
+		}
+		return outs
+	})
+}
+
+// findTwin looks for another process under a follower's name. Two streams that overlap may be one follower that was
+// restarted, or has lost the older one without our knowing: twins are two processes that were both heard after the later
+// one had come. Both stay with what they run.
+func (p *Publisher) findTwin(now time.Duration, s *session) bool {
+	s.twin = ""
+	me := p.served(now, s)
+	p.everywhere(now, s.hello.Name, func(member uint64, o Served) {
+		if o.Process != me.Process && max(o.Heard, me.Heard) < min(o.Began, me.Began) && o.Heard < p.cfg.Silence {
+			s.twin = fmt.Sprintf("processes %x and %x, at members %d and %d, are both called %s: end one, and give it a name and a file of its own",
+				min(me.Process, o.Process), max(me.Process, o.Process), min(p.cfg.Member, member), max(p.cfg.Member, member), me.Name)
+		}
+	})
+	return s.twin != ""
+}
+
+// everywhere calls f for all that is known of a follower's streams, here and at other members.
+func (p *Publisher) everywhere(now time.Duration, name string, f func(member uint64, o Served)) {
+	for _, s := range p.sessionsOf(name) {
+		f(p.cfg.Member, p.served(now, s))
+	}
+	if o, ok := p.last[name]; ok {
+		f(p.cfg.Member, o.aged(now-p.seen[name]))
+	}
+	for _, member := range slices.Sorted(maps.Keys(p.others)) {
+		t := p.others[member]
+		i, ok := slices.BinarySearchFunc(t.word.Followers, name, func(o Served, name string) int { return cmp.Compare(o.Name, name) })
+		for ; ok && i < len(t.word.Followers) && t.word.Followers[i].Name == name; i++ {
+			f(member, t.word.Followers[i].aged(now-t.at))
+		}
+	}
+}
+
+func (o Served) aged(by time.Duration) Served {
+	o.Began, o.Heard, o.Since = o.Began+by, o.Heard+by, o.Since+by
+	return o
+}
+
+func (p *Publisher) served(now time.Duration, s *session) Served {
+	return Served{Name: s.hello.Name, Process: s.hello.Process, Start: s.hello.Start, Dial: s.hello.Dial, Began: now - s.began, Heard: now - s.heard,
+		Running: s.running, Since: now - s.since, Offered: s.offered, Refused: newestOf(s.refused)}
+}
+
+// Tell is what the other members are to be told.
+func (p *Publisher) Tell(now time.Duration) Word {
+	w := Word{Member: p.cfg.Member}
+	p.each(func(s *session) []Out {
+		w.Followers = append(w.Followers, p.served(now, s))
+		return nil
+	})
+	for name, o := range p.last {
+		w.Followers = append(w.Followers, o.aged(now-p.seen[name]))
+	}
+	slices.SortFunc(w.Followers, func(a, b Served) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Heard, b.Heard)) })
+	return w
+}
+
+// HearWord takes in what another member tells.
+func (p *Publisher) HearWord(now time.Duration, w Word) {
+	if w.Member != p.cfg.Member {
+		p.others[w.Member] = told{now, w}
+	}
+}
+
+// Standing is how a follower stands, as far as the members know.
+type Standing struct {
+	Name    string        `json:"name"`
+	State   string        `json:"state"` // "running", "waiting" (connected, nothing in force), "unknown" or "never"
+	Running *Ref          `json:"running,omitempty"`
+	Since   time.Duration `json:"since_ns,omitempty"` // it runs that, or its state is unknown, for so long
+	Offered *Ref          `json:"offered,omitempty"`  // the newest push to it
+	Refused *Refusal      `json:"refused,omitempty"`  // the newest refusal
+	Member  uint64        `json:"member,omitempty"`   // that served it last
+	Behind  bool          `json:"behind,omitempty"`   // what it runs is not the newest
+	Twin    string        `json:"twin,omitempty"`
+}
+
+// Standings are those of all followers that are agreed on, by name.
+func (p *Publisher) Standings(now time.Duration) (all []Standing) {
+	if p.newest == nil {
+		return nil
+	}
+	p.newest.Tree.Root().WalkPrefix([]byte("follower/"), func(k []byte, _ json.RawMessage) bool {
+		all = append(all, p.standing(now, string(k[len("follower/"):])))
+		return false
+	})
+	return all
+}
+
+func (p *Publisher) standing(now time.Duration, name string) Standing {
+	st := Standing{Name: name, State: "never"}
+	var best Served
+	found := false
+	p.everywhere(now, name, func(member uint64, o Served) {
+		if !found || cmp.Or(cmp.Compare(best.Heard, o.Heard), cmp.Compare(o.Dial, best.Dial)) > 0 {
+			best, st.Member, found = o, member, true
+		}
+	})
+	for _, s := range p.sessionsOf(name) {
+		st.Twin = cmp.Or(s.twin, st.Twin)
+	}
+	if !found {
+		return st
+	}
+	st.Running, st.Since, st.Offered, st.Refused = best.Running, best.Since, best.Offered, best.Refused
+	switch {
+	case best.Heard > p.cfg.Silence:
+		st.State, st.Since = "unknown", best.Heard
+	case best.Running == nil:
+		st.State, st.Since = "waiting", best.Began
+	default:
+		st.State = "running"
+	}
+	st.Behind = st.State == "running" && p.newest.Order(*st.Running) != Same
+	return st
+}
--- /dev/null
+++ b/confstream/seat.go
@@ -0,0 +1,70 @@
+package confstream
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Seat chooses the member that a follower connects to. By rendezvous hashing each follower has its own order of members,
+// so that they spread with no word among them and the followers of a member that dies go to all others alike. Weighed
+// against the power of two choices: that needs the members' loads before a connection, and gains little where all
+// followers weigh the same. After a failure it waits a time drawn between nothing and a bound that doubles
+// ("full jitter": M. Brooker, "Exponential Backoff And Jitter", 2015).
+type Seat struct {
+	cfg    SeatConfig
+	order  []uint64
+	at     int
+	failed int // in a row
+	rng    *rand.Rand
+}
+
+// SeatConfig is what a [Seat] goes by.
+type SeatConfig struct {
+	Name    string
+	Members []uint64
+	Least   time.Duration // bound of the first wait
+	Most    time.Duration // of any
+}
+
+// NewSeat returns a seat.
+func NewSeat(cfg SeatConfig, rng *rand.Rand) *Seat {
+	s := &Seat{cfg: cfg, rng: rng}
+	s.order = slices.Clone(cfg.Members)
+	slices.SortFunc(s.order, func(a, b uint64) int { return cmp.Or(cmp.Compare(s.weigh(b), s.weigh(a)), cmp.Compare(a, b)) })
+	return s
+}
+
+// weigh is the weight of a member for this follower.
+func (s *Seat) weigh(member uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s.cfg.Name))
+	h.Write([]byte{0, byte(member), byte(member >> 8), byte(member >> 16), byte(member >> 24)})
+	x := h.Sum64() // whose last bytes mix badly
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Next is the member to try now.
+func (s *Seat) Next() uint64 { return s.order[s.at%len(s.order)] }
+
+// Lost says that a stream has ended or did not begin: began tells which. It returns the wait before the next try.
+func (s *Seat) Lost(began bool) time.Duration {
+	if began {
+		s.failed = 0
+	}
+	s.at++
+	s.failed++
+	most := s.cfg.Least << min(s.failed-1, 20)
+	if most > s.cfg.Most || most <= 0 {
+		most = s.cfg.Most
+	}
+	return time.Duration(s.rng.Int64N(int64(most) + 1))
+}
+
+// Home tells whether the next member is the first of the order. A follower that had to go elsewhere stays there: to go
+// back would cost a handshake for each restart of a member.
+func (s *Seat) Home() bool { return s.at%len(s.order) == 0 }
--- a/fleetconfig/objects.go
+++ b/fleetconfig/objects.go
@@ -58,6 +58,19 @@
 	Admin string `json:"admin"` // by operators: an address with a port
 }
 
+// Follower is an instance that is no member and is told the configuration: see package confstream. Its name is that in
+// its certificate.
+type Follower struct {
+	Note string `json:"note,omitempty"` // for operators
+}
+
+// Epoch tells versions of a control service that was restored or replaced, and whose numbers went back, from late ones: a
+// later epoch has a higher number, and no two services have the same id. The one object is called "epoch".
+type Epoch struct {
+	Number uint64 `json:"number"`
+	ID     string `json:"id"`
+}
+
 // Limit bounds what one request may ask for. The one that is known is "units".
 type Limit struct {
 	Most int `json:"most"`
@@ -123,6 +136,18 @@
 		}
 		return nil
 	}),
+	"follower": as(func(f *Follower) error {
+		if len(f.Note) > 1000 {
+			return errors.New("note: 1000 bytes are the most")
+		}
+		return nil
+	}),
+	"epoch": as(func(e *Epoch) error {
+		if e.Number == 0 || e.ID == "" || len(e.ID) > 100 {
+			return errors.New("number: from 1, and an id of 1 to 100 bytes are wanted")
+		}
+		return nil
+	}),
 	"limit": as(func(l *Limit) error {
 		if l.Most < 1 || l.Most > 1_000_000 {
 			return errors.New("most: is outside 1 to 1000000")
@@ -178,66 +203,73 @@
 // Classes returns the classes, by name.
 func (s *State) Classes() []Class { return classesOf(s.objects) }
 
-func classesOf(objects map[string]json.RawMessage) (cs []Class) {
-	for _, k := range keysOf(objects, "class") {
-		if name, ok := strings.CutPrefix(k, "class/"); ok {
-			var c Class
-			if json.Unmarshal(objects[k], &c) == nil {
-				c.Name = name
-				cs = append(cs, c)
-			}
+func classesOf(objects *Tree) (cs []Class) {
+	each(objects, "class", func(name string, value json.RawMessage) {
+		var c Class
+		if json.Unmarshal(value, &c) == nil {
+			c.Name = name
+			cs = append(cs, c)
 		}
-	}
+	})
 	return cs
 }
 
+// Epoch is the one agreed on; its number is 0 where none is.
+func (s *State) Epoch() (e Epoch) {
+	if text, ok := s.Get("epoch", "epoch"); ok {
+		json.Unmarshal(text, &e) // it was checked when it was put
+	}
+	return e
+}
+
 // MostUnits is the most units that one request may cost.
 func (s *State) MostUnits() int { return mostUnits(s.objects) }
 
-func mostUnits(objects map[string]json.RawMessage) int {
+func mostUnits(objects *Tree) int {
 	var l Limit
-	if text, ok := objects[key("limit", "units")]; ok && json.Unmarshal(text, &l) == nil {
+	if text, ok := objects.Get(key("limit", "units")); ok && json.Unmarshal(text, &l) == nil {
 		return l.Most
 	}
 	return defaultMostUnits
 }
 
 // takesKeys tells whether there is a hall that is neither closed nor lost.
-func takesKeys(objects map[string]json.RawMessage) bool {
-	for _, k := range keysOf(objects, "hall") {
+func takesKeys(objects *Tree) (takes bool) {
+	each(objects, "hall", func(name string, value json.RawMessage) {
 		var h Hall
 		var l LostHall
-		text, lost := objects[key("lost", k[len("hall/"):])]
-		if lost && (json.Unmarshal(text, &l) != nil || l.Part == 0) {
-			continue
-		}
-		if json.Unmarshal(objects[k], &h) == nil && !h.Closed {
-			return true
-		}
-	}
-	return false
+		text, lost := objects.Get(key("lost", name))
+		gone := lost && (json.Unmarshal(text, &l) != nil || l.Part == 0)
+		takes = takes || !gone && json.Unmarshal(value, &h) == nil && !h.Closed
+	})
+	return takes
 }
 
 // consistent checks that what objects refer to is there. touched are the kinds and the
 // objects changed: only what depends on those is looked at, in one order.
-func (s *State) consistent(objects map[string]json.RawMessage, touched map[string]bool) error {
-	var keys []string
-	for k := range objects {
-		kind, _, _ := strings.Cut(k, "/")
-		if touched[k] || kind == "licensee" && touched["plan"] || kind == "description" {
+func (s *State) consistent(objects *Tree, touched map[string]bool) error {
+	keys := []string{}
+	for k := range touched {
+		if _, there := objects.Get([]byte(k)); there {
 			keys = append(keys, k)
 		}
 	}
+	for kind, looked := range map[string]bool{"licensee": touched["plan"], "description": true} {
+		if looked {
+			each(objects, kind, func(name string, _ json.RawMessage) { keys = append(keys, kind+"/"+name) })
+		}
+	}
 	slices.Sort(keys)
-	for _, k := range keys {
+	for _, k := range slices.Compact(keys) {
 		kind, name, _ := strings.Cut(k, "/")
+		value, _ := objects.Get([]byte(k))
 		switch {
 		case kind == "licensee":
 			var l Licensee
-			if err := json.Unmarshal(objects[k], &l); err != nil {
+			if err := json.Unmarshal(value, &l); err != nil {
 				return err
 			}
-			if _, ok := objects[key("plan", l.Plan)]; !ok {
+			if _, ok := objects.Get(key("plan", l.Plan)); !ok {
 				return fmt.Errorf("licensee %s: plan %q is not there: put it first, or in the same proposal", name, l.Plan)
 			}
 		case kind == "member":
@@ -245,17 +277,24 @@
 				return fmt.Errorf("member %s: name: a number from 1 is wanted", name)
 			}
 		case kind == "lost":
-			if _, ok := objects[key("hall", name)]; !ok {
+			if _, ok := objects.Get(key("hall", name)); !ok {
 				return fmt.Errorf("lost %s: there is no such hall", name)
 			}
 			if touched[k] && !takesKeys(objects) {
 				return fmt.Errorf("lost %s: no other hall takes keys", name)
 			}
+		case kind == "epoch" && name != "epoch":
+			return fmt.Errorf("epoch %s: there is one, called epoch", name)
+		case kind == "epoch":
+			var e Epoch
+			if err := json.Unmarshal(value, &e); err != nil || e.Number <= s.Epoch().Number {
+				return fmt.Errorf("epoch: number: above %d is wanted", s.Epoch().Number)
+			}
 		case kind == "limit" && name != "units":
 			return fmt.Errorf("limit %s: is not known: units is", name)
 		case kind == "description" && (touched["description"] || touched["class"] || touched["limit"]) && s.validate != nil:
 			var d Description
-			if err := json.Unmarshal(objects[k], &d); err != nil {
+			if err := json.Unmarshal(value, &d); err != nil {
 				return err
 			}
 			if err := s.validate(d.File, d.Text, classesOf(objects), mostUnits(objects)); err != nil {
--- a/fleetconfig/state.go
+++ b/fleetconfig/state.go
@@ -17,20 +17,34 @@
 	"maps"
 	"slices"
 	"strings"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
+// Tree holds objects by "kind/name". It is persistent: trees of one version after the other share what did not change.
+type Tree = iradix.Tree[json.RawMessage]
+
 // Format is the newest format of entries and snapshots that this program knows.
-const Format = 2
+const Format = 3
 
 // formatOf is the oldest format that knows a kind: older programs in a cluster go on until the
 // first entry that they could not read.
 func formatOf(kind string) byte {
-	if kind == "lost" {
+	switch kind {
+	case "lost":
 		return 2
+	case "follower", "epoch":
+		return 3
 	}
 	return 1
 }
 
+// FormatOf is the oldest format that knows the kind of an object, by its key "kind/name".
+func FormatOf(key string) int {
+	kind, _, _ := strings.Cut(key, "/")
+	return int(formatOf(kind))
+}
+
 // Bounds.
 const (
 	MaxProposal = 12 << 20 // bytes of an encoded proposal
@@ -103,10 +117,10 @@
 type State struct {
 	validate Validator
 	version  uint64
-	hash     [sha256.Size]byte          // of all entries so far, refused ones too
-	objects  map[string]json.RawMessage // replaced as a whole by each change
-	homes    uint64                     // version of the last change of a hall
-	places   []string                   // of plans, in the order in which they were first put
+	hash     [sha256.Size]byte // of all entries so far, refused ones too
+	objects  *Tree             // replaced by each change
+	homes    uint64            // version of the last change of a hall or a follower
+	places   []string          // of plans, in the order in which they were first put
 	outcomes map[string]Outcome
 	ids      []string // of outcomes, the oldest first
 	history  []Record
@@ -114,7 +128,7 @@
 
 // New returns an empty state at version 0.
 func New(v Validator) *State {
-	return &State{validate: v, objects: map[string]json.RawMessage{}, outcomes: map[string]Outcome{}}
+	return &State{validate: v, objects: iradix.New[json.RawMessage](), outcomes: map[string]Outcome{}}
 }
 
 // Version is the version in force; 0: nothing has been applied.
@@ -137,8 +151,20 @@
 
 // Get returns an object's value, or false.
 func (s *State) Get(kind, name string) (json.RawMessage, bool) {
-	v, ok := s.objects[key(kind, name)]
-	return v, ok
+	return s.objects.Get(key(kind, name))
+}
+
+// Tree is the agreed objects. Nobody may change a value in it.
+func (s *State) Tree() *Tree { return s.objects }
+
+// Told is a configuration as [State.Freeze] returns it, from what was told of one: its version, hash, places and epoch
+// of homes, and its objects.
+func Told(version, homes uint64, hash string, places []string, objects *Tree) (*State, error) {
+	s := &State{version: version, homes: homes, places: places, objects: objects, outcomes: map[string]Outcome{}}
+	if n, err := hex.Decode(s.hash[:], []byte(hash)); err != nil || n != len(s.hash) || len(hash) != 2*n {
+		return nil, fmt.Errorf("hash: %w", ErrMalformed)
+	}
+	return s, nil
 }
 
 // Places are the names of all plans that were ever put, removed ones too, in an order that
@@ -157,23 +183,17 @@
 
 // Each calls f for each object of a kind, by name.
 func (s *State) Each(kind string, f func(name string, value json.RawMessage)) {
-	for _, k := range keysOf(s.objects, kind) {
-		f(k[len(kind)+1:], s.objects[k])
-	}
+	each(s.objects, kind, f)
 }
 
-// keysOf returns the keys of a kind's objects in their order.
-func keysOf(objects map[string]json.RawMessage, kind string) (keys []string) {
-	for k := range objects {
-		if len(k) > len(kind) && k[len(kind)] == '/' && k[:len(kind)] == kind {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	return keys
+func each(objects *Tree, kind string, f func(name string, value json.RawMessage)) {
+	objects.Root().WalkPrefix(key(kind, ""), func(k []byte, v json.RawMessage) bool {
+		f(string(k[len(kind)+1:]), v)
+		return false
+	})
 }
 
-func key(kind, name string) string { return kind + "/" + name }
+func key(kind, name string) []byte { return []byte(kind + "/" + name) }
 
 // Encode words a proposal as an entry.
 func Encode(p *Proposal) ([]byte, error) {
@@ -227,14 +247,18 @@
 
 // MovesHomes tells whether an entry may change homes of keys once it is applied. One that can't be read may.
 func MovesHomes(entry []byte) bool {
-	if !bytes.Contains(entry, []byte(`"hall"`)) && !bytes.Contains(entry, []byte(`"lost"`)) {
+	if !bytes.Contains(entry, []byte(`"hall"`)) && !bytes.Contains(entry, []byte(`"lost"`)) && !bytes.Contains(entry, []byte(`"follower"`)) {
 		return false // a description may be long: it is read once, when it is applied
 	}
 	p, err := decode(entry)
 	return err != nil || slices.ContainsFunc(p.Changes, func(c Change) bool { return c.movesHomes() })
 }
 
-func (c *Change) movesHomes() bool { return c.Kind == "hall" || c.Kind == "lost" }
+// movesHomes counts followers as well, though no key's home goes by them: one that comes or goes is an instance more or
+// less whose word on keys is to be waited for.
+func (c *Change) movesHomes() bool {
+	return c.Kind == "hall" || c.Kind == "lost" || c.Kind == "follower"
+}
 
 // Apply applies the next entry. An error means that the entry can't be read: the state is
 // as it was, and the instance must stop, since others may have read it.
@@ -289,7 +313,7 @@
 }
 
 // try returns the objects as a proposal would leave them, or why it is refused.
-func (s *State) try(p *Proposal) (map[string]json.RawMessage, error) {
+func (s *State) try(p *Proposal) (*Tree, error) {
 	switch {
 	case p.ID == "" || len(p.ID) > 200:
 		return nil, errors.New("id: 1 to 200 bytes are wanted")
@@ -300,8 +324,8 @@
 	case p.Base != nil && *p.Base != s.version:
 		return nil, fmt.Errorf("base: version %d is in force, not %d: look at what changed and propose again", s.version, *p.Base)
 	}
-	next := maps.Clone(s.objects)
-	touched := map[string]bool{}
+	next := s.objects.Txn()
+	touched := map[string]bool{} // kinds and objects
 	for i, c := range p.Changes {
 		at := fmt.Sprintf("changes[%d] (%s %s %s)", i, c.Op, c.Kind, c.Name)
 		if c.Name == "" || len(c.Name) > 200 || strings.ContainsAny(c.Name, "/\n\x00") {
@@ -312,24 +336,23 @@
 			return nil, fmt.Errorf("%s: kind: one of %s is wanted", at, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
 		}
 		k := key(c.Kind, c.Name)
-		touched[c.Kind], touched[k] = true, true
+		touched[c.Kind], touched[string(k)] = true, true
 		switch c.Op {
 		case "put":
 			value, err := kind(c.Value)
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", at, err)
 			}
-			if before, there := next[k]; there && c.Kind == "lost" && sameLoss(before, value) {
+			if before, there := next.Get(k); there && c.Kind == "lost" && sameLoss(before, value) {
 				return nil, fmt.Errorf("%s: it is so already", at)
 			}
-			next[k] = value
+			next.Insert(k, value)
 		case "remove":
-			if _, ok := next[k]; !ok {
+			if _, ok := next.Delete(k); !ok {
 				return nil, fmt.Errorf("%s: there is none", at)
 			}
-			delete(next, k)
 			if c.Kind == "hall" {
-				delete(next, key("lost", c.Name))
+				next.Delete(key("lost", c.Name))
 			}
 		default:
 			return nil, fmt.Errorf("%s: op: put or remove is wanted", at)
@@ -338,7 +361,8 @@
 	if touched["plan"] && s.newPlaces(p) > maxPlaces {
 		return nil, fmt.Errorf("changes: more than %d plans were ever put: put one that was removed anew, under its name", maxPlaces)
 	}
-	return next, s.consistent(next, touched)
+	objects := next.Commit()
+	return objects, s.consistent(objects, touched)
 }
 
 // sameLoss tells whether two values of a lost hall differ in their words alone.
@@ -376,11 +400,13 @@
 
 // Snapshot words the state. The same state gives the same bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	format := 1
-	if len(keysOf(s.objects, "lost")) > 0 {
-		format = int(formatOf("lost"))
-	}
-	snap := snapshot{Format: format, Version: s.version, Hash: s.Hash(), Objects: s.objects, Places: s.places, Homes: s.homes, IDs: s.ids, History: s.kept()}
+	format, objects := byte(1), make(map[string]json.RawMessage, s.objects.Len())
+	s.objects.Root().Walk(func(k []byte, v json.RawMessage) bool {
+		kind, _, _ := strings.Cut(string(k), "/")
+		format, objects[string(k)] = max(format, formatOf(kind)), v
+		return false
+	})
+	snap := snapshot{Format: int(format), Version: s.version, Hash: s.Hash(), Objects: objects, Places: s.places, Homes: s.homes, IDs: s.ids, History: s.kept()}
 	for _, id := range s.ids {
 		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
 	}
@@ -406,11 +432,13 @@
 	if err != nil || len(hash) != sha256.Size || len(snap.IDs) != len(snap.Outcomes) || form.Format < 1 {
 		return fmt.Errorf("snapshot: %w", ErrMalformed)
 	}
-	*s = State{validate: s.validate, version: snap.Version, objects: snap.Objects, places: snap.Places, homes: snap.Homes, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
+	*s = State{validate: s.validate, version: snap.Version, places: snap.Places, homes: snap.Homes, outcomes: map[string]Outcome{}, ids: snap.IDs, history: snap.History}
 	copy(s.hash[:], hash)
-	if s.objects == nil {
-		s.objects = map[string]json.RawMessage{}
+	objects := iradix.New[json.RawMessage]().Txn()
+	for k, v := range snap.Objects {
+		objects.Insert([]byte(k), v)
 	}
+	s.objects = objects.Commit()
 	for i, id := range snap.IDs {
 		s.outcomes[id] = snap.Outcomes[i]
 	}
