--- a/cmd/mulleingate/certs.go
+++ b/cmd/mulleingate/certs.go
@@ -14,11 +14,12 @@
 	Cluster   string   `help:"Name of a new cluster. Without it the folder's authority issues for further members."`
 	Members   []uint64 `help:"Numbers of the members."`
 	Operators []string `help:"Names of operators, who may then use mulleingate config."`
+	Followers []string `help:"Names of instances that are no members and follow."`
 }
 
 func (c *certsCmd) Run(e *env) error {
-	if len(c.Members)+len(c.Operators) == 0 {
-		return usage{errors.New("--members, --operators: none is named")}
+	if len(c.Members)+len(c.Operators)+len(c.Followers) == 0 {
+		return usage{errors.New("--members, --operators, --followers: none is named")}
 	}
 	for _, m := range c.Members {
 		if m == 0 {
@@ -45,12 +46,17 @@
 			err = a.WriteOperator(c.Dir, name)
 		}
 	}
+	for _, name := range c.Followers {
+		if err == nil {
+			err = a.WriteFollower(c.Dir, name)
+		}
+	}
 	if errors.Is(err, fs.ErrExist) || errors.Is(err, fs.ErrNotExist) {
 		return usage{err} // nothing is written over
 	}
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.stdout, "certificates of cluster %s for members %v and operators %v are in %s; keep authority-key.pem away from the instances\n", a.Cluster, c.Members, c.Operators, c.Dir)
+	fmt.Fprintf(e.stdout, "certificates of cluster %s for members %v, operators %v and followers %v are in %s; keep authority-key.pem away from the instances\n", a.Cluster, c.Members, c.Operators, c.Followers, c.Dir)
 	return nil
 }
--- a/cmd/mulleingate/cluster.go
+++ b/cmd/mulleingate/cluster.go
@@ -56,7 +56,7 @@
 
 func fleetConfig(config string, f *gatefile.File) *fleet.Config {
 	c := f.Cluster
-	return &fleet.Config{Cluster: c.Name, Member: c.Member, Data: beside(config, c.Data), Members: c.Members, Tick: c.Tick, KeysAnywhere: c.KeysAnywhere}
+	return &fleet.Config{Cluster: c.Name, Member: c.Member, Data: beside(config, c.Data), Members: c.Members, Tick: c.Tick, Stream: c.Stream, KeysAnywhere: c.KeysAnywhere}
 }
 
 // member runs an instance as a member of a cluster.
@@ -76,3 +76,18 @@
 	}
 	return err
 }
+
+// follower runs an instance that is told what a cluster's members agree on.
+func (c *runCmd) follower(e *env, f *gatefile.File, logger *log.Logger) error {
+	k := f.Follow
+	creds, err := raftnode.LoadNamed(beside(c.Config, k.Certs), raftnode.FollowerFile(k.Name))
+	if err != nil {
+		return usage{fmt.Errorf("follow.certs: %w (made by mulleingate certs --followers %s)", err, k.Name)}
+	}
+	cfg := &fleet.FollowerConfig{Cluster: k.Cluster, Name: k.Name, Data: beside(c.Config, k.Data), Credentials: creds, Members: k.Members, KeysAnywhere: k.KeysAnywhere}
+	err = fleet.RunFollower(e.ctx, cfg, &f.Config, logger, func(*fleet.Follower) {})
+	if errors.Is(err, fleet.ErrFollowerFile) {
+		return usage{err}
+	}
+	return err
+}
--- a/cmd/mulleingate/config.go
+++ b/cmd/mulleingate/config.go
@@ -11,6 +11,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -21,13 +22,18 @@
 	"mulleinmux/internal/raftnode"
 )
 
-// configCmd asks instances of a cluster.
-type configCmd struct {
+// configAt is which instances an operator asks, and as whom.
+type configAt struct {
 	At       []string      `help:"Admin addresses of instances: the first that can be reached is asked." default:"127.0.0.1:7201" env:"MULLEINGATE_AT"`
 	Certs    string        `help:"Folder with the operator's certificate." default:"certs" env:"MULLEINGATE_CERTS" type:"path"`
 	Operator string        `help:"The operator, by the name in the certificate's file." default:"admin" env:"MULLEINGATE_OPERATOR"`
 	Timeout  time.Duration `help:"How long to wait." default:"10s"`
 	JSON     bool          `help:"Print the answer as JSON."`
+}
+
+// configCmd asks instances of a cluster.
+type configCmd struct {
+	configAt
 
 	Get     getCmd     `cmd:"" help:"Show what is agreed on. Example: mulleingate config get plan kubwa"`
 	History historyCmd `cmd:"" help:"Show the versions: when, who, why and what."`
@@ -40,7 +46,7 @@
 // errDiffers is a file that would change something: what has been printed.
 var errDiffers = errors.New("the file differs from what is agreed on")
 
-func (c *configCmd) client() (*fleet.Client, error) {
+func (c *configAt) client() (*fleet.Client, error) {
 	creds, err := raftnode.LoadNamed(c.Certs, raftnode.OperatorFile(c.Operator))
 	if err != nil {
 		return nil, usage{fmt.Errorf("--certs, --operator: %w (made by mulleingate certs --operators %s)", err, c.Operator)}
@@ -53,7 +59,7 @@
 }
 
 // ask runs f with a client and a context that ends with the operator's patience.
-func (c *configCmd) ask(e *env, f func(context.Context, *fleet.Client) error) error {
+func (c *configAt) ask(e *env, f func(context.Context, *fleet.Client) error) error {
 	if c.Timeout < 100*time.Millisecond || c.Timeout > 2*time.Minute {
 		return usage{fmt.Errorf("--timeout: %v is outside 100ms to 2m", c.Timeout)}
 	}
@@ -269,10 +275,29 @@
 	Why   string `help:"Why, for the history."`
 	ID    string `help:"Id of the request: one that is asked for again takes place once."`
 	Check bool   `help:"Only tell whether it would be taken."`
-	Wait  string `help:"What to wait for: 'agreed', or 'applied-everywhere'." enum:"agreed,applied-everywhere" default:"agreed"`
+	Wait  string `help:"What to wait for: 'agreed', 'applied-everywhere' (at members and followers) or 'all-but-N', which leaves out up to N followers." default:"agreed"`
+}
+
+// but is how many followers need not have the version; -1: nothing is waited for.
+func (c *applyCmd) but() (n int, err error) {
+	if c.Wait == "agreed" {
+		return -1, nil
+	}
+	if c.Wait == "applied-everywhere" {
+		return 0, nil
+	}
+	text, ok := strings.CutPrefix(c.Wait, "all-but-")
+	if n, err = strconv.Atoi(text); !ok || err != nil || n < 0 {
+		return 0, fmt.Errorf("--wait: %q is unknown: agreed, applied-everywhere or all-but-N is wanted", c.Wait)
+	}
+	return n, nil
 }
 
 func (c *applyCmd) Run(e *env, cc *configCmd) error {
+	but, err := c.but()
+	if err != nil {
+		return usage{err}
+	}
 	want, err := wanted(c.File)
 	if err != nil {
 		return usage{err}
@@ -298,8 +323,8 @@
 				return err
 			}
 		}
-		if c.Wait == "applied-everywhere" && !c.Check {
-			if err := cl.AwaitEverywhere(ctx, out.Version); err != nil {
+		if but >= 0 && !c.Check {
+			if err := cl.AwaitEverywhere(ctx, out.Version, but); err != nil {
 				return err
 			}
 		}
--- a/cmd/mulleingate/main.go
+++ b/cmd/mulleingate/main.go
@@ -26,6 +26,7 @@
 	Certs  certsCmd  `cmd:"" help:"Make the certificates with which instances know each other. Example: mulleingate certs --cluster dodoma --members 1,2,3 --dir certs"`
 	Init   initCmd   `cmd:"" help:"Make the file of a member of a cluster, once. Example: mulleingate init --config gate-1.toml --new-cluster"`
 	Config configCmd `cmd:"" help:"Ask and change what the instances of a cluster agree on."`
+	Stream streamCmd `cmd:"" help:"Ask how the instances that follow stand."`
 	Run    runCmd    `cmd:"" help:"Run one instance until SIGTERM. SIGHUP reads its description again. Example: mulleingate run --config deploy/gateway.toml"`
 }
 
@@ -139,7 +140,7 @@
 		fmt.Fprintln(stderr, "mulleingate:", err)
 		return 2
 	}
-	err = parsed.Run(&env{ctx, stdout, stderr, labEnv}, &c.Config)
+	err = parsed.Run(&env{ctx, stdout, stderr, labEnv}, &c.Config, &c.Stream)
 	switch {
 	case err == nil:
 		return 0
--- a/cmd/mulleingate/serve.go
+++ b/cmd/mulleingate/serve.go
@@ -119,7 +119,7 @@
 		if err != nil {
 			return fail(err)
 		}
-		if f.Cluster != nil { // it names no description
+		if f.Cluster != nil || f.Follow != nil { // it names no description
 			r.OK = true
 			return r
 		}
@@ -213,6 +213,9 @@
 	if f.Cluster != nil {
 		return c.member(e, f, logger)
 	}
+	if f.Follow != nil {
+		return c.follower(e, f, logger)
+	}
 	description := beside(c.Config, f.Description)
 	table, check, err := load(description, cfg)
 	if err != nil {
--- a/confstream/publisher.go
+++ b/confstream/publisher.go
@@ -133,10 +133,10 @@
 	Refused *Refusal // of the newest version that it refused
 }
 
-// told is another member's word and when it came.
+// told is what another member said of one name, and when.
 type told struct {
-	at   time.Duration
-	word Word
+	at     time.Duration
+	served []Served
 }
 
 // Publisher is a member's side.
@@ -147,10 +147,11 @@
 	confirmed time.Duration
 	sure      bool // of newest, as of confirmed
 	sessions  map[uint64]*session
-	others    map[uint64]told
+	others    map[uint64]map[string]told
 	last      map[string]Served // of followers that have gone; ages as of seen
 	seen      map[string]time.Duration
-	bodies    map[Ref]*Body // deltas to the newest, by base
+	stirred   map[string]bool // names whose followers are not as they were told last
+	bodies    map[Ref]*Body   // deltas to the newest, by base
 	full      *Body
 	credit    float64
 	credited  time.Duration
@@ -159,8 +160,8 @@
 
 // NewPublisher returns a member's side. seed makes its nonces unlike those of its other processes.
 func NewPublisher(cfg PublisherConfig, seed uint64) *Publisher {
-	return &Publisher{cfg: cfg, sessions: map[uint64]*session{}, others: map[uint64]told{}, last: map[string]Served{}, seen: map[string]time.Duration{},
-		bodies: map[Ref]*Body{}, credit: cfg.Burst, nonces: seed &^ (1<<20 - 1)}
+	return &Publisher{cfg: cfg, sessions: map[uint64]*session{}, others: map[uint64]map[string]told{}, last: map[string]Served{}, seen: map[string]time.Duration{},
+		stirred: map[string]bool{}, bodies: map[Ref]*Body{}, credit: cfg.Burst, nonces: seed &^ (1<<20 - 1)}
 }
 
 // Newest is the newest version published here; nil: none.
@@ -254,6 +255,7 @@
 		s.refused = addRefusal(s.refused, r)
 	}
 	p.sessions[id] = s
+	p.stirred[h.Name] = true
 	return append(outs, p.offer(now, s)...)
 }
 
@@ -280,6 +282,7 @@
 		return
 	}
 	delete(p.sessions, id)
+	p.stirred[s.hello.Name] = true
 	if was, ok := p.last[s.hello.Name]; p.agreed(s.hello.Name) && (!ok || s.heard >= p.seen[s.hello.Name]-was.Heard) {
 		p.last[s.hello.Name], p.seen[s.hello.Name] = p.served(now, s), now
 	}
@@ -337,8 +340,10 @@
 	s.heard = now
 	if r.Running != nil && (s.running == nil || *s.running != *r.Running) {
 		s.running, s.since = r.Running, now
+		p.stirred[s.hello.Name] = true
 	}
 	if r.Result == Refused {
+		p.stirred[s.hello.Name] = true
 		s.refused = addRefusal(s.refused, Refusal{Ref: r.Ref, Problems: r.Problems, Unread: r.Unread})
 	}
 	if r.Nonce == 0 || r.Nonce != s.nonce {
@@ -377,10 +382,8 @@
 
 // Tick ends streams that are silent or don't take what is pushed, answers signs of life that wait, and finds twins.
 func (p *Publisher) Tick(now time.Duration) []Out {
-	for member, o := range p.others {
-		if now-o.at > 10*p.cfg.Silence {
-			delete(p.others, member)
-		}
+	for _, names := range p.others {
+		maps.DeleteFunc(names, func(name string, t told) bool { return now-t.at > 10*p.cfg.Silence || !p.agreed(name) })
 	}
 	return p.each(func(s *session) (outs []Out) {
 		switch {
@@ -422,10 +425,9 @@
 		f(p.cfg.Member, o.aged(now-p.seen[name]))
 	}
 	for _, member := range slices.Sorted(maps.Keys(p.others)) {
-		t := p.others[member]
-		i, ok := slices.BinarySearchFunc(t.word.Followers, name, func(o Served, name string) int { return cmp.Compare(o.Name, name) })
-		for ; ok && i < len(t.word.Followers) && t.word.Followers[i].Name == name; i++ {
-			f(member, t.word.Followers[i].aged(now-t.at))
+		t := p.others[member][name]
+		for _, o := range t.served {
+			f(member, o.aged(now-t.at))
 		}
 	}
 }
@@ -440,24 +442,53 @@
 		Running: s.running, Since: now - s.since, Offered: s.offered, Refused: newestOf(s.refused)}
 }
 
-// Tell is what the other members are to be told.
-func (p *Publisher) Tell(now time.Duration) Word {
-	w := Word{Member: p.cfg.Member}
+// Tell is what the other members are to be told, in words of about so many followers: of all that this member knows, or of
+// those alone that are not as they were told last.
+func (p *Publisher) Tell(now time.Duration, most int, whole bool) (words []Word) {
+	var all []Served
 	p.each(func(s *session) []Out {
-		w.Followers = append(w.Followers, p.served(now, s))
+		if whole || p.stirred[s.hello.Name] {
+			all = append(all, p.served(now, s))
+		}
 		return nil
 	})
 	for name, o := range p.last {
-		w.Followers = append(w.Followers, o.aged(now-p.seen[name]))
+		if whole || p.stirred[name] {
+			all = append(all, o.aged(now-p.seen[name]))
+		}
 	}
-	slices.SortFunc(w.Followers, func(a, b Served) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Heard, b.Heard)) })
-	return w
+	clear(p.stirred)
+	slices.SortFunc(all, func(a, b Served) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Heard, b.Heard)) })
+	for i := 0; i < len(all); {
+		end := min(i+most, len(all))
+		for end < len(all) && all[end].Name == all[end-1].Name { // what is said of one name goes together
+			end++
+		}
+		words = append(words, Word{p.cfg.Member, all[i:end]})
+		i = end
+	}
+	return words
 }
 
 // HearWord takes in what another member tells.
 func (p *Publisher) HearWord(now time.Duration, w Word) {
-	if w.Member != p.cfg.Member {
-		p.others[w.Member] = told{now, w}
+	if w.Member == p.cfg.Member {
+		return
+	}
+	names := p.others[w.Member]
+	if names == nil {
+		names = map[string]told{}
+		p.others[w.Member] = names
+	}
+	for i := 0; i < len(w.Followers); {
+		end, name := i+1, w.Followers[i].Name
+		for end < len(w.Followers) && w.Followers[end].Name == name {
+			end++
+		}
+		if p.agreed(name) {
+			names[name] = told{now, w.Followers[i:end]}
+		}
+		i = end
 	}
 }
 
@@ -513,3 +544,47 @@
 	st.Behind = st.State == "running" && p.newest.Order(*st.Running) != Same
 	return st
 }
+
+// Plain words a standing for operators.
+func (s *Standing) Plain() string {
+	text := s.State
+	since := s.Since.Round(100 * time.Millisecond)
+	switch {
+	case s.Twin != "":
+		text = s.Twin
+	case s.State == "running":
+		text = fmt.Sprintf("runs %v since %v", *s.Running, since)
+	case s.State == "unknown" && s.Running != nil:
+		text = fmt.Sprintf("is unknown since %v; it ran %v", since, *s.Running)
+	case s.State == "unknown", s.State == "waiting":
+		text = fmt.Sprintf("is %s since %v", s.State, since)
+	case s.State == "never":
+		text = "was never heard of"
+	}
+	if s.Refused != nil && (s.Running == nil || s.Refused.Order(*s.Running) == Newer) {
+		text += fmt.Sprintf(", refused %v: %v", s.Refused.Ref, s.Refused.Problems)
+	}
+	return text
+}
+
+// Explain words why a follower does not run the newest version.
+func (s *Standing) Explain(newest uint64) string {
+	text := s.Name + " " + s.Plain()
+	switch {
+	case s.State == "running" && s.Running.Number == newest && s.Twin == "":
+		text += ": that is the newest"
+	case s.State == "running" && s.Running.Number > newest:
+		text += fmt.Sprintf(": the members' newest is %d, which is older. A service that was restored needs a new epoch before followers take its versions", newest)
+	case s.Refused != nil && s.Refused.Number == newest:
+		text += ": it takes the next version that mends that"
+	case s.State == "never":
+		text += ": no member has had a stream from it. Does it run, with a certificate of that name and the members' stream addresses?"
+	case s.State == "unknown":
+		text += ": no member hears it. If it runs, it serves on what it had"
+	case s.State == "waiting":
+		text += ": it has kept nothing and waits for a version that a quorum confirms"
+	case s.Offered != nil && s.Offered.Number == newest:
+		text += ": it was offered the newest and has not replied yet"
+	}
+	return text
+}
--- a/confstream/seeds_test.go
+++ b/confstream/seeds_test.go
@@ -504,14 +504,15 @@
 			if m.down {
 				return
 			}
-			word := m.pub.Tell(w.now)
-			for _, o := range w.members {
-				if o != m && !w.chance(0.3) {
-					w.after(time.Duration(w.rng.IntN(30))*time.Millisecond, func() {
-						if !o.down {
-							o.pub.HearWord(w.now, word)
-						}
-					})
+			for _, word := range m.pub.Tell(w.now, 2, int(w.now/(200*time.Millisecond))%3 == 0) {
+				for _, o := range w.members {
+					if o != m && !w.chance(0.3) {
+						w.after(time.Duration(w.rng.IntN(30))*time.Millisecond, func() {
+							if !o.down {
+								o.pub.HearWord(w.now, word)
+							}
+						})
+					}
 				}
 			}
 		})
--- a/confstream/version.go
+++ b/confstream/version.go
@@ -40,11 +40,26 @@
 	return hex.EncodeToString(b)
 }
 
+// MarshalText words a digest in hex.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads one back.
+func (d *Digest) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil || len(b) != 8*len(d) {
+		return fmt.Errorf("digest %q: %w", text, ErrDamaged)
+	}
+	for i := range d {
+		d[i] = binary.BigEndian.Uint64(b[8*i:])
+	}
+	return nil
+}
+
 // Ref names a version.
 type Ref struct {
-	Epoch  Epoch
-	Number uint64
-	Digest Digest
+	Epoch  Epoch  `json:"epoch"`
+	Number uint64 `json:"number"`
+	Digest Digest `json:"digest"`
 }
 
 func (r Ref) String() string {
@@ -290,8 +305,8 @@
 // Refusal is a version that a follower does not put in force.
 type Refusal struct {
 	Ref
-	Problems []Problem
-	Unread   bool // it is in a newer form than the program knows: a newer program may take it
+	Problems []Problem `json:"problems"`
+	Unread   bool      `json:"unread,omitempty"` // it is in a newer form than the program knows: a newer program may take it
 }
 
 // keptRefusals bounds the refusals that either side remembers of a follower: the newest.
--- a/internal/bench/changes.go
+++ b/internal/bench/changes.go
@@ -168,7 +168,7 @@
 	for {
 		o, err := cl.Propose(ctx, p)
 		if err == nil {
-			return cl.AwaitEverywhere(ctx, o.Version)
+			return cl.AwaitEverywhere(ctx, o.Version, 0)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -27,6 +27,7 @@
 //
 //	GET  /v1/status   this member's view                        Status
 //	GET  /v1/config   the objects; ?local=1: as applied here     Objects
+//	GET  /v1/stream   how the followers stand                   []confstream.Standing
 //	GET  /v1/history  the versions kept                          []fleetconfig.Record
 //	POST /v1/check    a Proposal: would it be applied?           Outcome
 //	POST /v1/propose  a Proposal                                 Outcome
@@ -75,7 +76,7 @@
 }
 
 // kinds are those of the objects.
-var kinds = []string{"class", "description", "hall", "licensee", "limit", "lost", "member", "plan"}
+var kinds = []string{"class", "description", "epoch", "follower", "hall", "licensee", "limit", "lost", "member", "plan"}
 
 func (f *Fleet) serveAdmin(ln net.Listener, side *sync.WaitGroup) *http.Server {
 	mux := http.NewServeMux()
@@ -91,6 +92,7 @@
 	handle("POST /v1/check", func(ctx context.Context, r *http.Request) (any, error) { return f.propose(ctx, r, true) })
 	handle("POST /v1/propose", func(ctx context.Context, r *http.Request) (any, error) { return f.propose(ctx, r, false) })
 	handle("POST /v1/members", f.changeMembers)
+	handle("GET /v1/stream", f.standings)
 	mux.HandleFunc("GET /metrics", f.metrics)
 	asked := make(chan struct{}, maxAsked)
 	srv := &http.Server{ErrorLog: f.log, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, WriteTimeout: adminMost + 10*time.Second,
@@ -123,6 +125,9 @@
 	if h.Cluster != f.cfg.Cluster {
 		return h, fmt.Errorf("the certificate is of cluster %q: this is cluster %q", h.Cluster, f.cfg.Cluster)
 	}
+	if h.Follower != "" {
+		return h, fmt.Errorf("follower %q is no operator", h.Follower)
+	}
 	return h, nil
 }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -175,8 +175,34 @@
 	return all, failed, nil
 }
 
-// AwaitEverywhere waits until a version is in force at the instances of all members.
-func (c *Client) AwaitEverywhere(ctx context.Context, version uint64) error {
+// Followers asks one instance how the followers stand.
+func (c *Client) Followers(ctx context.Context) (fs Followers, err error) {
+	err = c.any(ctx, http.MethodGet, "/v1/stream", nil, &fs)
+	return fs, err
+}
+
+// followersBehind words which followers don't run a version, and tells how many those are. Instances without a stream
+// have none.
+func (c *Client) followersBehind(ctx context.Context, version uint64) (missing string, n int, err error) {
+	fs, err := c.Followers(ctx)
+	if e, ok := errors.AsType[*AnswerError](err); ok && e.Status == http.StatusBadRequest {
+		return "", 0, nil
+	}
+	for _, s := range fs.Followers {
+		if s.State == "running" && s.Running.Number >= version {
+			continue
+		}
+		n++
+		missing += "; follower " + s.Name + " " + s.Plain()
+	}
+	if err == nil && fs.Newest < version {
+		return fmt.Sprintf("; member %d offers version %d", fs.Member, fs.Newest), 1 + len(fs.Followers), nil
+	}
+	return missing, n, err
+}
+
+// AwaitEverywhere waits until a version is in force at the instances of all members and at all followers but so many.
+func (c *Client) AwaitEverywhere(ctx context.Context, version uint64, but int) error {
 	for {
 		all, failed, err := c.StatusOf(ctx)
 		missing := ""
@@ -192,7 +218,10 @@
 			missing += fmt.Sprintf("; member %d: %v", id, e)
 		}
 		if err == nil && missing == "" {
-			return nil
+			var n int
+			if missing, n, err = c.followersBehind(ctx, version); err == nil && n <= but {
+				return nil
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,8 @@
 	Members      map[uint64]fleetconfig.Member // to begin with; those agreed on take their place
 	Listen       string                        // for the other members; Members has it where empty
 	Admin        string                        // for operators; likewise
+	Stream       string                        // for followers; empty: none are served
+	StreamFull   bool                          // pushes are whole versions, for comparison
 	KeysAnywhere bool                          // keyed requests have no home: see package sites
 	Tick         time.Duration                 // 50 ms where 0: an election comes after 10 to 20 ticks without a leader
 
@@ -92,6 +94,8 @@
 	setup setups
 	begun time.Time
 
+	streams *streams // nil: no followers are served
+
 	mu       sync.Mutex
 	in       *gateway.Instance
 	members  map[uint64]fleetconfig.Member // as known
@@ -154,11 +158,23 @@
 	for id, m := range cfg.Members {
 		addrs[id] = m.Raft
 	}
+	var streamLn net.Listener
+	if cfg.Stream != "" {
+		if streamLn, err = net.Listen("tcp", cfg.Stream); err != nil {
+			ln.Close()
+			admin.Close()
+			return fmt.Errorf("stream: %w", err)
+		}
+		f.streams = newStreams(f)
+	}
 	f.node, err = raftnode.Start(raftnode.NodeConfig{Config: raftnode.Config{ID: cfg.Member, Validate: Validate}, Cluster: cfg.Cluster,
 		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Starts: bolt.Starts(), Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed, Word: f.hearKeys}, disk, ln)
 	if err != nil {
 		ln.Close()
 		admin.Close()
+		if streamLn != nil {
+			streamLn.Close()
+		}
 		return err
 	}
 	defer f.node.Stop()
@@ -168,6 +184,9 @@
 	defer stop()
 	srv := f.serveAdmin(admin, &side)
 	defer srv.Close()
+	if f.streams != nil {
+		defer f.streams.serve(life, streamLn, &side).Close()
+	}
 
 	serving, drain := context.WithCancel(context.Background())
 	defer drain()
@@ -278,6 +297,7 @@
 		case <-ctx.Done():
 			return
 		case c := <-confirmed:
+			f.streams.confirm(c)
 			if f.install(c.state) {
 				f.in.Confirm(c.at)
 				if f.gate.Keys != nil && f.takeHomes(ctx) >= c.homes {
@@ -286,6 +306,7 @@
 			}
 		case <-f.wake:
 			if s, err := f.node.Freeze(ctx); err == nil {
+				f.streams.publish(s)
 				f.install(s)
 				f.takeHomes(ctx)
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -264,7 +264,7 @@
 
 func (r *rig) everywhere(version uint64) {
 	r.t.Helper()
-	if err := r.admin.AwaitEverywhere(r.ctx(), version); err != nil {
+	if err := r.admin.AwaitEverywhere(r.ctx(), version, 0); err != nil {
 		r.t.Fatal(err)
 	}
 }
--- /dev/null
+++ b/internal/fleet/follower.go
@@ -0,0 +1,361 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mulleinmux/confstream"
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/raftnode"
+	"mulleinmux/internal/streamwire"
+	"mulleinmux/sites"
+)
+
+// FollowerConfig is what a follower is told at its start.
+type FollowerConfig struct {
+	Cluster      string
+	Name         string // that in its certificate
+	Data         string // its file
+	Credentials  raftnode.Credentials
+	Members      map[uint64]string // addresses of their streams
+	KeysAnywhere bool
+}
+
+// Figures of a follower.
+const (
+	followerTries = 2
+	followerLeast = 100 * time.Millisecond // bound of the first wait before another member is tried
+	followerMost  = 5 * time.Second
+)
+
+// Numbers under which package sites knows the followers, none of which tells what it has sent, and to a follower the
+// members, which it does not hear either. So with followers a key whose home moves waits for the fence of time.
+const (
+	anyFollower = 1 << 32
+	anyMember   = anyFollower + 1
+)
+
+// FollowerStatus is how a follower stands, by itself.
+type FollowerStatus struct {
+	Name    string               `json:"name"`
+	Running *confstream.Ref      `json:"running,omitempty"`
+	Member  uint64               `json:"member,omitempty"` // that it hears; 0: none
+	AgeMs   int64                `json:"age_ms"`           // since a quorum last confirmed what runs; -1: not since it is in force
+	Serves  bool                 `json:"serves"`
+	Note    string               `json:"note,omitempty"`
+	Refused []confstream.Refusal `json:"refused,omitempty"`
+}
+
+// Follower is an instance that is no member and is told the configuration.
+type Follower struct {
+	cfg   *FollowerConfig
+	gate  *gateway.Config
+	log   *log.Logger
+	file  *followerFile
+	begun time.Time
+	in    *gateway.Instance
+	setup setups // the worker's
+
+	mu     sync.Mutex
+	f      *confstream.Follower
+	client *streamwire.Client // nil: no stream
+	member uint64
+	work   chan confstream.Action // Keep, Check and Install, of which one is under way
+	send   chan any               // of the stream
+}
+
+// RunFollower runs a follower and its instance until ctx ends. What was in force before is served on with no word from
+// any member, as far as when_stale allows.
+func RunFollower(ctx context.Context, cfg *FollowerConfig, gate *gateway.Config, logger *log.Logger, begun func(*Follower)) (err error) {
+	if h, err := cfg.Credentials.Holder(); err != nil || h.Cluster != cfg.Cluster || h.Follower != cfg.Name {
+		return fmt.Errorf("certificate: is that of follower %q of %q, not of %q of %q: %w", h.Follower, h.Cluster, cfg.Name, cfg.Cluster, err)
+	}
+	file, disk, err := openFollowerFile(cfg.Data, cfg.Cluster, cfg.Name)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, file.close()) }()
+	if disk.Good == nil {
+		logger.Printf("follower %s: nothing is kept in %s: waits for a version that a quorum confirms", cfg.Name, cfg.Data)
+	}
+	if !cfg.KeysAnywhere {
+		gate.Keys = &sites.Config{Me: anyFollower, Incarnation: disk.Starts, Lease: keyLease, Life: keyLife, Memory: keyMemory, Most: keysMost}
+	}
+	if gate.Agreed == nil {
+		gate.Agreed = &gateway.Agreed{}
+	}
+	f := &Follower{cfg: cfg, gate: gate, log: logger, file: file, begun: time.Now(), work: make(chan confstream.Action, 1), send: make(chan any, streamQueue)}
+	serving, drain := context.WithCancel(context.Background())
+	defer drain()
+	ended, ready := make(chan error, 1), make(chan *gateway.Instance, 1)
+	go func() {
+		ended <- gateway.Run(serving, gate, gateway.Setup{}, logger, func(in *gateway.Instance) { ready <- in })
+	}()
+	select {
+	case f.in = <-ready:
+	case err := <-ended:
+		return err
+	}
+	life, stop := context.WithCancel(context.Background())
+	var side sync.WaitGroup
+	defer side.Wait()
+	defer stop()
+	kept := disk.Good != nil
+	side.Go(func() { f.worker(life, kept) })
+	f.mu.Lock()
+	var first []confstream.Action
+	f.f, first = confstream.NewFollower(confstream.FollowerConfig{Name: cfg.Name, Process: rand.Uint64(), Beat: streamBeat, Silence: streamSilence, Tries: followerTries}, disk)
+	f.carry(first)
+	f.mu.Unlock()
+	side.Go(func() { f.stream(life) })
+	begun(f)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	drain()
+	return <-ended
+}
+
+func (f *Follower) now() time.Duration { return time.Since(f.begun) }
+
+// do has the follower's side decide, and carries out what comes of it.
+func (f *Follower) do(step func(f *confstream.Follower, now time.Duration) []confstream.Action) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.carry(step(f.f, f.now()))
+}
+
+// carry hands actions on: nothing here waits. Called under the mutex.
+func (f *Follower) carry(as []confstream.Action) {
+	for _, a := range as {
+		switch {
+		case a.Send != nil:
+			f.post(*a.Send)
+		case a.Ping != 0:
+			f.post(a.Ping)
+		case a.Leave != "":
+			f.leave(a.Leave)
+		case a.Log != "":
+			f.log.Printf("stream: %s", a.Log)
+		default:
+			f.work <- a // one is under way at a time
+		}
+	}
+}
+
+func (f *Follower) post(msg any) {
+	select {
+	case f.send <- msg:
+	default:
+		f.leave("the member does not read")
+	}
+}
+
+func (f *Follower) leave(why string) {
+	if f.client != nil {
+		f.log.Printf("stream: member %d is left: %s", f.member, why)
+		f.client.Abort()
+	}
+}
+
+// worker does what may take long: it writes, checks and installs.
+func (f *Follower) worker(ctx context.Context, kept bool) {
+	var ready gateway.Setup // of the version checked last
+	for {
+		var a confstream.Action
+		select {
+		case <-ctx.Done():
+			return
+		case a = <-f.work:
+		}
+		switch {
+		case a.Keep != nil:
+			err := f.file.keep(a.Keep)
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Kept(now, err) })
+		case a.Check != nil:
+			var problems []confstream.Problem
+			state, err := a.Check.State()
+			if err == nil {
+				ready, err = f.setup.of(state, f.gate.FullValidation)
+			}
+			if err != nil {
+				problems = problemsOf(err)
+			}
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Checked(now, problems) })
+		case a.Install != nil:
+			state, err := a.Install.State()
+			if err == nil && ready.Number != a.Install.Number {
+				ready, err = f.setup.of(state, f.gate.FullValidation)
+			}
+			if err == nil {
+				err = f.install(state, ready)
+			}
+			if err == nil && kept {
+				kept = false
+				f.in.Confirm(f.begun) // what was in force before is served on, for as long as when_stale allows
+			}
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Installed(now, err) })
+			if err == nil {
+				f.log.Printf("stream: version %v is in force", a.Install.Ref)
+			}
+		}
+	}
+}
+
+// problemsOf words why a version can't be served on: "hall a: register: ..." names its object.
+func problemsOf(err error) []confstream.Problem {
+	p := confstream.Problem{Text: err.Error()}
+	for _, kind := range kinds {
+		if rest, ok := strings.CutPrefix(p.Text, kind+" "); ok {
+			name, text, _ := strings.Cut(rest, ": ")
+			p = confstream.Problem{Object: kind + " " + name, Text: text}
+			if field, text, ok := strings.Cut(text, ": "); ok && !strings.ContainsAny(field, " ") {
+				p.Field, p.Text = field, text
+			}
+			break
+		}
+	}
+	return []confstream.Problem{p}
+}
+
+// install puts a version in force at the instance.
+func (f *Follower) install(s *fleetconfig.State, setup gateway.Setup) error {
+	if err := f.in.Install(setup); err != nil {
+		return err
+	}
+	if f.gate.Keys != nil {
+		h, _, _ := homesOf(s, []uint64{anyFollower, anyMember})
+		f.in.InstallHomes(h, 0, nil, false)
+	}
+	return nil
+}
+
+// stream keeps a stream to one member after the other until ctx ends.
+func (f *Follower) stream(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	seat := confstream.NewSeat(confstream.SeatConfig{Name: f.cfg.Name, Members: slices.Sorted(maps.Keys(f.cfg.Members)), Least: followerLeast, Most: followerMost}, rng)
+	for ctx.Err() == nil {
+		member := seat.Next()
+		heard, err := f.follow(ctx, member)
+		if ctx.Err() != nil {
+			return
+		}
+		why := streamwire.Why(err)
+		if why == "" {
+			why = err.Error()
+		}
+		wait := seat.Lost(heard)
+		f.log.Printf("stream: member %d: %s: member %d is tried in %v", member, why, seat.Next(), wait.Round(time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// follow has one stream, until it ends. heard tells whether the member said anything.
+func (f *Follower) follow(ctx context.Context, member uint64) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tls := f.cfg.Credentials.TLS()
+	tls.NextProtos = []string{"h2"}
+	t := &http.Transport{TLSClientConfig: tls, ForceAttemptHTTP2: true, TLSHandshakeTimeout: 2 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	defer t.CloseIdleConnections()
+	client := streamwire.Dial(ctx, &http.Client{Transport: t}, f.cfg.Members[member], cancel)
+	f.mu.Lock()
+	for len(f.send) > 0 { // of the stream before
+		<-f.send
+	}
+	f.client, f.member = client, member
+	hello := f.f.Hello(f.now())
+	f.mu.Unlock()
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer func() {
+		f.mu.Lock()
+		f.client, f.member = nil, 0
+		f.f.Broken()
+		f.mu.Unlock()
+		client.Abort()
+	}()
+	sent := make(chan error, 1)
+	work.Go(func() {
+		err := client.Send(hello)
+		tick := time.NewTicker(streamBeat / 4)
+		defer tick.Stop()
+		for err == nil {
+			select {
+			case <-ctx.Done():
+				err = ctx.Err()
+			case <-tick.C:
+				f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Tick(now) })
+			case msg := <-f.send:
+				err = client.Send(msg)
+			}
+		}
+		cancel()
+		sent <- err
+	})
+	for {
+		msg, err := client.Receive()
+		if err != nil {
+			cancel()
+			client.Close()
+			if e := <-sent; e != nil && !errors.Is(e, context.Canceled) && streamwire.Why(err) == "" {
+				err = e
+			}
+			return heard, err
+		}
+		heard = true
+		switch m := msg.(type) {
+		case *confstream.Push:
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Received(now, m) })
+		case *confstream.Pong:
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Pong(now, *m) })
+			f.confirm()
+		}
+	}
+}
+
+// confirm tells the instance what a quorum has confirmed.
+func (f *Follower) confirm() {
+	f.mu.Lock()
+	at, sure := f.f.Confirmed()
+	homes, homesSure := f.f.Homes()
+	f.mu.Unlock()
+	if sure {
+		f.in.Confirm(f.begun.Add(at))
+	}
+	if homesSure && f.gate.Keys != nil {
+		f.in.ConfirmHomes(f.begun.Add(homes))
+	}
+}
+
+// Instance is the gateway's.
+func (f *Follower) Instance() *gateway.Instance { return f.in }
+
+// Status is how the follower stands.
+func (f *Follower) Status() FollowerStatus {
+	f.mu.Lock()
+	s := FollowerStatus{Name: f.cfg.Name, Running: f.f.Running(), Member: f.member, AgeMs: -1, Note: f.f.Note(), Refused: slices.Clone(f.f.Refused())}
+	at, sure := f.f.Confirmed()
+	f.mu.Unlock()
+	if sure {
+		s.AgeMs = (f.now() - at).Milliseconds()
+	}
+	_, s.Serves = f.in.Standing(time.Now())
+	return s
+}
--- /dev/null
+++ b/internal/fleet/follower_test.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinmux/choice"
+	"mulleinmux/fleetconfig"
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/raftnode"
+)
+
+// following is a follower in this process.
+type following struct {
+	*fleetMember
+	cfg  *FollowerConfig
+	f    *Follower
+	logs *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// streamed has the members serve followers, and describes a follower. It has the id 100 and more, for r.ask.
+func (r *rig) follower(id uint64, name string) *following {
+	r.t.Helper()
+	if err := r.auth.WriteFollower(r.dir, name); err != nil {
+		r.t.Fatal(err)
+	}
+	creds, err := raftnode.LoadNamed(r.dir, raftnode.FollowerFile(name))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	f := &following{fleetMember: &fleetMember{listen: freeAddr(r.t)}, cfg: &FollowerConfig{Cluster: "test", Name: name, Credentials: creds,
+		Data: filepath.Join(r.dir, name+".db"), Members: map[uint64]string{}}}
+	for m, o := range r.members {
+		if o.cfg != nil && o.cfg.Stream != "" {
+			f.cfg.Members[m] = o.cfg.Stream
+		}
+	}
+	r.members[id] = f.fleetMember
+	return f
+}
+
+func (r *rig) follow(f *following) error {
+	r.t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	gate := &gateway.Config{Name: f.cfg.Name, Seed: 9, DrainFor: time.Millisecond,
+		Settings: choice.Settings{Instances: 1, Zone: "hall-a", MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+			Tick: 2 * time.Millisecond, AnswerSlack: 8 * time.Millisecond, Probes: true, Report: choice.ReportProbes}}
+	ln, err := net.Listen("tcp", f.listen)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	gate.On(ln, nil)
+	f.logs = &syncBuffer{}
+	f.done, f.stop = make(chan error, 1), stop
+	begun := make(chan *Follower, 1)
+	done := f.done
+	go func() {
+		done <- RunFollower(ctx, f.cfg, gate, log.New(f.logs, "", 0), func(o *Follower) { begun <- o })
+	}()
+	select {
+	case f.f = <-begun:
+		return nil
+	case err := <-done:
+		ln.Close()
+		f.stop = nil
+		return err
+	case <-time.After(patience):
+		return errors.New("a follower does not begin")
+	}
+}
+
+// stands waits until a member says that of a follower.
+func (r *rig) stands(name, want string) {
+	r.t.Helper()
+	last := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		fs, err := r.admin.Followers(r.ctx())
+		if err != nil {
+			last = err.Error()
+			continue
+		}
+		for _, s := range fs.Followers {
+			if s.Name == name {
+				if last = s.Plain(); strings.Contains(last, want) {
+					return
+				}
+			}
+		}
+	}
+	r.t.Fatalf("follower %s %q, want %q", name, last, want)
+}
+
+// Followers from the first version on: told, acknowledged, served on; refused with the reason; served on with no member
+// alive, after a restart too; a member that dies; a name that is no follower's, taken away, or used twice.
+func TestFollowers(t *testing.T) {
+	r := newRig(t, 3)
+	for id := uint64(1); id <= 3; id++ {
+		r.halt(id)
+		r.members[id].cfg.Stream = freeAddr(t)
+		r.start(id)
+	}
+	north, south := r.follower(101, "north"), r.follower(102, "south")
+	for _, f := range []*following{north, south} {
+		if err := r.follow(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := r.ask(101, "/slots"); a.status != 503 {
+		t.Errorf("with nothing told: %+v", a)
+	}
+	p := r.first()
+	p.Changes = append(p.Changes, change("put", "follower", "north", `{}`), change("put", "follower", "south", `{"note":"Kigoma"}`))
+	r.propose(p)
+	r.everywhere(1)
+	for _, id := range []uint64{101, 102} {
+		r.served(id)
+		if a := r.ask(id, "/slots"); a.body != "1" || a.header.Get("X-Mulleinmux-Version") != "1" {
+			t.Errorf("%+v", a)
+		}
+	}
+	// One change, pushed, acknowledged by both and served on.
+	r.propose(&fleetconfig.Proposal{ID: "two", Changes: []fleetconfig.Change{describe(7)}})
+	r.everywhere(2)
+	if a := r.ask(102, "/slots"); a.body != "2" || a.header.Get("X-Mulleinmux-Units") != "7" {
+		t.Errorf("%+v", a)
+	}
+	// A version that can't be served on: two descriptions. The follower says which object, and goes on; the next one mends it.
+	second := describe(8)
+	second.Name = "e"
+	r.propose(&fleetconfig.Proposal{ID: "three", Changes: []fleetconfig.Change{second}})
+	r.stands("north", "refused 3")
+	r.stands("south", "2 descriptions are agreed on")
+	if a := r.ask(101, "/slots"); a.body != "2" {
+		t.Errorf("after a refusal: %+v", a)
+	}
+	if fs, err := r.admin.Followers(r.ctx()); err != nil || len(fs.Followers) != 2 || !strings.Contains(fs.Followers[0].Explain(fs.Newest), "mends that") {
+		t.Errorf("%+v, %v", fs, err)
+	}
+	// Restarted, it does not try that version again, and serves on what it had before any member has said a word.
+	r.halt(101)
+	for id := uint64(1); id <= 3; id++ {
+		r.halt(id)
+	}
+	if err := r.follow(north); err != nil {
+		t.Fatal(err)
+	}
+	r.served(101)
+	if a := r.ask(101, "/slots"); a.body != "2" {
+		t.Errorf("with no member alive: %+v", a)
+	}
+	if s := north.f.Status(); s.AgeMs != -1 || len(s.Refused) != 1 || s.Member != 0 {
+		t.Errorf("%+v", s)
+	}
+	for id := uint64(2); id <= 3; id++ { // the first stays dead
+		r.start(id)
+	}
+	r.propose(&fleetconfig.Proposal{ID: "four", Changes: []fleetconfig.Change{change("remove", "description", "e", "")}})
+	r.stands("north", "runs 4")
+	r.stands("south", "runs 4")
+	if s := north.f.Status(); len(s.Refused) != 1 || strings.Contains(north.logs.String(), "version 3 is in force") {
+		t.Errorf("%+v", s)
+	}
+	r.await("confirmed", func() bool { s := north.f.Status(); return s.AgeMs >= 0 && s.Serves })
+	// A copy of its file beside it: found out, both named, and neither takes what is new.
+	twin := *south
+	twin.fleetMember = &fleetMember{listen: freeAddr(t)}
+	cfg := *south.cfg
+	cfg.Data = filepath.Join(r.dir, "copy.db")
+	twin.cfg = &cfg
+	r.members[103] = twin.fleetMember
+	if err := r.follow(&twin); err != nil {
+		t.Fatal(err)
+	}
+	r.stands("south", "are both called south")
+	r.await("both are told", func() bool {
+		return strings.Contains(south.logs.String(), "both called") && strings.Contains(twin.logs.String(), "both called")
+	})
+	r.halt(103)
+	r.stands("south", "runs 4")
+	// Taken out of the agreement, it is told nothing any more, and serves on.
+	r.propose(&fleetconfig.Proposal{ID: "five", Changes: []fleetconfig.Change{change("remove", "follower", "south", "")}})
+	r.await("it is turned away", func() bool { return strings.Contains(south.logs.String(), "not agreed on as a follower") })
+	if a := r.ask(102, "/slots"); a.status != 200 || a.body != "4" {
+		t.Errorf("%+v", a)
+	}
+	r.stands("north", "runs 5")
+	// A follower's certificate is no operator's, and no other follower's.
+	if _, err := NewClient("test", south.cfg.Credentials, r.addrs[2].Admin).Status(r.ctx()); err == nil || !strings.Contains(err.Error(), "no operator") {
+		t.Errorf("a follower asks as an operator: %v", err)
+	}
+	wrong := *north
+	wrong.fleetMember, wrong.cfg = &fleetMember{listen: freeAddr(t)}, &FollowerConfig{Cluster: "test", Name: "west", Credentials: north.cfg.Credentials, Data: filepath.Join(r.dir, "w.db"), Members: north.cfg.Members}
+	if err := r.follow(&wrong); err == nil || !strings.Contains(err.Error(), `"north"`) {
+		t.Errorf("another's certificate: %v", err)
+	}
+	cfg2 := *north.cfg
+	wrong.cfg, cfg2.Data = &cfg2, filepath.Join(r.dir, "south.db")
+	r.halt(102)
+	if err := r.follow(&wrong); !errors.Is(err, ErrFollowerFile) {
+		t.Errorf("another's file: %v", err)
+	}
+	for _, f := range []*following{north} {
+		if err := r.halt(101); err != nil {
+			t.Errorf("%s ends with %v", f.cfg.Name, err)
+		}
+	}
+}
--- a/internal/fleet/homes.go
+++ b/internal/fleet/homes.go
@@ -107,11 +107,22 @@
 	if err != nil {
 		return 0
 	}
-	h := sites.Homes{Epoch: s.Homes(), Instances: m.Members}
+	h, agreed, parts := homesOf(s, m.Members)
+	f.in.InstallHomes(h, m.Index, m.Voters, m.Joint)
+	f.in.AgreeHalls(agreed, parts, m.Members)
+	return h.Epoch
+}
+
+// homesOf are the homes of keys of a state, with the instances whose words on keys count, and which halls are agreed on and
+// lost. Followers tell nothing: as long as there are any, an instance that is never heard stands for them.
+func homesOf(s *fleetconfig.State, instances []uint64) (h sites.Homes, agreed []sites.Hall, parts map[string]int) {
+	h = sites.Homes{Epoch: s.Homes(), Instances: slices.Clone(instances)}
+	if len(fleetconfig.Read[fleetconfig.Follower](s, "follower")) > 0 && !slices.Contains(instances, anyFollower) {
+		h.Instances = append(h.Instances, anyFollower)
+	}
 	halls := fleetconfig.Read[fleetconfig.Hall](s, "hall")
 	lost := fleetconfig.Read[fleetconfig.LostHall](s, "lost")
-	var agreed []sites.Hall
-	parts := map[string]int{}
+	parts = map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(halls)) {
 		l, gone := lost[name]
 		if gone {
@@ -120,9 +131,7 @@
 		h.Halls = append(h.Halls, sites.Hall{Name: name, Open: !halls[name].Closed && (!gone || l.Part > 0), Part: l.Part})
 		agreed = append(agreed, sites.Hall{Name: name, Open: !halls[name].Closed})
 	}
-	f.in.InstallHomes(h, m.Index, m.Voters, m.Joint)
-	f.in.AgreeHalls(agreed, parts, m.Members)
-	return h.Epoch
+	return h, agreed, parts
 }
 
 // tellKeys tells the other instances which keys this one has sent, until ctx ends.
@@ -151,6 +160,9 @@
 
 // hearKeys takes in what another instance tells.
 func (f *Fleet) hearKeys(from uint64, text []byte) {
+	if f.streams.hear(from, text) {
+		return
+	}
 	f.mu.Lock()
 	in := f.in
 	f.mu.Unlock()
--- a/internal/gatefile/fleet.go
+++ b/internal/gatefile/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -19,13 +20,17 @@
 }
 
 // FleetKinds are the kinds of objects that such a file says all of.
-var FleetKinds = []string{"class", "description", "hall", "licensee", "limit", "plan"}
+var FleetKinds = []string{"class", "description", "follower", "hall", "licensee", "limit", "plan"}
 
 // ParseFleet reads a file's text. The error is [contract.Problems].
 func ParseFleet(file string, text []byte) (*Fleet, error) {
 	r := &reader{file: file, text: text}
 	var in struct {
 		MostUnits int `toml:"most_units"`
+		Followers []struct {
+			Name string `toml:"name"`
+			Note string `toml:"note"`
+		} `toml:"follower"`
 		shared
 	}
 	dec := toml.NewDecoder(bytes.NewReader(text))
@@ -69,6 +74,13 @@
 	for name, l := range c.Licensees {
 		put("licensee", name, fleetconfig.Licensee{Plan: l.Plan})
 	}
+	for i, f := range in.Followers {
+		if _, twice := out.Objects["follower"][f.Name]; f.Name == "" || twice {
+			r.bad(fmt.Sprintf("follower[%d].name", i), "%q is empty or stands twice", f.Name)
+			continue
+		}
+		put("follower", f.Name, fleetconfig.Follower{Note: f.Note})
+	}
 	if in.MostUnits > 0 {
 		put("limit", "units", fleetconfig.Limit{Most: in.MostUnits})
 	}
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -26,6 +26,15 @@
 	Description string // file name of the description, as written
 	AccessLog   string // file name of the access log, as written; empty: none
 	Cluster     *Cluster
+	Follow      *Follow
+}
+
+// Follow is the place of an instance that is no member of a cluster and is told what its members agree on.
+type Follow struct {
+	Cluster, Name string
+	Data, Certs   string            // file and folder, as written
+	Members       map[uint64]string // addresses of their streams
+	KeysAnywhere  bool
 }
 
 // Cluster is an instance's place among those that agree on what they serve. Without it the
@@ -36,6 +45,7 @@
 	Data, Certs string // file and folder, as written
 	Tick        time.Duration
 	Members     map[uint64]fleetconfig.Member
+	Stream      string // address for followers; empty: none are served
 
 	KeysAnywhere bool
 }
@@ -91,6 +101,7 @@
 		StaleAfter duration `toml:"stale_after"`
 		WhenStale  string   `toml:"when_stale"`
 		Keys       string   `toml:"keys"`
+		Stream     string   `toml:"stream"`
 		Link       *struct {
 			Listen string `toml:"listen"`
 			Most   int    `toml:"most"`
@@ -106,6 +117,19 @@
 			Admin  string `toml:"admin"`
 		} `toml:"member"`
 	} `toml:"cluster"`
+	Follow *struct {
+		Cluster    string   `toml:"cluster"`
+		Name       string   `toml:"name"`
+		Data       string   `toml:"data"`
+		Certs      string   `toml:"certs"`
+		StaleAfter duration `toml:"stale_after"`
+		WhenStale  string   `toml:"when_stale"`
+		Keys       string   `toml:"keys"`
+		Members    []struct {
+			Number uint64 `toml:"number"`
+			Stream string `toml:"stream"`
+		} `toml:"member"`
+	} `toml:"follow"`
 	shared
 }
 
@@ -260,10 +284,20 @@
 		c.PeerListen = r.address("peer_listen", in.PeerListen)
 	}
 	r.limits(in, c, n)
+	if in.Cluster != nil && in.Follow != nil {
+		r.bad("follow", "a member of a cluster follows none: cluster or follow is wanted")
+	}
+	if in.Cluster != nil || in.Follow != nil {
+		r.agreedOn(in)
+	}
 	if in.Cluster != nil {
 		r.cluster(in, out)
 		return out
 	}
+	if in.Follow != nil {
+		r.follow(in, out)
+		return out
+	}
 	if in.Description == "" {
 		r.bad("description", "is missing: the file name of an OpenAPI description")
 	}
@@ -276,8 +310,8 @@
 	return out
 }
 
-// cluster reads an instance's place in a cluster, which agrees on the rest.
-func (r *reader) cluster(in *raw, out *File) {
+// agreedOn turns down what the members of a cluster agree on in an instance's file.
+func (r *reader) agreedOn(in *raw) {
 	for _, f := range []struct {
 		field string
 		there bool
@@ -290,6 +324,58 @@
 	if in.Zone == "" {
 		r.bad("zone", "is missing: the hall of this instance's own site")
 	}
+}
+
+// stale reads what an instance does whose configuration was not confirmed of late.
+func (r *reader) stale(section string, after duration, when string) *gateway.Agreed {
+	agreed := &gateway.Agreed{StaleAfter: after.d}
+	switch when {
+	case "", "serve":
+	case "refuse":
+		agreed.Refuse = true
+	default:
+		r.bad(section+".when_stale", "%q is unknown: \"serve\" or \"refuse\" is wanted", when)
+	}
+	return agreed
+}
+
+// keys reads whether keyed requests may go anywhere.
+func (r *reader) keys(section, v string) (anywhere bool) {
+	if v != "" && v != "home" && v != "anywhere" {
+		r.bad(section+".keys", "%q is unknown: \"home\" or \"anywhere\" is wanted", v)
+	}
+	return v == "anywhere"
+}
+
+// follow reads the place of an instance that is told what a cluster agrees on.
+func (r *reader) follow(in *raw, out *File) {
+	c := in.Follow
+	k := &Follow{Cluster: c.Cluster, Name: c.Name, Data: c.Data, Certs: c.Certs, Members: map[uint64]string{}}
+	out.Follow = k
+	for _, f := range []struct{ name, v string }{{"cluster", c.Cluster}, {"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}} {
+		if f.v == "" {
+			r.bad("follow."+f.name, "is missing")
+		}
+	}
+	if strings.Contains(c.Cluster+c.Name, "/") {
+		r.bad("follow.name", "%q or the cluster's has a slash", c.Name)
+	}
+	for i, m := range c.Members {
+		at := fmt.Sprintf("follow.member[%d]", i)
+		if _, twice := k.Members[m.Number]; m.Number == 0 || twice {
+			r.bad(at+".number", "%d is 0 or stands twice", m.Number)
+		}
+		k.Members[m.Number] = r.address(at+".stream", m.Stream).String()
+	}
+	if len(c.Members) == 0 {
+		r.bad("follow.member", "none is named: add a [[follow.member]] with number and stream")
+	}
+	out.Config.Agreed = r.stale("follow", c.StaleAfter, c.WhenStale)
+	k.KeysAnywhere = r.keys("follow", c.Keys)
+}
+
+// cluster reads an instance's place in a cluster, which agrees on the rest.
+func (r *reader) cluster(in *raw, out *File) {
 	c := in.Cluster
 	k := &Cluster{Name: c.Name, Member: c.Number, Data: c.Data, Certs: c.Certs, Tick: c.Tick.d, Members: map[uint64]fleetconfig.Member{}}
 	out.Cluster = k
@@ -314,22 +400,11 @@
 	if c.Tick.d != 0 && (c.Tick.d < time.Millisecond || c.Tick.d > time.Second) {
 		r.bad("cluster.tick", "%v is outside 1ms to 1s", c.Tick.d)
 	}
-	agreed := &gateway.Agreed{StaleAfter: c.StaleAfter.d}
-	switch c.WhenStale {
-	case "", "serve":
-	case "refuse":
-		agreed.Refuse = true
-	default:
-		r.bad("cluster.when_stale", "%q is unknown: \"serve\" or \"refuse\" is wanted", c.WhenStale)
-	}
-	switch c.Keys {
-	case "", "home":
-	case "anywhere":
-		k.KeysAnywhere = true
-	default:
-		r.bad("cluster.keys", "%q is unknown: \"home\" or \"anywhere\" is wanted", c.Keys)
+	out.Config.Agreed = r.stale("cluster", c.StaleAfter, c.WhenStale)
+	k.KeysAnywhere = r.keys("cluster", c.Keys)
+	if c.Stream != "" {
+		k.Stream = r.address("cluster.stream", c.Stream).String()
 	}
-	out.Config.Agreed = agreed
 	if c.Link == nil {
 		return
 	}
--- a/internal/raftnode/certs.go
+++ b/internal/raftnode/certs.go
@@ -151,6 +151,14 @@
 	return a.write(dir, OperatorFile(name), operatorName(a.Cluster, name))
 }
 
+// WriteFollower writes a certificate and a key of an instance that is no member and is told the configuration.
+func (a *Authority) WriteFollower(dir, name string) error {
+	if name == "" || strings.ContainsAny(name, "/\\") {
+		return fmt.Errorf("follower %q: a name without slashes is wanted", name)
+	}
+	return a.write(dir, FollowerFile(name), followerName(a.Cluster, name))
+}
+
 func (a *Authority) write(dir, file, name string) error {
 	certificate, key, err := a.issue(name)
 	if err != nil {
@@ -167,6 +175,11 @@
 // OperatorFile is the name of an operator's files, without what tells certificate and key.
 func OperatorFile(name string) string { return "operator-" + name }
 
+// FollowerFile is that of a follower's.
+func FollowerFile(name string) string { return "follower-" + name }
+
+func followerName(cluster, name string) string { return cluster + "/follower/" + name }
+
 func operatorName(cluster, name string) string { return cluster + "/operator/" + name }
 
 // LoadAuthority reads an authority back, to issue a certificate for a further member.
@@ -208,8 +221,9 @@
 // Holder is who a certificate was issued to.
 type Holder struct {
 	Cluster  string
-	Member   uint64 // 0: an operator
+	Member   uint64 // 0: an operator or a follower
 	Operator string
+	Follower string
 }
 
 // HolderOf reads who holds a certificate.
@@ -219,9 +233,12 @@
 	if before, ok := strings.CutSuffix(cluster, "/operator"); ok {
 		return Holder{Cluster: before, Operator: rest}, nil
 	}
+	if before, ok := strings.CutSuffix(cluster, "/follower"); ok {
+		return Holder{Cluster: before, Follower: rest}, nil
+	}
 	h.Cluster = cluster
 	if h.Member, err = strconv.ParseUint(rest, 10, 64); !ok || err != nil || h.Member == 0 || name != memberName(cluster, h.Member) {
-		return h, fmt.Errorf("certificate of %q, which is neither a member's nor an operator's", name)
+		return h, fmt.Errorf("certificate of %q, which is no member's, operator's or follower's", name)
 	}
 	return h, nil
 }
