--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -20,6 +20,8 @@
 	Changes time.Duration `help:"Measure instead what a change of the agreed configuration at each such gap costs an instance."`
 	Link    bool          `help:"Measure instead what a request costs that crosses the link between two sites."`
 	JSON    bool          `help:"Print all results as JSON."`
+
+	Followers int `help:"Measure instead how soon so many followers have a change, and what they cost a member, by deltas and by whole versions."`
 }
 
 func (c *benchCmd) Run(e *env) error {
@@ -33,6 +35,9 @@
 	if c.Changes != 0 {
 		return c.changes(e, self)
 	}
+	if c.Followers > 0 {
+		return c.followers(e, self)
+	}
 	if c.Link {
 		return c.crossing(e, self)
 	}
@@ -121,6 +126,28 @@
 	return nil
 }
 
+// followers measures what followers cost.
+func (c *benchCmd) followers(e *env, self string) error {
+	var all []bench.FollowersResult
+	for _, full := range []bool{false, true} {
+		r, err := bench.Followers(e.ctx, c.options(self), c.Followers, followersChanges, full)
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+		if !c.JSON {
+			fmt.Fprintf(e.stdout, "%d followers, %s: all there after %.1f s; a change in force after %.0f ms (p50), %.0f ms (p99), at all after %.0f ms; %.0f KB a follower; %.2f processors at ten changes a second; a member killed: all have the next version after %.1f s\n",
+				r.Followers, map[bool]string{false: "deltas", true: "whole versions"}[full], r.JoinS, r.P50Ms, r.P99Ms, r.AllMs, r.MemoryKB, r.MemberCores, r.BackS)
+		}
+	}
+	if c.JSON {
+		return printJSON(e.stdout, all)
+	}
+	return nil
+}
+
+const followersChanges = 10
+
 type partCmd struct {
 	Part string `arg:""`
 }
--- a/confstream/publisher.go
+++ b/confstream/publisher.go
@@ -147,6 +147,8 @@
 	confirmed time.Duration
 	sure      bool // of newest, as of confirmed
 	sessions  map[uint64]*session
+	order     []uint64              // their numbers, ascending
+	named     map[string][]*session // in the same order
 	others    map[uint64]map[string]told
 	last      map[string]Served // of followers that have gone; ages as of seen
 	seen      map[string]time.Duration
@@ -160,7 +162,7 @@
 
 // NewPublisher returns a member's side. seed makes its nonces unlike those of its other processes.
 func NewPublisher(cfg PublisherConfig, seed uint64) *Publisher {
-	return &Publisher{cfg: cfg, sessions: map[uint64]*session{}, others: map[uint64]map[string]told{}, last: map[string]Served{}, seen: map[string]time.Duration{},
+	return &Publisher{cfg: cfg, sessions: map[uint64]*session{}, named: map[string][]*session{}, others: map[uint64]map[string]told{}, last: map[string]Served{}, seen: map[string]time.Duration{},
 		stirred: map[string]bool{}, bodies: map[Ref]*Body{}, credit: cfg.Burst, nonces: seed &^ (1<<20 - 1)}
 }
 
@@ -211,8 +213,10 @@
 
 // each calls f for all streams in one order.
 func (p *Publisher) each(f func(*session) []Out) (outs []Out) {
-	for _, id := range slices.Sorted(maps.Keys(p.sessions)) {
-		outs = append(outs, f(p.sessions[id])...)
+	for _, id := range slices.Clone(p.order) { // f may end streams
+		if s := p.sessions[id]; s != nil {
+			outs = append(outs, f(s)...)
+		}
 	}
 	return outs
 }
@@ -237,7 +241,7 @@
 	return true
 }
 
-// Hello begins a stream. Sessions have numbers that are never used again.
+// Hello begins a stream. Sessions have ascending numbers.
 func (p *Publisher) Hello(now time.Duration, id uint64, h Hello) (outs []Out) {
 	if !p.agreed(h.Name) {
 		return []Out{{Session: id, Close: fmt.Sprintf("%q is not agreed on as a follower", h.Name)}}
@@ -245,7 +249,7 @@
 	if len(p.sessions) >= p.cfg.Most {
 		return []Out{{Session: id, Close: "too many followers here"}}
 	}
-	for _, o := range p.sessionsOf(h.Name) {
+	for _, o := range slices.Clone(p.named[h.Name]) {
 		if o.hello.Process == h.Process && o.hello.Dial < h.Dial {
 			outs = append(outs, p.end(now, o, "the follower has begun another stream")...)
 		}
@@ -255,20 +259,12 @@
 		s.refused = addRefusal(s.refused, r)
 	}
 	p.sessions[id] = s
+	p.order = append(p.order, id)
+	p.named[h.Name] = append(p.named[h.Name], s)
 	p.stirred[h.Name] = true
 	return append(outs, p.offer(now, s)...)
 }
 
-func (p *Publisher) sessionsOf(name string) (all []*session) {
-	p.each(func(s *session) []Out {
-		if s.hello.Name == name {
-			all = append(all, s)
-		}
-		return nil
-	})
-	return all
-}
-
 // end ends a stream and remembers what was last known of its follower.
 func (p *Publisher) end(now time.Duration, s *session, why string) []Out {
 	p.Gone(now, s.id)
@@ -282,6 +278,12 @@
 		return
 	}
 	delete(p.sessions, id)
+	if i, ok := slices.BinarySearch(p.order, id); ok {
+		p.order = slices.Delete(p.order, i, i+1)
+	}
+	if p.named[s.hello.Name] = slices.DeleteFunc(p.named[s.hello.Name], func(o *session) bool { return o == s }); len(p.named[s.hello.Name]) == 0 {
+		delete(p.named, s.hello.Name)
+	}
 	p.stirred[s.hello.Name] = true
 	if was, ok := p.last[s.hello.Name]; p.agreed(s.hello.Name) && (!ok || s.heard >= p.seen[s.hello.Name]-was.Heard) {
 		p.last[s.hello.Name], p.seen[s.hello.Name] = p.served(now, s), now
@@ -418,7 +420,7 @@
 
 // everywhere calls f for all that is known of a follower's streams, here and at other members.
 func (p *Publisher) everywhere(now time.Duration, name string, f func(member uint64, o Served)) {
-	for _, s := range p.sessionsOf(name) {
+	for _, s := range p.named[name] {
 		f(p.cfg.Member, p.served(now, s))
 	}
 	if o, ok := p.last[name]; ok {
@@ -526,7 +528,7 @@
 			best, st.Member, found = o, member, true
 		}
 	})
-	for _, s := range p.sessionsOf(name) {
+	for _, s := range p.named[name] {
 		st.Twin = cmp.Or(s.twin, st.Twin)
 	}
 	if !found {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -79,6 +79,9 @@
 	Member  uint64                        `json:"member,omitempty"`
 	Dir     string                        `json:"dir,omitempty"` // with certificates
 	Members map[uint64]fleetconfig.Member `json:"members,omitempty"`
+	Stream  string                        `json:"stream,omitempty"` // for followers
+
+	StreamFull bool `json:"stream_full,omitempty"` // by whole versions alone
 }
 
 // Play plays a part until standard input ends. It prints the addresses where it listens,
@@ -271,7 +274,10 @@
 		return nil, err
 	}
 	cmd := exec.CommandContext(ctx, self, "bench-part", string(text))
-	cmd.Env = append(os.Environ(), "GOGC=400")
+	cmd.Env = os.Environ()
+	if p.Stream == "" { // its memory counts
+		cmd.Env = append(cmd.Env, "GOGC=400")
+	}
 	if procs > 0 {
 		cmd.Env = append(cmd.Env, fmt.Sprint("GOMAXPROCS=", procs))
 	}
--- a/internal/bench/changes.go
+++ b/internal/bench/changes.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"mulleinmux/choice"
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := &fleet.Config{Cluster: "bench", Member: p.Member, Data: filepath.Join(p.Dir, fmt.Sprint(p.Member, ".db")), Credentials: creds, Members: p.Members}
+	cfg := &fleet.Config{Cluster: "bench", Member: p.Member, Data: filepath.Join(p.Dir, fmt.Sprint(p.Member, ".db")), Credentials: creds, Members: p.Members, Stream: p.Stream, StreamFull: p.StreamFull}
 	if err := fleet.Init(cfg, false); err != nil {
 		return nil, err
 	}
@@ -66,91 +67,117 @@
 // agreed on and with one at each gap. tell gets the results, "still" and "changing", and how
 // many changes took place during the latter.
 func Changes(ctx context.Context, opt Options, gap time.Duration, tell func(r Result, changes int)) (err error) {
-	dir, err := os.MkdirTemp("", "mulleingate-bench-")
+	c, err := startCluster(ctx, opt, false, false)
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	auth, err := raftnode.NewAuthority("bench")
-	if err != nil {
-		return err
+	defer func() { err = errors.Join(err, c.end()) }()
+	front, cl := c.members[0], c.client
+	for range opt.Rounds {
+		r, err := measure(opt, "still", opt.Procs[0], front.addrs, front)
+		if err != nil {
+			return err
+		}
+		tell(r, 0)
+		changing, stop := context.WithCancel(ctx)
+		done := make(chan int, 1)
+		go func() { done <- change(changing, cl, gap) }()
+		r, err = measure(opt, "changing", opt.Procs[0], front.addrs, front)
+		stop()
+		n := <-done
+		if err != nil {
+			return err
+		}
+		tell(r, n)
 	}
-	if err := errors.Join(auth.Write(dir), auth.WriteOperator(dir, "op")); err != nil {
-		return err
+	return nil
+}
+
+// benchCluster is three members as processes, of which the first has the measured processors, with servers behind them.
+type benchCluster struct {
+	dir     string
+	auth    *raftnode.Authority
+	members []*process
+	streams map[uint64]string // addresses for followers
+	client  *fleet.Client
+	ends    []func() error
+}
+
+func (c *benchCluster) end() (err error) {
+	for _, end := range slices.Backward(c.ends) {
+		err = errors.Join(err, end())
+	}
+	return err
+}
+
+// startCluster starts members that have agreed on the bench's configuration; with streams they serve followers, by whole
+// versions alone if full.
+func startCluster(ctx context.Context, opt Options, streams, full bool) (c *benchCluster, err error) {
+	c = &benchCluster{streams: map[uint64]string{}}
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, c.end())
+		}
+	}()
+	if c.dir, err = os.MkdirTemp("", "mulleingate-bench-"); err != nil {
+		return c, err
+	}
+	c.ends = append(c.ends, func() error { return os.RemoveAll(c.dir) })
+	if c.auth, err = raftnode.NewAuthority("bench"); err != nil {
+		return c, err
+	}
+	if err := errors.Join(c.auth.Write(c.dir), c.auth.WriteOperator(c.dir, "op")); err != nil {
+		return c, err
 	}
 	back, err := begin(ctx, opt.Self, 0, Part{Role: "halls"})
 	if err != nil {
-		return err
+		return c, err
 	}
-	defer func() { err = errors.Join(err, back.end()) }()
+	c.ends = append(c.ends, back.end)
 	reg, err := standin.NewRegister()
 	if err != nil {
-		return err
+		return c, err
 	}
-	defer reg.Close()
+	c.ends = append(c.ends, func() error { reg.Close(); return nil })
 	for i, s := range back.addrs {
 		reg.Put(standin.Entry{InstanceID: fmt.Sprint("s", i), HostPort: s, Zone: "hall-a", MachineType: "k", Lifecycle: "up", Weight: 1})
 	}
 	members, at := map[uint64]fleetconfig.Member{}, []string{}
 	for id := uint64(1); id <= clusterSize; id++ {
-		var addrs [2]string
+		var addrs [3]string
 		for i := range addrs {
 			if addrs[i], err = standin.FreeAddr("tcp"); err != nil {
-				return err
+				return c, err
 			}
 		}
 		members[id] = fleetconfig.Member{Raft: addrs[0], Admin: addrs[1]}
+		if streams {
+			c.streams[id] = addrs[2]
+		}
 		at = append([]string{addrs[1]}, at...) // operators ask the last one first
-		if err := auth.WriteMembers(dir, []uint64{id}); err != nil {
-			return err
+		if err := c.auth.WriteMembers(c.dir, []uint64{id}); err != nil {
+			return c, err
 		}
 	}
-	var front *process
 	for id := uint64(1); id <= clusterSize; id++ {
-		procs := 1
-		if id == 1 {
-			procs = opt.Procs[0]
-		}
-		part := Part{Role: "member", Member: id, Dir: dir, Members: members}
+		part, procs := Part{Role: "member", Member: id, Dir: c.dir, Members: members, Stream: c.streams[id], StreamFull: full}, 1
 		if id == 1 {
-			part.Profile = opt.Profile
+			part.Profile, procs = opt.Profile, opt.Procs[0]
 		}
 		p, err := begin(ctx, opt.Self, procs, part)
 		if err != nil {
-			return err
-		}
-		defer func() { p.end() }()
-		if id == 1 {
-			front = p
+			return c, err
 		}
+		c.members = append(c.members, p)
+		c.ends = append(c.ends, func() error { p.end(); return nil }) // it may have been killed
 	}
-	creds, err := raftnode.LoadNamed(dir, raftnode.OperatorFile("op"))
+	creds, err := raftnode.LoadNamed(c.dir, raftnode.OperatorFile("op"))
 	if err != nil {
-		return err
-	}
-	cl := fleet.NewClient("bench", creds, at...)
-	defer cl.Close()
-	if err := agree(ctx, cl, reg.Addr().String()); err != nil {
-		return err
+		return c, err
 	}
-	for range opt.Rounds {
-		r, err := measure(opt, "still", opt.Procs[0], front.addrs, front)
-		if err != nil {
-			return err
-		}
-		tell(r, 0)
-		changing, stop := context.WithCancel(ctx)
-		done := make(chan int, 1)
-		go func() { done <- change(changing, cl, gap) }()
-		r, err = measure(opt, "changing", opt.Procs[0], front.addrs, front)
-		stop()
-		n := <-done
-		if err != nil {
-			return err
-		}
-		tell(r, n)
-	}
-	return nil
+	c.client = fleet.NewClient("bench", creds, at...)
+	c.ends = append(c.ends, func() error { c.client.Close(); return nil })
+	return c, agree(ctx, c.client, reg.Addr().String())
 }
 
 // agree has the instances agree on the bench's configuration and waits until it is in force.
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"mulleinmux/confstream"
-	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/raftnode"
 	"mulleinmux/internal/streamwire"
@@ -57,15 +56,20 @@
 	Refused []confstream.Refusal `json:"refused,omitempty"`
 }
 
-// Follower is an instance that is no member and is told the configuration.
-type Follower struct {
+// Hands is what a [Feed] has others do. Keep, Check and Install are called one at a time and may take long.
+type Hands struct {
+	Keep    func(*confstream.Disk) error                    // returns once it is synced
+	Check   func(*confstream.Version) []confstream.Problem  // may it be put in force?
+	Install func(*confstream.Version) error                 // puts it in force
+	Confirm func(at, homes time.Time, sure, homesSure bool) // what runs, and its homes, were confirmed to be the newest then
+}
+
+// Feed is a follower's end of the stream, without an instance.
+type Feed struct {
 	cfg   *FollowerConfig
-	gate  *gateway.Config
+	hands Hands
 	log   *log.Logger
-	file  *followerFile
 	begun time.Time
-	in    *gateway.Instance
-	setup setups // the worker's
 
 	mu     sync.Mutex
 	f      *confstream.Follower
@@ -75,6 +79,37 @@
 	send   chan any               // of the stream
 }
 
+// NewFeed returns a feed of a follower that has kept a disk. It does nothing before [Feed.Run].
+func NewFeed(cfg *FollowerConfig, disk confstream.Disk, hands Hands, logger *log.Logger) *Feed {
+	f := &Feed{cfg: cfg, hands: hands, log: logger, begun: time.Now(), work: make(chan confstream.Action, 1), send: make(chan any, streamQueue)}
+	var first []confstream.Action
+	f.f, first = confstream.NewFollower(confstream.FollowerConfig{Name: cfg.Name, Process: rand.Uint64(), Beat: streamBeat, Silence: streamSilence, Tries: followerTries}, disk)
+	f.carry(first)
+	return f
+}
+
+// Run keeps the feed going until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	var side sync.WaitGroup
+	side.Go(func() { f.worker(ctx) })
+	f.stream(ctx)
+	side.Wait()
+}
+
+// Follower is an instance that is no member and is told the configuration.
+type Follower struct {
+	cfg  *FollowerConfig
+	gate *gateway.Config
+	file *followerFile
+	in   *gateway.Instance
+	feed *Feed
+
+	// Of the feed's worker.
+	setup setups
+	ready gateway.Setup // of the version checked last
+	kept  bool          // what is to be put in force first was in force before
+}
+
 // RunFollower runs a follower and its instance until ctx ends. What was in force before is served on with no word from
 // any member, as far as when_stale allows.
 func RunFollower(ctx context.Context, cfg *FollowerConfig, gate *gateway.Config, logger *log.Logger, begun func(*Follower)) (err error) {
@@ -95,30 +130,24 @@
 	if gate.Agreed == nil {
 		gate.Agreed = &gateway.Agreed{}
 	}
-	f := &Follower{cfg: cfg, gate: gate, log: logger, file: file, begun: time.Now(), work: make(chan confstream.Action, 1), send: make(chan any, streamQueue)}
 	serving, drain := context.WithCancel(context.Background())
 	defer drain()
 	ended, ready := make(chan error, 1), make(chan *gateway.Instance, 1)
 	go func() {
 		ended <- gateway.Run(serving, gate, gateway.Setup{}, logger, func(in *gateway.Instance) { ready <- in })
 	}()
+	f := &Follower{cfg: cfg, gate: gate, file: file, kept: disk.Good != nil}
 	select {
 	case f.in = <-ready:
 	case err := <-ended:
 		return err
 	}
+	f.feed = NewFeed(cfg, disk, Hands{file.keep, f.check, f.install, f.confirm}, logger)
 	life, stop := context.WithCancel(context.Background())
 	var side sync.WaitGroup
 	defer side.Wait()
 	defer stop()
-	kept := disk.Good != nil
-	side.Go(func() { f.worker(life, kept) })
-	f.mu.Lock()
-	var first []confstream.Action
-	f.f, first = confstream.NewFollower(confstream.FollowerConfig{Name: cfg.Name, Process: rand.Uint64(), Beat: streamBeat, Silence: streamSilence, Tries: followerTries}, disk)
-	f.carry(first)
-	f.mu.Unlock()
-	side.Go(func() { f.stream(life) })
+	side.Go(func() { f.feed.Run(life) })
 	begun(f)
 	select {
 	case err := <-ended:
@@ -129,17 +158,72 @@
 	return <-ended
 }
 
-func (f *Follower) now() time.Duration { return time.Since(f.begun) }
+// check has a version compiled.
+func (f *Follower) check(v *confstream.Version) []confstream.Problem {
+	state, err := v.State()
+	if err == nil {
+		f.ready, err = f.setup.of(state, f.gate.FullValidation)
+	}
+	if err != nil {
+		return problemsOf(err)
+	}
+	return nil
+}
+
+// install puts a version in force at the instance.
+func (f *Follower) install(v *confstream.Version) error {
+	state, err := v.State()
+	if err == nil && f.ready.Number != v.Number {
+		f.ready, err = f.setup.of(state, f.gate.FullValidation)
+	}
+	if err == nil {
+		err = f.in.Install(f.ready)
+	}
+	if err != nil {
+		return err
+	}
+	if f.gate.Keys != nil {
+		h, _, _ := homesOf(state, []uint64{anyFollower, anyMember})
+		f.in.InstallHomes(h, 0, nil, false)
+	}
+	if f.kept {
+		f.kept = false
+		f.in.Confirm(f.feed.begun) // what was in force before is served on, for as long as when_stale allows
+	}
+	return nil
+}
+
+// confirm tells the instance what a quorum has confirmed.
+func (f *Follower) confirm(at, homes time.Time, sure, homesSure bool) {
+	if sure {
+		f.in.Confirm(at)
+	}
+	if homesSure && f.gate.Keys != nil {
+		f.in.ConfirmHomes(homes)
+	}
+}
+
+// Instance is the gateway's.
+func (f *Follower) Instance() *gateway.Instance { return f.in }
+
+// Status is how the follower stands.
+func (f *Follower) Status() FollowerStatus {
+	s := f.feed.Status()
+	_, s.Serves = f.in.Standing(time.Now())
+	return s
+}
+
+func (f *Feed) now() time.Duration { return time.Since(f.begun) }
 
 // do has the follower's side decide, and carries out what comes of it.
-func (f *Follower) do(step func(f *confstream.Follower, now time.Duration) []confstream.Action) {
+func (f *Feed) do(step func(f *confstream.Follower, now time.Duration) []confstream.Action) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.carry(step(f.f, f.now()))
 }
 
 // carry hands actions on: nothing here waits. Called under the mutex.
-func (f *Follower) carry(as []confstream.Action) {
+func (f *Feed) carry(as []confstream.Action) {
 	for _, a := range as {
 		switch {
 		case a.Send != nil:
@@ -156,7 +240,7 @@
 	}
 }
 
-func (f *Follower) post(msg any) {
+func (f *Feed) post(msg any) {
 	select {
 	case f.send <- msg:
 	default:
@@ -164,7 +248,7 @@
 	}
 }
 
-func (f *Follower) leave(why string) {
+func (f *Feed) leave(why string) {
 	if f.client != nil {
 		f.log.Printf("stream: member %d is left: %s", f.member, why)
 		f.client.Abort()
@@ -172,8 +256,7 @@
 }
 
 // worker does what may take long: it writes, checks and installs.
-func (f *Follower) worker(ctx context.Context, kept bool) {
-	var ready gateway.Setup // of the version checked last
+func (f *Feed) worker(ctx context.Context) {
 	for {
 		var a confstream.Action
 		select {
@@ -183,34 +266,17 @@
 		}
 		switch {
 		case a.Keep != nil:
-			err := f.file.keep(a.Keep)
+			err := f.hands.Keep(a.Keep)
 			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Kept(now, err) })
 		case a.Check != nil:
-			var problems []confstream.Problem
-			state, err := a.Check.State()
-			if err == nil {
-				ready, err = f.setup.of(state, f.gate.FullValidation)
-			}
-			if err != nil {
-				problems = problemsOf(err)
-			}
+			problems := f.hands.Check(a.Check)
 			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Checked(now, problems) })
 		case a.Install != nil:
-			state, err := a.Install.State()
-			if err == nil && ready.Number != a.Install.Number {
-				ready, err = f.setup.of(state, f.gate.FullValidation)
-			}
-			if err == nil {
-				err = f.install(state, ready)
-			}
-			if err == nil && kept {
-				kept = false
-				f.in.Confirm(f.begun) // what was in force before is served on, for as long as when_stale allows
-			}
-			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Installed(now, err) })
+			err := f.hands.Install(a.Install)
 			if err == nil {
 				f.log.Printf("stream: version %v is in force", a.Install.Ref)
 			}
+			f.do(func(f *confstream.Follower, now time.Duration) []confstream.Action { return f.Installed(now, err) })
 		}
 	}
 }
@@ -231,20 +297,8 @@
 	return []confstream.Problem{p}
 }
 
-// install puts a version in force at the instance.
-func (f *Follower) install(s *fleetconfig.State, setup gateway.Setup) error {
-	if err := f.in.Install(setup); err != nil {
-		return err
-	}
-	if f.gate.Keys != nil {
-		h, _, _ := homesOf(s, []uint64{anyFollower, anyMember})
-		f.in.InstallHomes(h, 0, nil, false)
-	}
-	return nil
-}
-
 // stream keeps a stream to one member after the other until ctx ends.
-func (f *Follower) stream(ctx context.Context) {
+func (f *Feed) stream(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seat := confstream.NewSeat(confstream.SeatConfig{Name: f.cfg.Name, Members: slices.Sorted(maps.Keys(f.cfg.Members)), Least: followerLeast, Most: followerMost}, rng)
 	for ctx.Err() == nil {
@@ -267,7 +321,7 @@
 }
 
 // follow has one stream, until it ends. heard tells whether the member said anything.
-func (f *Follower) follow(ctx context.Context, member uint64) (heard bool, err error) {
+func (f *Feed) follow(ctx context.Context, member uint64) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tls := f.cfg.Credentials.TLS()
@@ -330,32 +384,22 @@
 	}
 }
 
-// confirm tells the instance what a quorum has confirmed.
-func (f *Follower) confirm() {
+// confirm tells what a quorum has confirmed.
+func (f *Feed) confirm() {
 	f.mu.Lock()
 	at, sure := f.f.Confirmed()
 	homes, homesSure := f.f.Homes()
 	f.mu.Unlock()
-	if sure {
-		f.in.Confirm(f.begun.Add(at))
-	}
-	if homesSure && f.gate.Keys != nil {
-		f.in.ConfirmHomes(f.begun.Add(homes))
-	}
+	f.hands.Confirm(f.begun.Add(at), f.begun.Add(homes), sure, homesSure)
 }
 
-// Instance is the gateway's.
-func (f *Follower) Instance() *gateway.Instance { return f.in }
-
-// Status is how the follower stands.
-func (f *Follower) Status() FollowerStatus {
+// Status is how the follower stands; what serves is not the feed's to say.
+func (f *Feed) Status() FollowerStatus {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	s := FollowerStatus{Name: f.cfg.Name, Running: f.f.Running(), Member: f.member, AgeMs: -1, Note: f.f.Note(), Refused: slices.Clone(f.f.Refused())}
-	at, sure := f.f.Confirmed()
-	f.mu.Unlock()
-	if sure {
+	if at, sure := f.f.Confirmed(); sure {
 		s.AgeMs = (f.now() - at).Milliseconds()
 	}
-	_, s.Serves = f.in.Standing(time.Now())
 	return s
 }
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -282,12 +282,12 @@
 					return streamwire.Ended("a second hello")
 				}
 				m.Name = name
-				s.mu.Lock()
-				s.next++
-				id = s.next
-				s.conns[id] = c
-				s.mu.Unlock()
-				s.do(func(p *confstream.Publisher, now time.Duration) []confstream.Out { return p.Hello(now, id, m) })
+				s.do(func(p *confstream.Publisher, now time.Duration) []confstream.Out {
+					s.next++
+					id = s.next
+					s.conns[id] = c
+					return p.Hello(now, id, m)
+				})
 			case confstream.Report:
 				if m.Result == confstream.Refused {
 					s.f.log.Printf("follower %s refuses version %v: %v", name, m.Ref, m.Problems)
