--- a/cmd/mulleingate/config.go
+++ b/cmd/mulleingate/config.go
@@ -40,6 +40,7 @@
 	Diff    diffCmd    `cmd:"" help:"Show what a file would change; exits 1 if it would. Example: mulleingate config diff fleet.toml"`
 	Apply   applyCmd   `cmd:"" help:"Have the instances agree on what a file says. Example: mulleingate config apply fleet.toml --why 'new tariff' --wait applied-everywhere"`
 	Members membersCmd `cmd:"" help:"Change the members."`
+	Epoch   epochCmd   `cmd:"" help:"Begin a new epoch of versions, after members were restored from a backup."`
 	Status  statusCmd  `cmd:"" help:"Show how each member stands."`
 }
 
--- a/cmd/mulleingate/stream.go
+++ b/cmd/mulleingate/stream.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"text/tabwriter"
 	"time"
 
 	"mulleinmux/confstream"
+	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/fleet"
 )
 
@@ -71,3 +74,34 @@
 		return nil
 	})
 }
+
+// epochCmd begins a new epoch.
+type epochCmd struct {
+	Why string `help:"Why, for the history."`
+}
+
+func (c *epochCmd) Run(e *env, cc *configCmd) error {
+	return cc.ask(e, func(ctx context.Context, cl *fleet.Client) error {
+		o, err := cl.Objects(ctx, false)
+		if err != nil {
+			return err
+		}
+		var epoch fleetconfig.Epoch
+		if text, ok := o.Objects["epoch"]["epoch"]; ok {
+			if err := json.Unmarshal(text, &epoch); err != nil {
+				return err
+			}
+		}
+		epoch.Number++
+		epoch.ID = rand.Text()
+		out, err := cl.Propose(ctx, &fleetconfig.Proposal{ID: epoch.ID, Base: &o.Version, Why: c.Why, Changes: []fleetconfig.Change{fleetconfig.Put("epoch", "epoch", epoch)}})
+		if err != nil {
+			return err
+		}
+		if cc.JSON {
+			return printJSON(e.stdout, out)
+		}
+		fmt.Fprintf(e.stdout, "version %d begins epoch %d\n", out.Version, epoch.Number)
+		return nil
+	})
+}
--- a/confstream/publisher.go
+++ b/confstream/publisher.go
@@ -174,9 +174,6 @@
 	if p.newest != nil && v.Order(p.newest.Ref) != Newer {
 		return nil
 	}
-	if p.newest != nil && p.newest.Epoch != v.Epoch {
-		p.held = nil
-	}
 	p.newest, p.sure, p.full = v, false, nil
 	p.held = append(p.held, v)
 	p.held = slices.Clone(p.held[max(len(p.held)-max(p.cfg.Held, 1), 0):])
