--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,10 +30,13 @@
 	Credentials  raftnode.Credentials
 	Members      map[uint64]string // addresses of their streams
 	KeysAnywhere bool
+	Beat         time.Duration // between two signs of life; 0: streamBeat
 }
 
 // Figures of a follower.
 const (
+	keyBeat       = 300 * time.Millisecond // where bookings are sent: keyLease must not end between two answers
+	quietBeats    = 5                      // after which a member is given up
 	followerTries = 2
 	followerLeast = 100 * time.Millisecond // bound of the first wait before another member is tried
 	followerMost  = 5 * time.Second
@@ -83,7 +87,7 @@
 func NewFeed(cfg *FollowerConfig, disk confstream.Disk, hands Hands, logger *log.Logger) *Feed {
 	f := &Feed{cfg: cfg, hands: hands, log: logger, begun: time.Now(), work: make(chan confstream.Action, 1), send: make(chan any, streamQueue)}
 	var first []confstream.Action
-	f.f, first = confstream.NewFollower(confstream.FollowerConfig{Name: cfg.Name, Process: rand.Uint64(), Beat: streamBeat, Silence: streamSilence, Tries: followerTries}, disk)
+	f.f, first = confstream.NewFollower(confstream.FollowerConfig{Name: cfg.Name, Process: rand.Uint64(), Beat: cmp.Or(cfg.Beat, streamBeat), Silence: min(quietBeats*cmp.Or(cfg.Beat, streamBeat), streamSilence), Tries: followerTries}, disk)
 	f.carry(first)
 	return f
 }
@@ -142,6 +146,9 @@
 	case err := <-ended:
 		return err
 	}
+	if !cfg.KeysAnywhere && cfg.Beat == 0 {
+		cfg.Beat = keyBeat
+	}
 	f.feed = NewFeed(cfg, disk, Hands{file.keep, f.check, f.install, f.confirm}, logger)
 	life, stop := context.WithCancel(context.Background())
 	var side sync.WaitGroup
@@ -348,7 +355,7 @@
 	sent := make(chan error, 1)
 	work.Go(func() {
 		err := client.Send(hello)
-		tick := time.NewTicker(streamBeat / 4)
+		tick := time.NewTicker(cmp.Or(f.cfg.Beat, streamBeat) / 4)
 		defer tick.Stop()
 		for err == nil {
 			select {
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"mulleinmux/confstream"
 	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/fleet"
 	"mulleinmux/internal/gateway"
@@ -48,6 +49,8 @@
 	w       *world
 	dir     string
 	members []*member
+	follow  []*member        // instances that are no members and are told the configuration
+	streams map[[2]int]*link // from a follower to a member
 	links   map[[2]int]*link // from, to
 	ways    map[[2]int]*link // between sites, likewise
 	clients []*fleet.Client  // one for each operator
@@ -70,7 +73,8 @@
 type member struct {
 	id                 uint64
 	listen, admin, udp string
-	raft, site         string
+	raft, site, stream string
+	follows            string // name of a follower; empty: it is a member
 	cmd                *exec.Cmd
 	ended              chan error
 	runs               int
@@ -93,7 +97,7 @@
 
 // playCluster plays a scenario with processes.
 func (w *world) playCluster(ctx context.Context) (v *Verdict, err error) {
-	c := &cluster{w: w, links: map[[2]int]*link{}, ways: map[[2]int]*link{}, rng: rand.New(rand.NewPCG(w.opt.Seed, 0xc1)), chaos: w.scenario.Name == "chaos-config"}
+	c := &cluster{w: w, streams: map[[2]int]*link{}, links: map[[2]int]*link{}, ways: map[[2]int]*link{}, rng: rand.New(rand.NewPCG(w.opt.Seed, 0xc1)), chaos: w.scenario.Name == "chaos-config"}
 	if c.dir, err = os.MkdirTemp("", "mulleingate-lab-"); err != nil {
 		return nil, err
 	}
@@ -107,7 +111,7 @@
 		return nil, err
 	}
 	defer c.close()
-	for _, m := range c.members {
+	for _, m := range c.instances() {
 		if err := c.start(m); err != nil {
 			return nil, err
 		}
@@ -115,7 +119,7 @@
 	if err := c.agree(ctx, halls); err != nil {
 		return nil, err
 	}
-	for _, m := range c.members {
+	for _, m := range c.instances() {
 		if err := c.awaitReady(ctx, m); err != nil {
 			return nil, err
 		}
@@ -144,6 +148,9 @@
 	return v, nil
 }
 
+// instances are all that serve: members and followers.
+func (c *cluster) instances() []*member { return slices.Concat(c.members, c.follow) }
+
 // prepare makes certificates, links, files and addresses.
 func (c *cluster) prepare() error {
 	auth, err := raftnode.NewAuthority(clusterName)
@@ -157,8 +164,11 @@
 	if err := auth.Write(certs); err != nil {
 		return err
 	}
-	for i := range c.w.members() {
+	for i := range c.w.members() + c.w.scenario.followers {
 		m := &member{id: uint64(i + 1)}
+		if i >= c.w.members() {
+			m.follows = fmt.Sprint("edge-", m.id)
+		}
 		var e1, e2, e3, e4 error
 		m.listen, e1 = standin.FreeAddr("tcp")
 		m.admin, e2 = standin.FreeAddr("tcp")
@@ -166,12 +176,26 @@
 		var e5 error
 		m.site, e5 = standin.FreeAddr("tcp")
 		m.udp, e4 = standin.FreeAddr("udp")
-		if err := errors.Join(e1, e2, e3, e4, e5, auth.WriteMembers(certs, []uint64{m.id})); err != nil {
+		var e6 error
+		if m.stream, e6 = standin.FreeAddr("tcp"); m.follows == "" {
+			c.members = append(c.members, m)
+			e6 = errors.Join(e6, auth.WriteMembers(certs, []uint64{m.id}))
+		} else {
+			c.follow = append(c.follow, m)
+			e6 = errors.Join(e6, auth.WriteFollower(certs, m.follows))
+		}
+		if err := errors.Join(e1, e2, e3, e4, e5, e6); err != nil {
 			return err
 		}
-		c.members = append(c.members, m)
 		c.w.addrs = append(c.w.addrs, m.listen)
 	}
+	for i := range c.follow {
+		for j, to := range c.members {
+			if c.streams[[2]int{i, j}], err = newLink(to.stream); err != nil {
+				return err
+			}
+		}
+	}
 	for i := range c.members {
 		for j, to := range c.members {
 			if i == j {
@@ -187,10 +211,13 @@
 			}
 		}
 	}
-	for i, m := range c.members {
+	for i, m := range c.instances() {
 		if err := os.WriteFile(filepath.Join(c.dir, m.file()), []byte(c.config(i)), 0o600); err != nil {
 			return err
 		}
+		if m.follows != "" {
+			continue
+		}
 		if out, err := c.command("init", "--config", filepath.Join(c.dir, m.file()), "--new-cluster").CombinedOutput(); err != nil {
 			return fmt.Errorf("init: %w: %s", err, out)
 		}
@@ -217,10 +244,10 @@
 
 // config words the file of a member.
 func (c *cluster) config(i int) string {
-	m := c.members[i]
+	m := c.instances()[i]
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"gate-%d\"\nlisten = %q\nzone = %q\ninstance = %d\npeer_listen = %q\npeers = [", m.id, m.listen, hallName(i%2), i, m.udp)
-	for _, o := range c.members {
+	for _, o := range c.instances() {
 		fmt.Fprintf(&b, "%q, ", o.udp)
 	}
 	fmt.Fprintf(&b, "]\naccess_log = \"access-%d.jsonl\"\n[limits]\ndrain_for = \"50ms\"\nanswer_slack = \"8ms\"\nmax_attempts = 5\n", m.id)
@@ -228,10 +255,20 @@
 	if !c.w.opt.RampOff { // without these every server is warm, and halls have no bounds of their own
 		b.WriteString("cold_from = 0.17\nramp_time = \"15s\"\nfall_multiple = 2.5\noverload_for = \"2s\"\n")
 	}
+	if m.follows != "" {
+		fmt.Fprintf(&b, "[follow]\ncluster = %q\nname = %q\ndata = \"gate-%d.db\"\ncerts = \"certs\"\n", clusterName, m.follows, m.id)
+		for j, o := range c.members {
+			fmt.Fprintf(&b, "[[follow.member]]\nnumber = %d\nstream = %q\n", o.id, c.streams[[2]int{i - len(c.members), j}].addr())
+		}
+		return b.String()
+	}
 	fmt.Fprintf(&b, "[cluster]\nname = %q\nnumber = %d\ndata = \"gate-%d.db\"\ncerts = \"certs\"\ntick = %q\n", clusterName, m.id, m.id, memberTick)
 	if c.w.opt.KeysAnywhere {
 		b.WriteString("keys = \"anywhere\"\n")
 	}
+	if len(c.follow) > 0 {
+		fmt.Fprintf(&b, "stream = %q\n", m.stream)
+	}
 	if i == len(c.members)-1 && !c.w.scenario.sites {
 		fmt.Fprintf(&b, "stale_after = %q\nwhen_stale = \"refuse\"\n", shortStale)
 	}
@@ -384,7 +421,7 @@
 
 // close ends all processes.
 func (c *cluster) close() {
-	for _, m := range c.members {
+	for _, m := range c.instances() {
 		if m.cmd != nil && m.cmd.Process != nil {
 			m.cmd.Process.Kill()
 			<-m.ended
@@ -396,6 +433,9 @@
 	for _, l := range c.ways {
 		l.close()
 	}
+	for _, l := range c.streams {
+		l.close()
+	}
 	for _, cl := range c.clients {
 		cl.Close()
 	}
@@ -414,6 +454,9 @@
 	for _, l := range licensees() {
 		p.Changes = append(p.Changes, fleetconfig.Put("licensee", l.Name, fleetconfig.Licensee{Plan: l.Plan}))
 	}
+	for _, m := range c.follow {
+		p.Changes = append(p.Changes, fleetconfig.Put("follower", m.follows, fleetconfig.Follower{}))
+	}
 	for _, h := range halls {
 		p.Changes = append(p.Changes, fleetconfig.Put("hall", h.Name, fleetconfig.Hall{Register: h.Register.String()}))
 	}
@@ -956,6 +999,7 @@
 		"units": 0, "operations": 0, "versions": 0, "one_mind": 0, "changes": 0, "scenario": 0}}
 	j := &judge{v}
 	history := c.oneMind(ctx, j)
+	c.followed(ctx, j)
 	arrivals := w.ledger.Arrivals()
 	slices.SortStableFunc(arrivals, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
 	byTrace := map[string][]standin.Arrival{}
@@ -963,7 +1007,7 @@
 		byTrace[a.Trace] = append(byTrace[a.Trace], a)
 	}
 	at := map[string]*member{}
-	for _, m := range c.members {
+	for _, m := range c.instances() {
 		at[m.listen] = m
 	}
 	excused := 0
@@ -1088,6 +1132,92 @@
 	return h
 }
 
+// followed waits until every member says of every follower that it runs the newest version, and holds that against what the
+// follower itself answers.
+func (c *cluster) followed(ctx context.Context, j *judge) {
+	for _, l := range c.streams {
+		l.setCut(false)
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, settle)
+	defer cancel()
+	for len(c.follow) > 0 {
+		said := ""
+		for _, cl := range c.clients { // each asks another member first
+			fs, err := cl.Followers(ctx)
+			if err != nil {
+				said += err.Error() + "; "
+			}
+			for _, f := range c.follow {
+				i := slices.IndexFunc(fs.Followers, func(s confstream.Standing) bool { return s.Name == f.follows })
+				if i < 0 || fs.Followers[i].State != "running" || fs.Followers[i].Running.Number != fs.Newest {
+					said += fmt.Sprintf("member %d has version %d, and %s: %+v; ", fs.Member, fs.Newest, f.follows, fs.Followers)
+				} else if v, err := versionAt(ctx, f); err != nil || v != fs.Newest {
+					said += fmt.Sprintf("member %d says that %s runs %d, and it runs %d: %v; ", fs.Member, f.follows, fs.Newest, v, err)
+				}
+			}
+		}
+		if said == "" {
+			j.v.Figures["followed_s"] = math.Round(time.Since(began).Seconds()*10) / 10
+			return
+		}
+		if pause(ctx, 50*time.Millisecond); ctx.Err() != nil {
+			j.broken("one_mind", "the followers do not run what the members agree on %v after the last fault: %s", settle, said)
+			return
+		}
+	}
+}
+
+// versionAt asks an instance which version it serves on.
+func versionAt(ctx context.Context, m *member) (uint64, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/v1/installers/i1", nil)
+	if err != nil {
+		return 0, err
+	}
+	r.Close = true
+	r.Header.Set("X-Licensee", "kati-0")
+	r.Header.Set("X-Mulleinmux-Explain", "1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return strconv.ParseUint(resp.Header.Get("X-Mulleinmux-Version"), 10, 64)
+}
+
+// streamBreaks has the ways from followers to members fall silent, each for itself.
+func streamBreaks(ctx context.Context, c *cluster) {
+	for until := c.quietFrom(ctx); time.Now().Before(until) && ctx.Err() == nil; {
+		for _, l := range c.streams {
+			l.setCut(c.rng.IntN(3) == 0)
+		}
+		pause(ctx, time.Duration(100+c.rng.IntN(500))*time.Millisecond)
+	}
+}
+
+// quietFrom is when the faults of a scenario end.
+func (c *cluster) quietFrom(ctx context.Context) time.Time {
+	until, _ := ctx.Deadline()
+	return until.Add(-c.w.opt.For / 4)
+}
+
+// killing kills one of some instances after the other, and starts it again.
+func killing(of func(c *cluster) []*member) func(context.Context, *cluster) {
+	return func(ctx context.Context, c *cluster) {
+		for until := c.quietFrom(ctx); time.Now().Before(until) && ctx.Err() == nil; {
+			pause(ctx, time.Duration(200+c.rng.IntN(800))*time.Millisecond)
+			all := of(c)
+			m := all[c.rng.IntN(len(all))]
+			c.kill(m)
+			pause(ctx, time.Duration(c.rng.IntN(1000))*time.Millisecond)
+			if err := c.restart(context.WithoutCancel(ctx), m); err != nil {
+				c.note("%v", err)
+				return
+			}
+		}
+	}
+}
+
 // charged holds the instances' records against the halls and the history: each request that
 // reached a hall was charged once, at the price of the version that it was matched with.
 // Records that a killed instance did not get to write are missed.
@@ -1101,7 +1231,7 @@
 		variants[r.Version] = now
 	}
 	records := map[string]gateway.Record{}
-	for _, m := range c.members {
+	for _, m := range c.instances() {
 		f, err := os.Open(filepath.Join(c.dir, fmt.Sprintf("access-%d.jsonl", m.id)))
 		if err != nil {
 			j.broken("scenario", "%v", err)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -50,6 +50,7 @@
 	cluster     func(context.Context, *cluster) // likewise, with instances as processes that agree
 	rush        float64                         // times what licensees ask for otherwise; 0: as much, or twice where it is small
 	small       bool                            // halls of three servers with one core: one alone can't carry the load
+	followers   int                             // instances beside the members that are told the configuration
 	sites       bool                            // two instances at each of two sites; each reaches its own hall alone, the other over the link
 }
 
@@ -83,6 +84,10 @@
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
 		{Name: "both-cut", About: "the same, and all ways between the sites stay cut: each is alone", mix: stubbornMix, price: sameUnits, cluster: bothCut, sites: true,
 			faults: standin.Faults{Error: 0.02, ErrorIdle: 0.01, Reset: 0.02, Silent: 0.01, Refuse: 0.02}},
+		{Name: "followers", About: "three members that agree and two instances that follow, and no faults", mix: mixedMix, price: sameUnits, cluster: func(ctx context.Context, _ *cluster) { <-ctx.Done() }, followers: 2},
+		{Name: "stream-breaks", About: "three members that agree and two instances that follow; the ways between them fall silent all the time", mix: mixedMix, price: sameUnits, cluster: streamBreaks, followers: 2},
+		{Name: "follower-restarts", About: "the same; followers are killed and started again", mix: mixedMix, price: sameUnits, cluster: killing(func(c *cluster) []*member { return c.follow }), followers: 2},
+		{Name: "member-dies-with-followers", About: "the same; members are killed and started again", mix: mixedMix, price: sameUnits, cluster: killing(func(c *cluster) []*member { return c.members }), followers: 2},
 		{Name: "chaos-config", About: "processes that agree; kills, cuts, lost, late and repeated messages, failing disks, by the seed", mix: mixedMix, price: sameUnits, cluster: chaosConfig},
 	}
 }
