Followers in /metrics; the stream's messages tested: rules, unknown fields, a fuzz target

Operators see at each member how many followers run, wait, are unknown, behind, refusing or twins. Messages are read by functions of their own, so that what a rule of the schema turns down is a test; FuzzPush makes versions of whatever comes. A follower tries members again after 3 s at the most (5 s).

--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -477,6 +477,9 @@
 	gauge("mulleingate_serves", "1 if requests are served.", bit[s.Serves])
 	gauge("mulleingate_raft_leader", "Number of the member that leads; 0: none is known.", s.Leader)
 	gauge("mulleingate_raft_applied_index", "Index of the last entry applied.", s.Index)
+	if f.streams != nil {
+		f.streams.metrics(w)
+	}
 	f.mu.Lock()
 	in := f.in
 	f.mu.Unlock()
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -39,7 +39,7 @@
 	quietBeats    = 5                      // after which a member is given up
 	followerTries = 2
 	followerLeast = 100 * time.Millisecond // bound of the first wait before another member is tried
-	followerMost  = 5 * time.Second
+	followerMost  = 3 * time.Second
 )
 
 // Numbers under which package sites knows the followers, none of which tells what it has sent, and to a follower the
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -334,3 +337,35 @@
 	}
 	return out, nil
 }
+
+// metrics words how many followers stand how, as far as the members know.
+func (s *streams) metrics(w io.Writer) {
+	s.mu.Lock()
+	all := s.pub.Standings(s.now())
+	s.mu.Unlock()
+	states := map[string]int{"running": 0, "waiting": 0, "unknown": 0, "never": 0}
+	behind, refusing, twins := 0, 0, 0
+	for _, st := range all {
+		states[st.State]++
+		if st.Behind {
+			behind++
+		}
+		if st.Refused != nil && (st.Running == nil || st.Refused.Order(*st.Running) == confstream.Newer) {
+			refusing++
+		}
+		if st.Twin != "" {
+			twins++
+		}
+	}
+	fmt.Fprint(w, "# HELP mulleingate_followers Followers agreed on, by how they stand.\n# TYPE mulleingate_followers gauge\n")
+	for _, state := range slices.Sorted(maps.Keys(states)) {
+		fmt.Fprintf(w, "mulleingate_followers{state=%q} %d\n", state, states[state])
+	}
+	for _, g := range []struct {
+		name, help string
+		v          int
+	}{{"behind", "Followers that run and do not have the newest version.", behind}, {"refusing", "Followers that have refused a version newer than what they run.", refusing},
+		{"twins", "Names that two processes have.", twins}} {
+		fmt.Fprintf(w, "# HELP mulleingate_followers_%s %s\n# TYPE mulleingate_followers_%s gauge\nmulleingate_followers_%s %d\n", g.name, g.help, g.name, g.name, g.v)
+	}
+}
--- a/internal/streamwire/wire.go
+++ b/internal/streamwire/wire.go
@@ -107,12 +107,16 @@
 // Receive returns a [confstream.Hello], a [confstream.Report] or the number of a sign of life.
 func (s *Stream) Receive() (any, error) {
 	in, err := s.bidi.Receive()
-	if err == nil {
-		err = valid(in)
-	}
 	if err != nil {
 		return nil, err
 	}
+	return fromFollower(in)
+}
+
+func fromFollower(in *FromFollower) (any, error) {
+	if err := valid(in); err != nil {
+		return nil, err
+	}
 	switch b := in.Body.(type) {
 	case *FromFollower_Hello:
 		h := confstream.Hello{Process: b.Hello.Process, Start: b.Hello.Start, Dial: b.Hello.Dial, Running: toRef(b.Hello.Running),
@@ -153,12 +157,16 @@
 // Receive returns a [*confstream.Push] or a [*confstream.Pong].
 func (c *Client) Receive() (any, error) {
 	in, err := c.bidi.Receive()
-	if err == nil {
-		err = valid(in)
-	}
 	if err != nil {
 		return nil, err
 	}
+	return fromMember(in)
+}
+
+func fromMember(in *FromMember) (any, error) {
+	if err := valid(in); err != nil {
+		return nil, err
+	}
 	if b, ok := in.Body.(*FromMember_Pong); ok {
 		return &confstream.Pong{Seq: b.Pong.Seq, Newest: *toRef(b.Pong.Newest), Homes: b.Pong.Homes, Confirmed: b.Pong.Confirmed, Twin: b.Pong.Twin}, nil
 	}
--- a/internal/streamwire/wire_test.go
+++ b/internal/streamwire/wire_test.go
@@ -4,9 +4,90 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+
+	"mulleinmux/confstream"
+	"mulleinmux/fleetconfig"
 )
 
+// agreed is a version with one plan.
+func agreed(t testing.TB) *confstream.Version {
+	t.Helper()
+	s := fleetconfig.New(nil)
+	entry, err := fleetconfig.Encode(&fleetconfig.Proposal{ID: "a", Changes: []fleetconfig.Change{fleetconfig.Put("plan", "kubwa", fleetconfig.Plan{Rate: 1, Burst: 1})}})
+	if err == nil {
+		_, _, err = s.Apply(entry)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return confstream.Of(s.Freeze(), nil)
+}
+
+// A push arrives as it was sent, with fields of a newer program beside; one that breaks a rule of the schema is turned down.
+func TestPush(t *testing.T) {
+	v := agreed(t)
+	push := Word(&confstream.Push{Nonce: 7, Body: v.Body(nil), Confirmed: true}, WordBody(v.Body(nil)))
+	text, err := proto.Marshal(&FromMember{Body: &FromMember_Push{push}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = protowire.AppendVarint(protowire.AppendTag(text, 900, protowire.VarintType), 1) // a field that is not known here
+	var in FromMember
+	if err := proto.Unmarshal(text, &in); err != nil {
+		t.Fatal(err)
+	}
+	got, err := fromMember(&in)
+	p, ok := got.(*confstream.Push)
+	if err != nil || !ok || p.Nonce != 7 || !p.Confirmed {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if made, err := p.Body.Make(nil); err != nil || made.Ref != v.Ref {
+		t.Errorf("%v, want %v: %v", made, v.Ref, err)
+	}
+	for name, spoil := range map[string]func(p *Push){
+		"no version":      func(p *Push) { p.Ref = nil },
+		"a short digest":  func(p *Push) { p.Ref.Digest = p.Ref.Digest[1:] },
+		"no format":       func(p *Push) { p.Format = 0 },
+		"an empty object": func(p *Push) { p.Put[0].Value = nil },
+		"no nonce":        func(p *Push) { p.Nonce = 0 },
+	} {
+		bad := proto.CloneOf(push)
+		spoil(bad)
+		if got, err := fromMember(&FromMember{Body: &FromMember_Push{bad}}); err == nil {
+			t.Errorf("%s: is taken: %+v", name, got)
+		}
+	}
+	if _, err := fromFollower(&FromFollower{}); err == nil {
+		t.Error("a message without a body is taken")
+	}
+}
+
+// Whatever comes from a member is turned down or makes a version with the digest that it names.
+func FuzzPush(f *testing.F) {
+	v := agreed(f)
+	text, err := proto.Marshal(&FromMember{Body: &FromMember_Push{Word(&confstream.Push{Nonce: 7, Body: v.Body(nil)}, WordBody(v.Body(nil)))}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var in FromMember
+		if proto.Unmarshal(text, &in) != nil {
+			return
+		}
+		got, err := fromMember(&in)
+		if p, ok := got.(*confstream.Push); err == nil && ok {
+			for _, base := range []*confstream.Version{nil, v} {
+				if made, err := p.Body.Make(base); err == nil && made.Ref != p.Body.Ref {
+					t.Fatalf("%v is made of a push of %v", made.Ref, p.Body.Ref)
+				}
+			}
+		}
+	})
+}
+
 func benchPush(n int) *FromMember {
 	p := &Push{Nonce: 1, Ref: &Ref{Number: 3, Digest: make([]byte, 32)}, Format: 1, Hash: fmt.Sprintf("%064d", 1)}
 	for i := range n {
