--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -82,6 +82,12 @@
 		}
 		return file(t, dir, name, strings.Replace(string(deploy.Member), old, to, 1))
 	}
+	followerWith := func(name, old, to string) string {
+		if !strings.Contains(string(deploy.Follower), old) {
+			t.Fatalf("the example lacks %q", old)
+		}
+		return file(t, dir, name, strings.Replace(string(deploy.Follower), old, to, 1))
+	}
 	for _, c := range []struct {
 		args   []string
 		status int
@@ -122,6 +128,15 @@
 		{[]string{"check", memberWith("m4.toml", `zone = "hall-a"`, "zone = \"hall-a\"\ndescription = \"x.yaml\"")}, 2, []string{"description", "agreed on by the cluster"}},
 		{[]string{"check", memberWith("m6.toml", `"home"`, `"here"`)}, 2, []string{"cluster.keys", "here"}},
 		{[]string{"check", memberWith("m5.toml", "number = 2", "number = 1")}, 2, []string{"cluster.member[1].number", "stands twice"}},
+		{[]string{"check", followerWith("f0.toml", "", "")}, 0, []string{"can be used"}},
+		{[]string{"check", followerWith("f1.toml", `stream = "127.0.0.1:7302"`, `stream = "nowhere"`)}, 2, []string{"f1.toml:", "follow.member[1].stream", "no address"}},
+		{[]string{"check", followerWith("f2.toml", "number = 3", "number = 2")}, 2, []string{"follow.member[2].number", "stands twice"}},
+		{[]string{"check", followerWith("f3.toml", `keys = "home"`, `keys = "here"`)}, 2, []string{"follow.keys", "here"}},
+		{[]string{"check", followerWith("f4.toml", "[limits]", "[[plan]]\nname = \"a\"\n[limits]")}, 2, []string{"plan", "agreed on by the cluster"}},
+		{[]string{"run", "--config", followerWith("f5.toml", `certs = "certs"`, `certs = "nowhere"`)}, 2, []string{"follow.certs", "--followers edge-1"}},
+		{[]string{"certs", "--followers", "edge-1", "--dir", filepath.Join(dir, "certs")}, 0, []string{"followers [edge-1]"}},
+		{[]string{"stream", "pin", "edge-1", "0"}, 2, []string{"version"}},
+		{[]string{"config", "apply", good, "--wait", "all-but-some"}, 2, []string{"all-but-N"}},
 		{[]string{"run", "--config", member}, 2, []string{"member-1.db", "mulleingate init"}},
 		{[]string{"init", "--config", member}, 2, []string{"--new-cluster", "--join"}},
 		{[]string{"init", "--config", config, "--join"}, 2, []string{"cluster: is missing"}},
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -23,3 +23,8 @@
 //
 //go:embed fleet.toml
 var Fleet []byte
+
+// Follower is the example of the file of an instance that follows a cluster, follower.toml.
+//
+//go:embed follower.toml
+var Follower []byte
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -189,8 +189,8 @@
 		return "", 0, nil
 	}
 	for _, s := range fs.Followers {
-		if s.State == "running" && s.Running.Number >= version {
-			continue
+		if s.State == "running" && (s.Running.Number >= version || s.Pinned > 0 && s.Running.Number >= s.Pinned) {
+			continue // a pinned one stays where it was told to
 		}
 		n++
 		missing += "; follower " + s.Name + " " + s.Plain()
