confstream: a push's body is made and weighed once, not for each follower

Read once more: the publisher weighed both bodies, each object of them, and looked through the held versions for every follower it pushed to. It does so once for a base now, and remembers nothing for what a follower only says that it runs. Seat.Home, Result.Valid and two values that could be derived are gone.

--- a/confstream/follower.go
+++ b/confstream/follower.go
@@ -122,7 +122,7 @@
 	return []Action{{Install: v}}
 }
 
-func (f *Follower) report(now time.Duration, nonce uint64, result Result, ref Ref, why *Refusal) []Action {
+func (f *Follower) report(nonce uint64, result Result, ref Ref, why *Refusal) []Action {
 	if !f.linked {
 		return nil // the next stream's hello tells
 	}
@@ -164,17 +164,17 @@
 	}
 	b := p.Body
 	if f.running != nil {
-		switch order := b.Order(f.running.Ref); order {
+		switch b.Order(f.running.Ref) {
 		case Same, Older:
-			return f.report(now, p.Nonce, NotNewer, b.Ref, nil)
+			return f.report(p.Nonce, NotNewer, b.Ref, nil)
 		case Diverged:
-			return f.report(now, p.Nonce, Foreign, b.Ref, nil)
+			return f.report(p.Nonce, Foreign, b.Ref, nil)
 		}
 	} else if !p.Confirmed {
-		return f.report(now, p.Nonce, Unconfirmed, b.Ref, nil)
+		return f.report(p.Nonce, Unconfirmed, b.Ref, nil)
 	}
 	if r := refusalOf(f.disk.Refused, b.Ref); r != nil {
-		return f.report(now, p.Nonce, Refused, b.Ref, r)
+		return f.report(p.Nonce, Refused, b.Ref, r)
 	}
 	f.nonce = p.Nonce
 	if b.Format > Format {
@@ -182,11 +182,11 @@
 		return f.refuse([]Problem{{Text: fmt.Sprintf("it is in format %d, and this program knows up to %d: update it", b.Format, Format)}}, true)
 	}
 	if b.Base != nil && (f.running == nil || *b.Base != f.running.Ref) {
-		return f.report(now, p.Nonce, NeedsFull, b.Ref, nil)
+		return f.report(p.Nonce, NeedsFull, b.Ref, nil)
 	}
 	v, err := b.Make(f.running)
 	if err != nil { // it was damaged, on the way or by whoever made it
-		return f.report(now, p.Nonce, NeedsFull, b.Ref, nil)
+		return f.report(p.Nonce, NeedsFull, b.Ref, nil)
 	}
 	f.work = v
 	if f.disk.Received != v.Ref {
@@ -294,15 +294,12 @@
 
 // done ends the work on a push, and begins that on the one that came meanwhile.
 func (f *Follower) done(now time.Duration, result Result, why *Refusal) (as []Action) {
-	ref := f.disk.Received
-	if f.work != nil {
-		ref = f.work.Ref
-	}
-	if why != nil {
+	ref := f.work.Ref
+	if why != nil { // work may be what was put in force again
 		ref = why.Ref
 		as = append(as, Action{Log: fmt.Sprintf("version %v is refused: %v", ref, why.Problems)})
 	}
-	as = append(as, f.report(now, f.nonce, result, ref, why)...)
+	as = append(as, f.report(f.nonce, result, ref, why)...)
 	f.rest()
 	if f.disk.Checks >= f.cfg.Tries {
 		return append(as, f.recheck()...)
--- a/confstream/publisher.go
+++ b/confstream/publisher.go
@@ -49,19 +49,12 @@
 	NotNewer                  // what runs is as new or newer
 	Unconfirmed               // the follower has nothing kept, and no quorum has confirmed the version since it came
 	Foreign                   // the epoch is that of two services
-	results
 )
 
 func (r Result) String() string {
-	if r < 0 || r >= results {
-		return "unknown"
-	}
 	return [...]string{"stated", "applied", "refused", "needs-full", "not-newer", "unconfirmed", "foreign"}[r]
 }
 
-// Valid tells whether there is such a result.
-func (r Result) Valid() bool { return r >= 0 && r < results }
-
 // Report is a follower's reply to a push, or what it states unasked.
 type Report struct {
 	Nonce    uint64 // of the push; 0: none
@@ -155,7 +148,7 @@
 	last      map[string]Served // of followers that have gone; ages as of seen
 	seen      map[string]time.Duration
 	stirred   map[string]bool  // names whose followers are not as they were told last
-	bodies    map[[2]Ref]*Body // by base, the zero Ref for none, and version
+	bodies    map[[2]Ref]*Body // of the pushes since the newest came: by what the follower runs (the zero Ref: whole) and version
 	pins      map[string]uint64
 	credit    float64
 	credited  time.Duration
@@ -329,32 +322,33 @@
 	return []Out{{Session: s.id, Push: &Push{Nonce: s.nonce, Body: p.body(s, v), Confirmed: fresh}}}
 }
 
-// body is a version for a follower: what differs from what it runs, if that is held here and the smaller.
+// body is a version for a follower: what differs from what it runs, if that is held here and the smaller. It is made once
+// for all followers with the same base.
 func (p *Publisher) body(s *session, v *Version) *Body {
-	made := func(base *Version) *Body {
-		key := [2]Ref{{}, v.Ref}
-		if base != nil {
-			key[0] = base.Ref
-		}
-		b, ok := p.bodies[key]
-		if !ok {
-			b = v.Body(base)
-			p.bodies[key] = b
-		}
+	var base Ref // none
+	if s.running != nil && !s.whole && !p.cfg.FullOnly {
+		base = *s.running
+	}
+	key := [2]Ref{base, v.Ref}
+	if b, ok := p.bodies[key]; ok {
 		return b
 	}
-	full := made(nil)
-	if s.running == nil || s.whole || p.cfg.FullOnly {
-		return full
+	full := [2]Ref{{}, v.Ref}
+	whole := p.bodies[full]
+	if whole == nil {
+		whole = v.Body(nil)
+		p.bodies[full] = whole
 	}
-	i := slices.IndexFunc(p.held, func(v *Version) bool { return v.Ref == *s.running })
+	i := slices.IndexFunc(p.held, func(h *Version) bool { return h.Ref == base })
 	if i < 0 {
-		return full
+		return whole // not remembered: a follower may say that it runs anything
 	}
-	if b := made(p.held[i]); b.Size() < full.Size() {
-		return b
+	delta := v.Body(p.held[i])
+	if delta.Size() >= whole.Size() {
+		delta = whole
 	}
-	return full
+	p.bodies[key] = delta
+	return delta
 }
 
 // Hear takes in a follower's report.
--- a/confstream/seat.go
+++ b/confstream/seat.go
@@ -48,7 +48,8 @@
 	return x ^ x>>33
 }
 
-// Next is the member to try now.
+// Next is the member to try now. A follower that had to go elsewhere stays there: to go back would cost a handshake for each
+// restart of a member.
 func (s *Seat) Next() uint64 { return s.order[s.at%len(s.order)] }
 
 // Lost says that a stream has ended or did not begin: began tells which. It returns the wait before the next try.
@@ -64,7 +65,3 @@
 	}
 	return time.Duration(s.rng.Int64N(int64(most) + 1))
 }
-
-// Home tells whether the next member is the first of the order. A follower that had to go elsewhere stays there: to go
-// back would cost a handshake for each restart of a member.
-func (s *Seat) Home() bool { return s.at%len(s.order) == 0 }
