Tests: one log buffer for three packages; strangers on the stream and in the cluster

The same type stood in the harnesses of the edge node, the fleet and the program: it is standin.Log. TestFollowers now also wants a member's and an operator's certificate turned away by the stream, and TestStrangers a follower's by the members: neither guard had a test.

--- a/cmd/mulleingate/cluster_test.go
+++ b/cmd/mulleingate/cluster_test.go
@@ -107,7 +107,7 @@
 		config := file(t, dir, fmt.Sprintf("member-%d.toml", i), text)
 		must(0, "init", "--config", config, "--new-cluster")
 		go func() {
-			var errs syncBuffer
+			var errs standin.Log
 			s := run(ctx, []string{"run", "--config", config}, &errs, &errs)
 			if s != 0 {
 				t.Errorf("member %d: exit %d: %s", i, s, errs.String())
--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -31,23 +30,6 @@
 	os.Exit(m.Run())
 }
 
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 func file(t *testing.T, dir, name, text string) string {
 	t.Helper()
 	path := filepath.Join(dir, name)
@@ -187,7 +169,7 @@
 	config := file(t, dir, "gateway.toml", text)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	errs := &syncBuffer{}
+	errs := &standin.Log{}
 	done := make(chan int, 1)
 	go func() { done <- run(ctx, []string{"run", "--config", config}, io.Discard, errs) }()
 	log := func(pattern string) []string {
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -1,21 +1,21 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log"
 	"net"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/confstream"
 	"mulleinmux/fleetconfig"
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/raftnode"
+	"mulleinmux/internal/standin"
 )
 
 // following is a follower in this process.
@@ -23,27 +23,10 @@
 	*fleetMember
 	cfg  *FollowerConfig
 	f    *Follower
-	logs *syncBuffer
+	logs *standin.Log
 }
 
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
-// streamed has the members serve followers, and describes a follower. It has the id 100 and more, for r.ask.
+// follower describes one that does not run yet. Its id, above those of members, is for r.ask.
 func (r *rig) follower(id uint64, name string) *following {
 	r.t.Helper()
 	if err := r.auth.WriteFollower(r.dir, name); err != nil {
@@ -75,7 +58,7 @@
 		r.t.Fatal(err)
 	}
 	gate.On(ln, nil)
-	f.logs = &syncBuffer{}
+	f.logs = &standin.Log{}
 	f.done, f.stop = make(chan error, 1), stop
 	begun := make(chan *Follower, 1)
 	done := f.done
@@ -94,6 +77,15 @@
 	}
 }
 
+func operator(t *testing.T, r *rig) raftnode.Credentials {
+	t.Helper()
+	creds, err := raftnode.LoadNamed(r.dir, raftnode.OperatorFile("amina"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return creds
+}
+
 // stands waits until a member says that of a follower.
 func (r *rig) stands(name, want string) {
 	r.t.Helper()
@@ -213,6 +205,16 @@
 	if _, err := NewClient("test", south.cfg.Credentials, r.addrs[2].Admin).Status(r.ctx()); err == nil || !strings.Contains(err.Error(), "no operator") {
 		t.Errorf("a follower asks as an operator: %v", err)
 	}
+	for name, creds := range map[string]raftnode.Credentials{"a member": r.members[2].cfg.Credentials, "an operator": operator(t, r)} {
+		var logs standin.Log
+		ctx, stop := context.WithCancel(r.ctx())
+		feed := NewFeed(&FollowerConfig{Cluster: "test", Name: "north", Credentials: creds, Members: north.cfg.Members}, confstream.Disk{Starts: 1}, Hands{}, log.New(&logs, "", 0))
+		done := make(chan struct{})
+		go func() { feed.Run(ctx); close(done) }()
+		r.await(name+" is told nothing", func() bool { return strings.Contains(logs.String(), "is not of a follower") })
+		stop()
+		<-done
+	}
 	wrong := *north
 	wrong.fleetMember, wrong.cfg = &fleetMember{listen: freeAddr(t)}, &FollowerConfig{Cluster: "test", Name: "west", Credentials: north.cfg.Credentials, Data: filepath.Join(r.dir, "w.db"), Members: north.cfg.Members}
 	if err := r.follow(&wrong); err == nil || !strings.Contains(err.Error(), `"north"`) {
@@ -224,9 +226,7 @@
 	if err := r.follow(&wrong); !errors.Is(err, ErrFollowerFile) {
 		t.Errorf("another's file: %v", err)
 	}
-	for _, f := range []*following{north} {
-		if err := r.halt(101); err != nil {
-			t.Errorf("%s ends with %v", f.cfg.Name, err)
-		}
+	if err := r.halt(101); err != nil {
+		t.Errorf("north ends with %v", err)
 	}
 }
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"mulleinmux/internal/standin"
 )
 
 // What goes on to an app server is what the client sent, byte for byte, with the
@@ -291,7 +293,7 @@
 // A panic of the module costs one request, which is answered, and is logged with its stack.
 func TestPanicIsAnswered(t *testing.T) {
 	f := idleFront(t, testConfig())
-	logs := &syncBuffer{}
+	logs := &standin.Log{}
 	f.node.log.SetOutput(logs)
 	f.node.gw = nil
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -365,7 +367,7 @@
 // idleFront is the client side of a node that has no goroutines of its own.
 func idleFront(t *testing.T, cfg *Config) *front {
 	t.Helper()
-	n, err := newNode(t.Context(), cfg, log.New(&syncBuffer{}, "", 0))
+	n, err := newNode(t.Context(), cfg, log.New(&standin.Log{}, "", 0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"mulleinmux/choice"
+	"mulleinmux/internal/standin"
 )
 
 var discard = log.New(io.Discard, "", 0)
@@ -48,7 +49,7 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: s.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}}
+	r := &running{addr: s.Addr().String(), stop: stop, done: make(chan error, 1), logs: &standin.Log{}}
 	go func() { r.done <- runOn(ctx, cfg, r.hup, log.New(r.logs, "", 0), ln) }()
 	t.Cleanup(stop)
 	return r
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,6 +18,7 @@
 
 	"mulleinmux/choice"
 	"mulleinmux/internal/register"
+	"mulleinmux/internal/standin"
 	"mulleinmux/internal/wire"
 )
 
@@ -136,7 +136,7 @@
 	stop context.CancelFunc // a planned restart's SIGTERM
 	hup  chan os.Signal     // takes SIGHUP
 	done chan error
-	logs *syncBuffer
+	logs *standin.Log
 }
 
 func run(t testing.TB, cfg *Config) *running {
@@ -146,7 +146,7 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &syncBuffer{}, hup: make(chan os.Signal, 1)}
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), logs: &standin.Log{}, hup: make(chan os.Signal, 1)}
 	go func() { r.done <- runOn(ctx, cfg, r.hup, log.New(r.logs, "", 0), ln) }()
 	t.Cleanup(func() {
 		stop()
@@ -162,23 +162,6 @@
 	return r
 }
 
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // client is one connection of a client.
 type client struct {
 	net.Conn
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -248,9 +248,10 @@
 	vote := &pb.Message{Type: pb.MsgVote.Enum(), From: proto.Uint64(3), To: proto.Uint64(1), Term: proto.Uint64(1 << 40)}
 	for name, c := range map[string]struct {
 		auth *Authority
-		id   uint64
+		id   uint64 // 0: a follower that is called 3
 		text []byte
 	}{
+		"a follower":          {r.auth, 0, frame(vote)},
 		"another authority":   {other, 2, frame(vote)},
 		"another cluster":     {foreign, 2, frame(vote)},
 		"in another's name":   {r.auth, 2, frame(vote)},
@@ -259,11 +260,19 @@
 		"a word too long":     {r.auth, 3, append(frame(vote)[:20:20], binary.BigEndian.AppendUint32(nil, frameWord<<28|maxWord+1)...)},
 		"no hello":            {r.auth, 3, frame(vote)[20:]},
 	} {
-		creds, err := c.auth.Credentials(c.id)
+		holder := memberName(c.auth.Cluster, c.id)
+		if c.id == 0 {
+			holder = c.auth.Cluster + "/" + followerRole + "/3"
+		}
+		certificate, key, err := c.auth.issue(holder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pair, err := tls.X509KeyPair(certificate, key)
 		if err != nil {
 			t.Fatal(err)
 		}
-		nc, err := tls.Dial("tcp", r.addrs[1], &tls.Config{Certificates: []tls.Certificate{creds.Certificate}, InsecureSkipVerify: true})
+		nc, err := tls.Dial("tcp", r.addrs[1], &tls.Config{Certificates: []tls.Certificate{pair}, InsecureSkipVerify: true})
 		if err == nil {
 			nc.SetDeadline(time.Now().Add(patience))
 			nc.Write(c.text)
