One way to amend an agreed object, to name roles and to open a member's sockets

Read once more: config epoch and stream pin each read, decoded, proposed and printed by themselves; operators' and followers' certificates were two copies; a member's three listeners were closed by three lists; sections of a file looked for missing values twice; the lab asked instances for what they tell twice, and the oracle knew what work an operation is twice. Behaviour as before.

--- a/cmd/mulleingate/stream.go
+++ b/cmd/mulleingate/stream.go
@@ -68,7 +68,7 @@
 		}
 		i := slices.IndexFunc(fs.Followers, func(s confstream.Standing) bool { return s.Name == c.Follower })
 		if i < 0 {
-			return fmt.Errorf("no follower is called %q: those agreed on are in mulleingate config get follower", c.Follower)
+			return unknownFollower(c.Follower)
 		}
 		if sc.JSON {
 			return printJSON(e.stdout, fs.Followers[i])
@@ -84,28 +84,10 @@
 }
 
 func (c *epochCmd) Run(e *env, cc *configCmd) error {
-	return cc.ask(e, func(ctx context.Context, cl *fleet.Client) error {
-		o, err := cl.Objects(ctx, false)
-		if err != nil {
-			return err
-		}
-		var epoch fleetconfig.Epoch
-		if text, ok := o.Objects["epoch"]["epoch"]; ok {
-			if err := json.Unmarshal(text, &epoch); err != nil {
-				return err
-			}
-		}
+	return amend(&cc.configAt, e, "epoch", "epoch", c.Why, func(epoch *fleetconfig.Epoch, _ uint64, _ bool) (string, error) {
 		epoch.Number++
 		epoch.ID = rand.Text()
-		out, err := cl.Propose(ctx, &fleetconfig.Proposal{ID: epoch.ID, Base: &o.Version, Why: c.Why, Changes: []fleetconfig.Change{fleetconfig.Put("epoch", "epoch", epoch)}})
-		if err != nil {
-			return err
-		}
-		if cc.JSON {
-			return printJSON(e.stdout, out)
-		}
-		fmt.Fprintf(e.stdout, "version %d begins epoch %d\n", out.Version, epoch.Number)
-		return nil
+		return fmt.Sprintf("begins epoch %d", epoch.Number), nil
 	})
 }
 
@@ -131,31 +113,49 @@
 
 // pin agrees on the version that a follower stays at.
 func (sc *streamCmd) pin(e *env, name string, version uint64, why string) error {
-	return sc.ask(e, func(ctx context.Context, cl *fleet.Client) error {
+	return amend(&sc.configAt, e, "follower", name, why, func(f *fleetconfig.Follower, newest uint64, there bool) (string, error) {
+		switch {
+		case !there:
+			return "", unknownFollower(name)
+		case version > newest:
+			return "", usage{fmt.Errorf("version: %d is the newest", newest)}
+		}
+		f.Pin = version
+		return fmt.Sprintf("%s is pinned to %d (0: to none)", name, version), nil
+	})
+}
+
+func unknownFollower(name string) error {
+	return fmt.Errorf("no follower is called %q: those agreed on are in mulleingate config get follower", name)
+}
+
+// amend has the instances agree on one object as change leaves it, on the version that it was read at. change is told the
+// version and whether the object is there, and words what the new version does.
+func amend[T any](at *configAt, e *env, kind, name, why string, change func(v *T, version uint64, there bool) (string, error)) error {
+	return at.ask(e, func(ctx context.Context, cl *fleet.Client) error {
 		o, err := cl.Objects(ctx, false)
 		if err != nil {
 			return err
 		}
-		var f fleetconfig.Follower
-		text, ok := o.Objects["follower"][name]
-		if !ok {
-			return fmt.Errorf("no follower is called %q: those agreed on are in mulleingate config get follower", name)
+		var v T
+		text, there := o.Objects[kind][name]
+		if there {
+			if err := json.Unmarshal(text, &v); err != nil {
+				return err
+			}
 		}
-		if err := json.Unmarshal(text, &f); err != nil {
+		word, err := change(&v, o.Version, there)
+		if err != nil {
 			return err
 		}
-		if version > o.Version {
-			return usage{fmt.Errorf("version: %d is the newest", o.Version)}
-		}
-		f.Pin = version
-		out, err := cl.Propose(ctx, &fleetconfig.Proposal{ID: rand.Text(), Base: &o.Version, Why: why, Changes: []fleetconfig.Change{fleetconfig.Put("follower", name, f)}})
+		out, err := cl.Propose(ctx, &fleetconfig.Proposal{ID: rand.Text(), Base: &o.Version, Why: why, Changes: []fleetconfig.Change{fleetconfig.Put(kind, name, v)}})
 		if err != nil {
 			return err
 		}
-		if sc.JSON {
+		if at.JSON {
 			return printJSON(e.stdout, out)
 		}
-		fmt.Fprintf(e.stdout, "version %d: %s is pinned to %d (0: to none)\n", out.Version, name, version)
+		fmt.Fprintf(e.stdout, "version %d: %s\n", out.Version, word)
 		return nil
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,37 +144,42 @@
 		gate.Agreed = &gateway.Agreed{}
 	}
 	own := cfg.Members[cfg.Member]
-	ln, err := net.Listen("tcp", orElse(cfg.Listen, own.Raft))
-	if err != nil {
-		return fmt.Errorf("cluster: %w", err)
+	var opened []net.Listener
+	listen := func(what, at string) net.Listener {
+		ln, e := net.Listen("tcp", at)
+		if e != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", what, e))
+			return nil
+		}
+		opened = append(opened, ln)
+		return ln
+	}
+	abandon := func() {
+		for _, ln := range opened {
+			ln.Close()
+		}
+	}
+	ln, admin := listen("cluster", orElse(cfg.Listen, own.Raft)), listen("admin", orElse(cfg.Admin, own.Admin))
+	var followers net.Listener
+	if cfg.Stream != "" {
+		followers = listen("stream", cfg.Stream)
 	}
-	admin, err := net.Listen("tcp", orElse(cfg.Admin, own.Admin))
 	if err != nil {
-		ln.Close()
-		return fmt.Errorf("admin: %w", err)
+		abandon()
+		return err
 	}
 	f := &Fleet{cfg: cfg, gate: gate, log: logger, wake: make(chan struct{}, 1), members: maps.Clone(cfg.Members), begun: time.Now()}
 	addrs := map[uint64]string{}
 	for id, m := range cfg.Members {
 		addrs[id] = m.Raft
 	}
-	var streamLn net.Listener
-	if cfg.Stream != "" {
-		if streamLn, err = net.Listen("tcp", cfg.Stream); err != nil {
-			ln.Close()
-			admin.Close()
-			return fmt.Errorf("stream: %w", err)
-		}
+	if followers != nil {
 		f.streams = newStreams(f)
 	}
 	f.node, err = raftnode.Start(raftnode.NodeConfig{Config: raftnode.Config{ID: cfg.Member, Validate: Validate}, Cluster: cfg.Cluster,
 		Credentials: cfg.Credentials, Tick: cfg.Tick, Peers: addrs, Starts: bolt.Starts(), Logger: logger, Outgoing: cfg.Outgoing, Changed: f.changed, Word: f.hearKeys}, disk, ln)
 	if err != nil {
-		ln.Close()
-		admin.Close()
-		if streamLn != nil {
-			streamLn.Close()
-		}
+		abandon()
 		return err
 	}
 	defer f.node.Stop()
@@ -185,7 +190,7 @@
 	srv := f.serveAdmin(admin, &side)
 	defer srv.Close()
 	if f.streams != nil {
-		defer f.streams.serve(life, streamLn, &side).Close()
+		defer f.streams.serve(life, followers, &side).Close()
 	}
 
 	serving, drain := context.WithCancel(context.Background())
--- a/internal/gatefile/gatefile.go
+++ b/internal/gatefile/gatefile.go
@@ -326,6 +326,15 @@
 	}
 }
 
+// need turns down names of a section that have no value.
+func (r *reader) need(section string, named [][2]string) {
+	for _, f := range named {
+		if f[1] == "" {
+			r.bad(section+"."+f[0], "is missing")
+		}
+	}
+}
+
 // stale reads what an instance does whose configuration was not confirmed of late.
 func (r *reader) stale(section string, after duration, when string) *gateway.Agreed {
 	agreed := &gateway.Agreed{StaleAfter: after.d}
@@ -352,11 +361,7 @@
 	c := in.Follow
 	k := &Follow{Cluster: c.Cluster, Name: c.Name, Data: c.Data, Certs: c.Certs, Members: map[uint64]string{}}
 	out.Follow = k
-	for _, f := range []struct{ name, v string }{{"cluster", c.Cluster}, {"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}} {
-		if f.v == "" {
-			r.bad("follow."+f.name, "is missing")
-		}
-	}
+	r.need("follow", [][2]string{{"cluster", c.Cluster}, {"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}})
 	if strings.Contains(c.Cluster+c.Name, "/") {
 		r.bad("follow.name", "%q or the cluster's has a slash", c.Name)
 	}
@@ -379,11 +384,7 @@
 	c := in.Cluster
 	k := &Cluster{Name: c.Name, Member: c.Number, Data: c.Data, Certs: c.Certs, Tick: c.Tick.d, Members: map[uint64]fleetconfig.Member{}}
 	out.Cluster = k
-	for _, f := range []struct{ name, v string }{{"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}} {
-		if f.v == "" {
-			r.bad("cluster."+f.name, "is missing")
-		}
-	}
+	r.need("cluster", [][2]string{{"name", c.Name}, {"data", c.Data}, {"certs", c.Certs}})
 	if strings.Contains(c.Name, "/") {
 		r.bad("cluster.name", "%q has a slash", c.Name)
 	}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -169,22 +169,22 @@
 		if i >= c.w.members() {
 			m.follows = fmt.Sprint("edge-", m.id)
 		}
-		var e1, e2, e3, e4 error
-		m.listen, e1 = standin.FreeAddr("tcp")
-		m.admin, e2 = standin.FreeAddr("tcp")
-		m.raft, e3 = standin.FreeAddr("tcp")
-		var e5 error
-		m.site, e5 = standin.FreeAddr("tcp")
-		m.udp, e4 = standin.FreeAddr("udp")
-		var e6 error
-		if m.stream, e6 = standin.FreeAddr("tcp"); m.follows == "" {
+		for _, at := range []*string{&m.listen, &m.admin, &m.raft, &m.site, &m.stream} {
+			if *at, err = standin.FreeAddr("tcp"); err != nil {
+				return err
+			}
+		}
+		if m.udp, err = standin.FreeAddr("udp"); err != nil {
+			return err
+		}
+		if m.follows == "" {
 			c.members = append(c.members, m)
-			e6 = errors.Join(e6, auth.WriteMembers(certs, []uint64{m.id}))
+			err = auth.WriteMembers(certs, []uint64{m.id})
 		} else {
 			c.follow = append(c.follow, m)
-			e6 = errors.Join(e6, auth.WriteFollower(certs, m.follows))
+			err = auth.WriteFollower(certs, m.follows)
 		}
-		if err := errors.Join(e1, e2, e3, e4, e5, e6); err != nil {
+		if err != nil {
 			return err
 		}
 		c.w.addrs = append(c.w.addrs, m.listen)
@@ -680,16 +680,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	for ctx.Err() == nil {
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/v1/installers/i1", nil)
-		if err != nil {
-			break
-		}
-		r.Close = true
-		r.Header.Set("X-Licensee", "kati-0")
-		resp, err := http.DefaultClient.Do(r)
-		if err == nil {
-			resp.Body.Close()
-			if age, err := strconv.ParseFloat(resp.Header.Get("X-Mulleinmux-Config-Age"), 64); err == nil {
+		if h, err := m.told(ctx); err == nil {
+			if age, err := strconv.ParseFloat(h.Get("X-Mulleinmux-Config-Age"), 64); err == nil {
 				return age
 			}
 		}
@@ -1170,19 +1162,28 @@
 
 // versionAt asks an instance which version it serves on.
 func versionAt(ctx context.Context, m *member) (uint64, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/v1/installers/i1", nil)
+	h, err := m.told(ctx)
 	if err != nil {
 		return 0, err
 	}
+	return strconv.ParseUint(h.Get("X-Mulleinmux-Version"), 10, 64)
+}
+
+// told asks an instance for an installer and returns what its answer tells of the configuration.
+func (m *member) told(ctx context.Context) (http.Header, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.listen+"/v1/installers/i1", nil)
+	if err != nil {
+		return nil, err
+	}
 	r.Close = true
 	r.Header.Set("X-Licensee", "kati-0")
 	r.Header.Set("X-Mulleinmux-Explain", "1")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	resp.Body.Close()
-	return strconv.ParseUint(resp.Header.Get("X-Mulleinmux-Version"), 10, 64)
+	return resp.Header, nil
 }
 
 // streamBreaks has the ways from followers to members fall silent, each for itself.
--- a/internal/lab/oracle.go
+++ b/internal/lab/oracle.go
@@ -85,12 +85,12 @@
 	for _, t := range tries {
 		w := byFirst[t.First]
 		if w == nil {
-			k, work := classes[0], checkWork
+			k := classes[0]
 			if t.Operation == "bookVisit" {
-				k, work = classes[1], bookWork
+				k = classes[1]
 			}
 			price := prices[plans[t.Licensee]]
-			w = &wish{at: t.At, licensee: t.Licensee, units: max(units[t.Operation], 1), value: k.Worth * price, late: k.Worth * k.Late * price, aim: k.Aim, work: work.Seconds()}
+			w = &wish{at: t.At, licensee: t.Licensee, units: max(units[t.Operation], 1), value: k.Worth * price, late: k.Worth * k.Late * price, aim: k.Aim, work: workOf(t.Operation).Seconds()}
 			byFirst[t.First] = w
 			all = append(all, w)
 		}
--- a/internal/raftnode/certs.go
+++ b/internal/raftnode/certs.go
@@ -145,20 +145,29 @@
 
 // WriteOperator writes a certificate and a key with which an operator may ask instances.
 func (a *Authority) WriteOperator(dir, name string) error {
-	if name == "" || strings.ContainsAny(name, "/\\") {
-		return fmt.Errorf("operator %q: a name without slashes is wanted", name)
-	}
-	return a.write(dir, OperatorFile(name), operatorName(a.Cluster, name))
+	return a.writeNamed(dir, operatorRole, name)
 }
 
 // WriteFollower writes a certificate and a key of an instance that is no member and is told the configuration.
 func (a *Authority) WriteFollower(dir, name string) error {
+	return a.writeNamed(dir, followerRole, name)
+}
+
+// Roles of holders that are no members: "cluster/role/name" is in their certificates.
+const (
+	operatorRole = "operator"
+	followerRole = "follower"
+)
+
+func (a *Authority) writeNamed(dir, role, name string) error {
 	if name == "" || strings.ContainsAny(name, "/\\") {
-		return fmt.Errorf("follower %q: a name without slashes is wanted", name)
+		return fmt.Errorf("%s %q: a name without slashes is wanted", role, name)
 	}
-	return a.write(dir, FollowerFile(name), followerName(a.Cluster, name))
+	return a.write(dir, roleFile(role, name), a.Cluster+"/"+role+"/"+name)
 }
 
+func roleFile(role, name string) string { return role + "-" + name }
+
 func (a *Authority) write(dir, file, name string) error {
 	certificate, key, err := a.issue(name)
 	if err != nil {
@@ -173,14 +182,10 @@
 func memberFile(member uint64) string { return fmt.Sprintf("member-%d", member) }
 
 // OperatorFile is the name of an operator's files, without what tells certificate and key.
-func OperatorFile(name string) string { return "operator-" + name }
+func OperatorFile(name string) string { return roleFile(operatorRole, name) }
 
 // FollowerFile is that of a follower's.
-func FollowerFile(name string) string { return "follower-" + name }
-
-func followerName(cluster, name string) string { return cluster + "/follower/" + name }
-
-func operatorName(cluster, name string) string { return cluster + "/operator/" + name }
+func FollowerFile(name string) string { return roleFile(followerRole, name) }
 
 // LoadAuthority reads an authority back, to issue a certificate for a further member.
 func LoadAuthority(dir string) (*Authority, error) {
@@ -230,10 +235,10 @@
 func HolderOf(cert *x509.Certificate) (h Holder, err error) {
 	name := cert.Subject.CommonName
 	cluster, rest, ok := cutLast(name, '/')
-	if before, ok := strings.CutSuffix(cluster, "/operator"); ok {
+	if before, ok := strings.CutSuffix(cluster, "/"+operatorRole); ok {
 		return Holder{Cluster: before, Operator: rest}, nil
 	}
-	if before, ok := strings.CutSuffix(cluster, "/follower"); ok {
+	if before, ok := strings.CutSuffix(cluster, "/"+followerRole); ok {
 		return Holder{Cluster: before, Follower: rest}, nil
 	}
 	h.Cluster = cluster
