--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"encoding/binary"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
@@ -225,6 +226,28 @@
 	r.await("ready again", func(s Status) bool { return s.Ready && s.Version >= 1 })
 }
 
+// A certificate makes a member of its cluster's member alone: no follower or operator that is called like one may vote.
+func TestMemberOf(t *testing.T) {
+	auth, err := NewAuthority("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]uint64{"test/member/3": 0, memberName("test", 3): 3, memberName("test2", 3): 0, "test/follower/3": 0, "test/operator/3": 0, "test/3x": 0} {
+		text, _, err := auth.issue(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		block, _ := pem.Decode(text)
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if id, err := MemberOf("test", tls.ConnectionState{PeerCertificates: []*x509.Certificate{cert}}); id != want || (err == nil) != (want > 0) {
+			t.Errorf("%s is taken for member %d: %v", name, id, err)
+		}
+	}
+}
+
 // Who is no member of this cluster, speaks in another's name or sends frames without end is
 // turned away, and the member goes on.
 func TestStrangers(t *testing.T) {
@@ -248,10 +271,9 @@
 	vote := &pb.Message{Type: pb.MsgVote.Enum(), From: proto.Uint64(3), To: proto.Uint64(1), Term: proto.Uint64(1 << 40)}
 	for name, c := range map[string]struct {
 		auth *Authority
-		id   uint64 // 0: a follower that is called 3
+		id   uint64
 		text []byte
 	}{
-		"a follower":          {r.auth, 0, frame(vote)},
 		"another authority":   {other, 2, frame(vote)},
 		"another cluster":     {foreign, 2, frame(vote)},
 		"in another's name":   {r.auth, 2, frame(vote)},
@@ -260,19 +282,11 @@
 		"a word too long":     {r.auth, 3, append(frame(vote)[:20:20], binary.BigEndian.AppendUint32(nil, frameWord<<28|maxWord+1)...)},
 		"no hello":            {r.auth, 3, frame(vote)[20:]},
 	} {
-		holder := memberName(c.auth.Cluster, c.id)
-		if c.id == 0 {
-			holder = c.auth.Cluster + "/" + followerRole + "/3"
-		}
-		certificate, key, err := c.auth.issue(holder)
-		if err != nil {
-			t.Fatal(err)
-		}
-		pair, err := tls.X509KeyPair(certificate, key)
+		creds, err := c.auth.Credentials(c.id)
 		if err != nil {
 			t.Fatal(err)
 		}
-		nc, err := tls.Dial("tcp", r.addrs[1], &tls.Config{Certificates: []tls.Certificate{pair}, InsecureSkipVerify: true})
+		nc, err := tls.Dial("tcp", r.addrs[1], &tls.Config{Certificates: []tls.Certificate{creds.Certificate}, InsecureSkipVerify: true})
 		if err == nil {
 			nc.SetDeadline(time.Now().Add(patience))
 			nc.Write(c.text)
