Each node of a large fleet keeps to a part of the servers, drawn by lots

Change: package parts draws each node's part (16 servers, each in 24 parts or more; all servers where that is less than it saves) by lots of node and server, with the load evened out by the count of holders. choice prefers its part, and of it servers to which a connection stands; a cold server is its holders' to warm up; probes go to the part, a sixth of the sends. Units that went out without their holder's answer are told again, once; after six asks without any answer none is waited for; members have more of a ceiling's rate. What a node finds out of a server goes with its asks, and counts when two say it, for a probe. Refusals are counted by the rule that refused.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,13 @@
 	meanShare    = 0.05                   // share of a new sample in the slow means
 	utilShare    = 0.3                    // share of a new report in a server's busy share
 	triedWeight  = 4                      // cost factor of a server that this request has tried
+	openWeight   = 1.5                    // cost factor of a server to which no connection stands idle
+	probesSent   = 0.5                    // probes for each request sent on
+	partProbes   = 0.17                   // and with a part of the servers, which many gateways look at
+	lostEarly    = 3 * time.Second        // a silent server's turn to be probed comes earlier by so much
+	noteLasts    = 2 * time.Second        // what peers say of a server counts for so long
+	noteFresh    = 500 * time.Millisecond // own evidence as young as that counts for more
+	connKept     = 10 * time.Second       // a connection that has been idle for so long may have been closed
 	crossWeight  = 1.1                    // cost factor of another zone where crossing has a price
 	slowDevs     = 10                     // mean deviations over the mean at which an attempt counts as slow
 	crowdedFor   = time.Second            // a customer refused counts as crowded for so long
@@ -58,8 +65,9 @@
 	inboxRoom    = 1.3                    // gap between tells as a multiple of what the inbox limit allows
 	askWait      = 100 * time.Millisecond // an answer to an ask is taken for lost then: two hops' time
 	silentAsks   = 3                      // asks without an answer after which a holder is not waited for
+	deafAsks     = 6                      // asks in a row without any holder's answer after which none is
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
-	memberRate   = 0.15                   // and of its rate
+	memberRate   = 0.4                    // and of its rate
 	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
 	lendAhead    = 4.0                    // gaps between tells that a part of a ceiling should last for
 	lendKeep     = 0.25                   // share of its part that a lender keeps
@@ -102,13 +110,14 @@
 	for _, e := range entries {
 		s := g.byID[e.ID]
 		if s == nil {
-			s = &server{lat: 1, queue: -1, credit: -1, util: -1}
+			s = &server{lat: 1, queue: -1, credit: -1, util: -1, lean: 1, tag: tagOf(e.ID)}
 			g.byID[e.ID] = s
 			g.servers = append(g.servers, s)
 		}
 		if s.Boot != e.Boot {
 			// A restarted server is another one: nothing learned of it holds.
 			s.errs, s.strikes, s.ejected, s.lat, s.queue, s.credit, s.lost = 0, 0, 0, 1, -1, -1, false
+			s.conns = 0
 		}
 		s.Server, s.listed = e, e.State != Removed
 		if _, ok := g.kinds[e.Kind]; !ok {
@@ -128,7 +137,7 @@
 	ci, okClass := g.class[q.Class]
 	pi, okPlan := g.plan[q.Plan]
 	if !okClass || !okPlan || q.Grace <= 0 {
-		g.out.Refuse(q.ID, 0)
+		g.refuse(q.ID, 0, whyUnknown)
 		return
 	}
 	q.Units = math.Max(q.Units, 0)
@@ -141,13 +150,19 @@
 	r := &request{Request: q, num: g.nextNum, class: ci, store: st}
 	r.ends = now + q.Body + q.Grace - 2*g.set.Tick
 	late, l := g.late(ci, q.Grace), &g.lat[ci]
-	tooShort := l.n >= batchLeast && q.Grace.Seconds() < l.mean
-	if g.jammed(ci, q.Zone, g.set.Plans[pi].Price) || late && g.aro.rho >= pressed || tooShort {
-		g.refuse(q.ID, g.set.Classes[ci].Aim/comeBack)
-		return
-	}
-	if st.wide && !q.Paid && now < st.shut && g.set.Plans[pi].OverWorth == 0 {
-		g.refuse(q.ID, st.shut-now)
+	wait, why := g.set.Classes[ci].Aim/comeBack, whyNot
+	switch {
+	case g.jammed(ci, q.Zone, g.set.Plans[pi].Price):
+		why = whyJammed
+	case late && g.aro.rho >= pressed:
+		why = whyLate
+	case l.n >= batchLeast && q.Grace.Seconds() < l.mean:
+		why = whyShort
+	case st.wide && !q.Paid && now < st.shut && g.set.Plans[pi].OverWorth == 0:
+		wait, why = st.shut-now, whyQuota
+	}
+	if why != whyNot {
+		g.refuse(q.ID, wait, why)
 		return
 	}
 	g.reqs[q.ID], g.byNum[r.num] = r, r
@@ -190,23 +205,26 @@
 func (g *Gateway) admit(r *request, in bool, wait time.Duration) {
 	st, p, ci := r.store, &g.set.Plans[r.store.plan], r.class
 	r.inQuota = in
+	why := whyQuota
 	var s *server
 	// Exception: beyond the quota only where that earns more than it costs and the back end is calm.
 	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < calm && g.aro.f >= 1) {
 	} else if !r.granted && st.ceiling < r.Units && p.CeilingRate > 0 {
-		wait = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart)
+		wait, why = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart), whyCeiling
 		if st.dry += r.Units; !st.wide {
 			wait = min(wait, 2*g.tellGap) // a peer may lend
 		}
 		g.mark(st)
-	} else if wait, g.aro.r = g.set.Classes[ci].Aim/comeBack, g.aro.r+g.aro.f; g.aro.r >= 1 {
+	} else if why, g.aro.r = whyThrottled, g.aro.r+g.aro.f; g.aro.r < 1 {
+		wait = g.set.Classes[ci].Aim / comeBack
+	} else {
 		g.aro.r--
-		wait = probesKept * probeEvery
+		wait, why = probesKept*probeEvery, whyNoServer
 		s = g.pick(r)
 	}
 	if s == nil {
 		g.giveBack(r, r.Units)
-		g.refuse(r.ID, wait)
+		g.refuse(r.ID, wait, why)
 		g.close(r)
 		return
 	}
@@ -464,8 +482,8 @@
 // fleets; it costs two hops of waiting, and a holder that restarts begins with a full store.
 
 func (g *Gateway) ask(r *request) {
-	g.out.Tell(r.holder, g.encodeAsk(r))
-	if g.peers[r.holder].unanswered >= silentAsks {
+	g.out.Tell(r.holder, g.encodeAsk(r, kindAsk))
+	if g.peers[r.holder].unanswered >= silentAsks || g.deaf >= deafAsks {
 		g.unanswered(r)
 		return
 	}
@@ -477,7 +495,12 @@
 func (g *Gateway) unanswered(r *request) {
 	r.drawn = true
 	g.peers[r.holder].unanswered++
-	g.admit(r, g.rng.Float64() < r.store.pass, askWait)
+	g.deaf++
+	in := g.rng.Float64() < r.store.pass
+	g.admit(r, in, askWait)
+	if in && len(r.attempts) > 0 {
+		g.out.Tell(r.holder, g.encodeAsk(r, kindSpent))
+	}
 }
 
 // heed takes an ask of a member, the answer of a holder, or what a member gives back.
@@ -489,8 +512,11 @@
 	if m.kind != kindBack {
 		g.aro.mix(poolShare, m.pool)
 	}
+	for _, n := range m.notes {
+		g.heedNote(from, n)
+	}
 	switch m.kind {
-	case kindAsk:
+	case kindAsk, kindSpent:
 		if !g.inSet(from, m.first, m.spread) || !g.inSet(g.set.Me, m.first, m.spread) {
 			return
 		}
@@ -498,6 +524,13 @@
 		if st.plan != m.plan || !st.wide {
 			return
 		}
+		if m.kind == kindSpent { // sent without the answer: of an ask that came, it has taken its units
+			if p := &g.set.Plans[m.plan]; p.Rate > 0 && !st.noted(from, m.num) {
+				st.note(from, m.num, g.now)
+				st.level = math.Max(st.level-m.units, -p.Burst)
+			}
+			return
+		}
 		in, wait := g.quota(st, m.units)
 		if in = in && (g.set.Plans[m.plan].CeilingRate <= 0 || st.ceiling >= m.units); in {
 			wait, st.ceiling = 0, st.ceiling-m.units
@@ -510,9 +543,12 @@
 			wait = max(wait, fill(float64(st.spread/st.split), askShare*g.set.InboxPerS))
 		}
 		st.pass += passShare * (b2f(in) - st.pass)
+		if in {
+			st.note(from, m.num, g.now)
+		}
 		g.out.Tell(from, g.encodeAnswer(m.num, in, wait, st.pass))
 	case kindAnswer:
-		g.peers[from].unanswered = 0
+		g.peers[from].unanswered, g.deaf = 0, 0
 		r := g.byNum[m.num]
 		if r == nil || r.closed || r.holder != from || len(r.attempts) > 0 {
 			return
@@ -566,7 +602,7 @@
 		if n < samplesLeast { // too few of its own: by the mean over the gateways it hears from
 			occ, n, a.alpha = a.pool[poolOcc], a.pool[poolN], a.pool[poolSent]
 		}
-		if a.rho = 0; n > samplesLeast*ownShare/4 {
+		if a.rho = 0; n > samplesLeast*ownShare/25 {
 			a.rho = math.Min(occ/n, 1)
 		}
 		fO := clamp(math.Min(rhoTarget/math.Max(a.rho, 1e-9), growMost) * a.f)
@@ -683,20 +719,32 @@
 
 // Choice of a server.
 
-// pick returns the server with the least expected delay that the request may go to, or nil.
+// pick returns the server that the request goes to, or nil: one of this gateway's part of the servers or, if
+// none of these will do, one of all.
 func (g *Gateway) pick(r *request) *server {
+	s := g.best(r, g.near)
+	if !g.whole() && (s == nil || s.aside(g.now)) {
+		if other := g.best(r, g.servers); other != nil {
+			return other
+		}
+	}
+	return s
+}
+
+// best returns the one of some servers with the least expected delay that the request may go to, or nil.
+func (g *Gateway) best(r *request, from []*server) *server {
 	var best *server
 	var short *coldZone // of a server left out because it is cold
 	bestCost := math.Inf(1)
 	// Gateways that all took the best of all servers would crowd it. Each looks at a random part.
 	looks := max(len(g.servers)/g.set.Instances+1, 2)
-	for i := range g.servers {
+	for i := range from {
 		if best != nil && looks == 0 && !best.aside(g.now) {
 			break
 		}
-		j := i + g.rng.IntN(len(g.servers)-i)
-		g.servers[i], g.servers[j] = g.servers[j], g.servers[i]
-		s := g.servers[i]
+		j := i + g.rng.IntN(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+		s := from[i]
 		if r.Zone != "" && s.Zone != r.Zone || !s.takes() || !g.maySend(r, s) {
 			continue
 		}
@@ -713,7 +761,7 @@
 			continue // a further attempt there would only cost the client time
 		case s.aside(g.now):
 			cost += 1e6 // only if no other is left; no look, or those in service would be taken blindly
-		case g.rng.Float64()*g.topWeight > g.share(s):
+		case g.now < s.suspect, g.rng.Float64()*g.topWeight > g.share(s):
 			cost += 1e3 // candidates are drawn by their size
 		default:
 			looks = max(looks-1, 0)
@@ -741,6 +789,9 @@
 	}
 	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
 	cost /= g.warmth(s)
+	if !g.whole() && !s.stands(g.now) {
+		cost *= openWeight
+	}
 	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
 		cost *= crossWeight
 	}
@@ -758,8 +809,11 @@
 		return true
 	}
 	work := g.work(class)
+	if !s.near {
+		return false // its holders warm it up
+	}
 	// A server does at least a second's work a second, which counts where no warm one is seen.
-	carries := math.Max(g.warmRate, 1/float64(g.set.Instances))
+	carries := math.Max(g.warmRate, 1/g.holders) * s.lean
 	if c != nil {
 		carries = c.Ramp
 	}
@@ -789,9 +843,9 @@
 // share is the server's size: as listed or, where all are listed alike, by the speed of its kind.
 func (g *Gateway) share(s *server) float64 {
 	if k := g.kinds[s.Kind]; !g.sized && g.kindLat[k].n > 0 {
-		return g.weight(s) * math.Min(1/g.kindLat[k].mean, 1)
+		return g.weight(s) * s.lean * math.Min(1/g.kindLat[k].mean, 1)
 	}
-	return g.weight(s)
+	return g.weight(s) * s.lean
 }
 
 // Attempts.
@@ -851,6 +905,9 @@
 	if s.out == 0 {
 		s.seen = g.now
 	}
+	if !s.stands(g.now) {
+		s.conns = s.out + 1
+	}
 	// A body that is still coming is no work out yet, nor is an answer that has begun.
 	if r.Body == 0 {
 		s.out++
@@ -889,7 +946,7 @@
 		return
 	}
 	if g.mayRefuse(r) {
-		g.refuse(r.ID, probesKept*probeEvery)
+		g.refuse(r.ID, probesKept*probeEvery, whySpent)
 	} else {
 		g.out.Fail(r.ID)
 	}
@@ -911,6 +968,14 @@
 		s.out--
 		g.held--
 	}
+	switch o.Result {
+	case OK, Full, ErrorAnswer:
+		s.used = g.now
+	case TimedOut, ConnectFailed:
+		s.conns = 0 // the host closes the idle ones as well
+	default:
+		s.conns = max(s.conns-1, 0)
+	}
 	r.out--
 	r.store.out--
 	g.mark(r.store)
@@ -961,7 +1026,7 @@
 		g.observe(r.class, s, o.Took)
 		// Rule 4: only of servers that count in the mean, and only work that is known: answers of
 		// draining servers or a guess that proves too high would inflate what cold ones may be sent.
-		if g.warmth(s) >= 1 && s.takes() {
+		if g.warmth(s) >= 1 && s.takes() && s.near {
 			g.okWarm += g.learnedWork(r.class)
 			if c := g.cold[s.Zone]; c != nil {
 				c.okWarm += g.learnedWork(r.class)
@@ -1015,6 +1080,7 @@
 		return
 	}
 	s.lost = true
+	g.noteServer(s, false)
 	g.log("server %s is silent: out until it answers a probe", s.ID)
 }
 
@@ -1022,9 +1088,32 @@
 func (g *Gateway) alive(s *server) {
 	if s.lost {
 		s.lost, s.ejected, s.strikes = false, 0, 0
+		g.noteServer(s, true)
 		g.log("server %s answers again", s.ID)
 	}
-	s.heard = g.now
+	s.heard, s.suspect = g.now, 0
+}
+
+// heedNote takes in what a peer says of a server of this gateway's part: that it was silent to it, or answers
+// it again. One voice counts for nothing, and two never put a server out: it gets no request while others of
+// the part will do, and a probe at once, whose end is this gateway's own evidence. Where half of the part is
+// in doubt, nothing more is believed: a spoilt gateway, or a cut between peers and servers, can't empty it.
+func (g *Gateway) heedNote(from int, n note) {
+	for _, s := range g.near {
+		if s.tag != n.tag || g.whole() || !s.voices[b2i(n.up)].second(from, g.now) || s.lost != n.up {
+			continue
+		}
+		if !n.up && (g.now-s.heard < noteFresh || 2*g.doubted() >= len(g.near)) {
+			continue
+		}
+		if !n.up {
+			s.suspect = g.now + noteLasts
+		}
+		if g.now-s.probed >= noteFresh && g.set.Probes {
+			s.probed = g.now
+			g.out.Probe(s.ID)
+		}
+	}
 }
 
 // Gone tells that a request is over without an answer of the gateway.
@@ -1053,6 +1142,7 @@
 		fallthrough
 	case Full, ErrorAnswer:
 		g.alive(s)
+		s.conns, s.used = max(s.conns, s.out+1), g.now
 		if s.check > 0 {
 			s.upSince(s.check)
 		}
@@ -1106,11 +1196,14 @@
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
 	g.sweep()
+	if g.widen() {
+		g.takePart()
+	}
 	var weight float64
 	keep := math.Exp(-probeEvery.Seconds() / forgetAfter.Seconds())
 	for _, s := range g.servers {
-		if s.takes() && g.warmth(s) >= 1 {
-			weight += g.weight(s)
+		if s.takes() && s.near && g.warmth(s) >= 1 {
+			weight += g.weight(s) * s.lean
 		}
 		if s.out == 0 {
 			s.lat = 1 + (s.lat-1)*keep
@@ -1126,13 +1219,13 @@
 	g.inboxRate += rateShare * (g.inbox/probeEvery.Seconds() - g.inboxRate)
 	g.okWarm, g.oks, g.inbox = 0, 0, 0
 	g.carried()
-	// Probes are priced and cost work: a gateway that sends seldom probes half as often as it sends.
-	g.probeDue = math.Min(g.probeDue+g.aro.pool[poolSent]/2, 1)
+	// Probes are priced and cost work: a gateway that sends seldom probes seldom.
+	g.probeDue = math.Min(g.probeDue+g.aro.pool[poolSent]*g.probeShare(), 1)
 	if g.set.Probes && g.set.Report != ReportNone && len(g.servers) > 0 && g.probeDue >= 1 {
 		g.probeDue = 0
 		var next *server // the one whose last probe is longest ago; pick shuffles the servers
-		for _, s := range g.servers {
-			if s.takes() && (next == nil || s.probed < next.probed) {
+		for _, s := range g.near {
+			if s.takes() && (next == nil || g.turn(s) < g.turn(next)) {
 				next = s
 			}
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"mulleinmux/parts"
 )
 
 // What a gateway remembers. How it is used is decided in choice.go.
@@ -30,6 +33,13 @@
 	check    time.Duration   // a connection failed then, and a probe was sent at once to see why; 0: none is out
 	probed   time.Duration   // last probe
 	lost     bool            // silent to all that was sent of late: out until it is heard
+	tag      uint16          // names it in notes to peers
+	voices   [2]voices       // who said of late that it is silent, and that it answers again
+	suspect  time.Duration   // until then, peers hold it to be silent
+	conns    int             // connections that should stand, as far as the module can tell
+	used     time.Duration   // when one was last of use
+	near     bool            // in this gateway's part of the servers
+	lean     float64         // how much oftener it is asked than by its weight, since fewer gateways than others have it in their part
 }
 
 type attempt struct {
@@ -99,6 +109,7 @@
 	parts     float64       // stores that the quota is kept in
 	pass      float64       // share of asks that were granted of late
 	shut      time.Duration // no ask until then: the holder has refused
+	asks      []lease       // asks that have taken their units of late
 	leases    []lease       // attempts that this holder has granted under an open cap
 	burstPart float64       // this gateway's part of the ceiling's burst
 	ratePart  float64       // and of its rate
@@ -143,6 +154,10 @@
 	epoch   uint64
 
 	servers []*server
+	notes   []note    // what it found out of late
+	near    []*server // this gateway's part of them, or all
+	holders float64   // gateways that have a server of it in their part, on average
+	width   parts.Width
 	byID    map[string]*server
 	reqs    map[string]*request
 	byNum   map[uint64]*request
@@ -159,7 +174,9 @@
 	peers   []peer
 	tellGap time.Duration
 
+	refused          [whyCount]uint64 // requests, by what they were refused for
 	aro              aro
+	deaf             int     // asks in a row that no holder has answered
 	retries          float64 // further attempts saved up
 	inbox, inboxRate float64 // messages taken in since the last probe, and per second
 	held             int     // attempts out
@@ -242,6 +259,8 @@
 	return fill(units, rate)
 }
 
+func b2i(b bool) int { return int(b2f(b)) }
+
 func b2f(b bool) float64 {
 	if b {
 		return 1
@@ -511,6 +530,152 @@
 	}
 }
 
+// partRule is how large a gateway's part of the servers is: 16 are enough to lose half of them, and few enough for
+// some requests a second to find a connection open; each server is in 24 parts or more, so that gateways with several
+// times the mean load do not weigh on single servers.
+var partRule = parts.Rule{Servers: 16, Holders: 24, Spare: 8}
+
+// takePart forms this gateway's part of the servers that take requests.
+func (g *Gateway) takePart() {
+	fleet := parts.Fleet{Nodes: g.set.Instances, Seed: 1, Rule: partRule}
+	var at []*server
+	var list []parts.Server
+	for _, s := range g.servers {
+		if s.near, s.lean = false, 1; s.takes() {
+			at, list = append(at, s), append(list, parts.Server{ID: s.ID, Zone: s.Zone, Size: g.weight(s)})
+		}
+	}
+	if g.near, g.holders = g.servers, float64(g.set.Instances); fleet.Size(len(at)) == len(at) {
+		for _, s := range g.servers {
+			s.near = true
+		}
+		return
+	}
+	members := fleet.Form(list, g.set.Me, g.width.Factor())
+	g.near, g.holders = make([]*server, 0, len(members)), 0
+	for _, m := range members {
+		g.holders += float64(m.Held) / float64(len(members))
+	}
+	g.topWeight = 0
+	for _, m := range members {
+		s := at[m.Index]
+		s.near, s.lean = true, g.holders/float64(m.Held)
+		g.near = append(g.near, s)
+		g.topWeight = math.Max(g.topWeight, g.weight(s)*s.lean)
+	}
+}
+
+// widen tells whether the part has to be formed anew, for it can't carry what there is or need not be so large.
+func (g *Gateway) widen() bool {
+	var fit, all float64
+	for _, s := range g.near {
+		all += g.weight(s) * s.lean
+		if !s.aside(g.now) {
+			fit += g.weight(s) * s.lean * g.warmth(s)
+		}
+	}
+	return all > 0 && !g.whole() && g.width.Now(g.now, fit/all, len(g.near), float64(g.held))
+}
+
+// whole tells whether the part is all servers.
+func (g *Gateway) whole() bool { return len(g.near) == len(g.servers) }
+
+// probeShare is the probes for each request sent on.
+func (g *Gateway) probeShare() float64 {
+	if g.whole() {
+		return probesSent
+	}
+	return partProbes
+}
+
+// turn orders servers by when they are to be probed: those of a part that are silent come earlier.
+func (g *Gateway) turn(s *server) time.Duration {
+	if s.lost && !g.whole() {
+		return s.probed - lostEarly
+	}
+	return s.probed
+}
+
+// note is what a gateway found out of a server: that it is silent, or that it answers again.
+type note struct {
+	tag uint16
+	up  bool
+	at  time.Duration // of its own notes: when
+}
+
+// notesMost is the most notes in a message, the latest of those kept.
+const notesMost = 4
+
+// noteServer keeps a finding for the next messages to peers.
+func (g *Gateway) noteServer(s *server, up bool) {
+	if g.whole() {
+		return
+	}
+	g.notes = slices.DeleteFunc(g.notes, func(n note) bool { return n.tag == s.tag || g.now-n.at >= noteLasts })
+	if g.notes = append(g.notes, note{s.tag, up, g.now}); len(g.notes) > notesMost {
+		g.notes = g.notes[1:]
+	}
+}
+
+// doubted counts the servers of the part that are silent to this gateway or, as peers say, to them.
+func (g *Gateway) doubted() (n int) {
+	for _, s := range g.near {
+		n += b2i(s.lost || g.now < s.suspect)
+	}
+	return n
+}
+
+// voices are the two peers that said something last.
+type voices struct {
+	from [2]int
+	at   [2]time.Duration
+}
+
+// second takes in that a peer says it, and tells whether another one did so of late.
+func (v *voices) second(from int, now time.Duration) bool {
+	k := 0
+	if v.at[0] != 0 && v.from[0] != from && (v.from[1] == from || v.at[1] < v.at[0]) {
+		k = 1
+	}
+	v.from[k], v.at[k] = from, now
+	other := v.at[1-k]
+	return other != 0 && v.from[1-k] != from && now-other < noteLasts
+}
+
+// tagOf names a server in notes. Two that share a tag are probed for each other's sake, and no more.
+func tagOf(id string) uint16 {
+	h := uint32(2166136261) // FNV-1a
+	for i := 0; i < len(id); i++ {
+		h = (h ^ uint32(id[i])) * 16777619
+	}
+	return uint16(h ^ h>>16)
+}
+
+// asksNoted is the most asks that a holder remembers of a store.
+const asksNoted = 32
+
+// note remembers that an ask has taken its units from the store.
+func (st *store) note(from int, num uint64, now time.Duration) {
+	if st.dropAsks(now); len(st.asks) < asksNoted {
+		st.asks = append(st.asks, lease{from, num, now + 2*askWait})
+	}
+}
+
+func (st *store) dropAsks(now time.Duration) {
+	n := 0
+	for n < len(st.asks) && now >= st.asks[n].ends {
+		n++
+	}
+	st.asks = st.asks[n:]
+}
+
+func (st *store) noted(from int, num uint64) bool {
+	return slices.ContainsFunc(st.asks, func(l lease) bool { return l.from == from && l.num == num })
+}
+
+// stands tells whether a connection to the server should stand open and idle.
+func (s *server) stands(now time.Duration) bool { return s.conns > s.out && now-s.used < connKept }
+
 // recount drops servers that are gone and holds what the list says of all that are up.
 func (g *Gateway) recount() {
 	kept := g.servers[:0]
@@ -527,6 +692,7 @@
 		}
 	}
 	g.servers = kept
+	g.takePart()
 }
 
 // sweep drops idle stores among the next eighth.
@@ -620,8 +786,36 @@
 	}
 }
 
-// refuse refuses a request of which nothing was sent.
-func (g *Gateway) refuse(id string, wait time.Duration) {
+// What a request was refused for.
+const (
+	whyNot       = iota
+	whyUnknown   // class, plan or wait that can't be
+	whyJammed    // the bound on work out
+	whyLate      // a late try, under pressure
+	whyShort     // less wait left than answers take
+	whyQuota     // beyond the quota
+	whyCeiling   // beyond this gateway's part of the ceiling
+	whyThrottled // the throttle
+	whyNoServer  // no server that it may go to
+	whySpent     // its attempts came to nothing
+	whyCount
+)
+
+// whyNames are the names of these, as operators read them.
+var whyNames = [whyCount]string{"", "unknown", "jammed", "late", "short", "quota", "ceiling", "throttled", "no_server", "attempts_spent"}
+
+// Refused tells how many requests were refused, by the rule that refused them.
+func (g *Gateway) Refused(each func(rule string, n uint64)) {
+	for why, n := range g.refused {
+		if why != whyNot {
+			each(whyNames[why], n)
+		}
+	}
+}
+
+// refuse refuses a request; trying it again is harmless.
+func (g *Gateway) refuse(id string, wait time.Duration, why int) {
+	g.refused[why]++
 	if !g.set.RetryAfter {
 		wait = 0
 	}
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,7 @@
 	kindAnswer
 	kindBack
 	kindTell
+	kindSpent // an ask again, of units that were sent without its answer
 )
 
 // messageMost is the longest message that the wire takes.
@@ -125,11 +127,12 @@
 	pass                float64
 	wait                time.Duration
 	pool                [poolSize]float64
+	notes               []note
 }
 
 // encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units.
-func (g *Gateway) encodeAsk(r *request) []byte {
-	msg := binary.AppendUvarint([]byte{kindAsk}, r.num)
+func (g *Gateway) encodeAsk(r *request, kind byte) []byte {
+	msg := binary.AppendUvarint([]byte{kind}, r.num)
 	msg = binary.AppendUvarint(msg, r.store.key)
 	msg = binary.AppendUvarint(msg, g.code(r.store))
 	return g.appendPool(binary.AppendVarint(msg, int64(math.Round(r.Units))))
@@ -155,7 +158,7 @@
 	r := reader{b: b[1:]}
 	m.kind, m.num = b[0], r.uint()
 	switch m.kind {
-	case kindAsk:
+	case kindAsk, kindSpent:
 		m.key = r.uint()
 		ok = g.decode(r.uint(), &m.plan, &m.spread, &m.first)
 		m.units = float64(r.int())
@@ -176,16 +179,34 @@
 			m.pool[i] = float64(r.int()) / poolParts
 		}
 	}
+	// Notes of servers, if any, end the message; a gateway of the version before takes none with them.
+	if len(r.b) > 0 && !r.bad && m.kind != kindBack {
+		n := r.uint()
+		r.bad = r.bad || n == 0 || n > notesMost
+		for ; n > 0 && !r.bad; n-- {
+			x := r.uint()
+			r.bad = r.bad || x>>17 != 0
+			m.notes = append(m.notes, note{tag: uint16(x >> 1), up: x&1 == 1})
+		}
+	}
 	return m, !r.bad && len(r.b) == 0
 }
 
 // poolParts is the number of parts in which the figures of the pool are given.
 const poolParts = 256
 
+// appendPool ends a message with the pool and what the gateway found out of servers of late.
 func (g *Gateway) appendPool(b []byte) []byte {
 	for _, x := range g.aro.pool {
 		b = binary.AppendVarint(b, int64(math.Round(math.Min(x*poolParts, 1e6))))
 	}
+	g.notes = slices.DeleteFunc(g.notes, func(n note) bool { return g.now-n.at >= noteLasts })
+	if len(g.notes) > 0 {
+		b = binary.AppendUvarint(b, uint64(len(g.notes)))
+		for _, n := range g.notes {
+			b = binary.AppendUvarint(b, uint64(n.tag)<<1|uint64(b2i(n.up)))
+		}
+	}
 	return b
 }
 
--- a/cmd/mulleingate/bench.go
+++ b/cmd/mulleingate/bench.go
@@ -21,10 +21,16 @@
 	Link    bool          `help:"Measure instead what a request costs that crosses the link between two sites."`
 	JSON    bool          `help:"Print all results as JSON."`
 
-	Followers int `help:"Measure instead how soon so many followers have a change, and what they cost a member, by deltas and by whole versions."`
+	Parts     bool   `help:"Compare instead the ways to share out a fleet's servers among its nodes, by balance, movement and connections."`
+	Size      int    `help:"With --parts: servers in a part." default:"16"`
+	Seed      uint64 `help:"With --parts: seed of the fleets." default:"1"`
+	Followers int    `help:"Measure instead how soon so many followers have a change, and what they cost a member, by deltas and by whole versions."`
 }
 
 func (c *benchCmd) Run(e *env) error {
+	if c.Parts {
+		return c.parts(e)
+	}
 	if c.For <= 0 || !(c.Rate >= 0) || c.Conns < 1 || c.Conns > 10000 || c.Rounds < 1 || len(c.Procs) == 0 || slices.Min(c.Procs) < 1 {
 		return usage{fmt.Errorf("--for, --conns, --procs and --rounds must be above 0")}
 	}
@@ -80,6 +86,31 @@
 	return bench.Options{Self: self, For: c.For, Conns: c.Conns, Rate: c.Rate, Procs: c.Procs, Rounds: c.Rounds, Profile: c.Profile}
 }
 
+// parts compares ways to share out servers, on no sockets.
+func (c *benchCmd) parts(e *env) error {
+	if c.Size < 1 || c.Size > 1000 {
+		return usage{fmt.Errorf("--size: %d is not from 1 to 1000", c.Size)}
+	}
+	var all []bench.PartsResult
+	for _, nodes := range []int{10, 300, 1000} {
+		for _, servers := range []int{10, 30, 170, 1000} {
+			rows, err := bench.Parts(nodes, servers, c.Size, c.Seed)
+			if err != nil {
+				return err
+			}
+			all = append(all, rows...)
+		}
+	}
+	if c.JSON {
+		return printJSON(e.stdout, all)
+	}
+	fmt.Fprintf(e.stdout, "%5s %7s  %-15s %7s %6s %5s %6s %6s %6s %6s %6s %6s %6s\n", "nodes", "servers", "way", "members", "fewest", "held", "spread", "most", "uneven", "zone", "gone", "came", "miscut")
+	for _, r := range all {
+		fmt.Fprintf(e.stdout, "%5d %7d  %-15s %7.1f %6d %5d %6.2f %6.2f %6.2f %6.2f %6.2f %6.2f %6.2f\n", r.Nodes, r.Servers, r.Way, r.Members, r.Fewest, r.Held, r.Spread, r.Most, r.Uneven, r.Zone, r.Gone, r.Came, r.Miscut)
+	}
+	return nil
+}
+
 // turns are the ratios of each second measurement to the one before it, sorted.
 func turns(all []bench.Result, f func(bench.Result) float64) (ratios []float64) {
 	for i := 0; i+1 < len(all); i += 2 {
