Occupancy from reports alone in a fleet; silent attempts are no work; parts widen by steps

Change: any server's report of late stands in place of latencies (fleets with parts only); an attempt unanswered for three mean latencies at a server that says nothing is no work out; a part widens by 2.25 times at most a second; customers of whom nothing was heard are judged by the share that all asks were granted; a standing connection counts for more. New counters: choice.part, choice.refused.RULE.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,7 +47,7 @@
 	meanShare    = 0.05                   // share of a new sample in the slow means
 	utilShare    = 0.3                    // share of a new report in a server's busy share
 	triedWeight  = 4                      // cost factor of a server that this request has tried
-	openWeight   = 1.5                    // cost factor of a server to which no connection stands idle
+	openWeight   = 2.5                    // cost factor of a server to which no connection stands idle
 	probesSent   = 0.5                    // probes for each request sent on
 	partProbes   = 0.17                   // and with a part of the servers, which many gateways look at
 	lostEarly    = 3 * time.Second        // a silent server's turn to be probed comes earlier by so much
@@ -77,7 +77,7 @@
 
 // Start begins the gateway's work. Call it once, before any other event.
 func (g *Gateway) Start(now time.Duration, out Actions) {
-	g.now, g.out, g.started, g.aro.f = now, out, now, 1
+	g.now, g.out, g.started, g.aro.f, g.pass = now, out, now, 1, 1
 	g.tellGap = probeEvery
 	if in := g.set.InboxPerS; in > 0 {
 		gap := time.Duration(inboxRoom * float64(g.set.Instances-1) / in * float64(time.Second))
@@ -490,13 +490,18 @@
 	g.out.SetTimer(r.num<<timerBits|timerAsk, askWait)
 }
 
-// unanswered goes by the share of asks that its holder granted of late, as far as heard. It covers lost
+// unanswered goes by the share of asks that its holder granted of late or, for a customer of whom nothing was
+// heard, by that of all customers: those that ask most are mostly beyond their quota. It covers lost
 // messages, holders that are down, stalled or flooded; it harms while that share changes unheard.
 func (g *Gateway) unanswered(r *request) {
 	r.drawn = true
 	g.peers[r.holder].unanswered++
 	g.deaf++
-	in := g.rng.Float64() < r.store.pass
+	pass := r.store.pass
+	if !r.store.told {
+		pass = g.pass
+	}
+	in := g.rng.Float64() < pass
 	g.admit(r, in, askWait)
 	if in && len(r.attempts) > 0 {
 		g.out.Tell(r.holder, g.encodeAsk(r, kindSpent))
@@ -553,7 +558,8 @@
 		if r == nil || r.closed || r.holder != from || len(r.attempts) > 0 {
 			return
 		}
-		r.store.pass = m.pass
+		r.store.pass, r.store.told = m.pass, true
+		g.pass += meanShare * (b2f(m.granted) - g.pass)
 		if !m.granted {
 			r.store.shut = g.now + m.wait
 		}
@@ -706,7 +712,7 @@
 		}
 		k.sum, k.n = 0, 0
 	}
-	if g.set.Report == ReportNone || s.reported == 0 {
+	if g.set.Report == ReportNone || g.unreported(s) {
 		if k.lowest > 0 {
 			// Each latency weighs by its length, which makes the mean over a probe 1 - lowest/mean.
 			g.aro.occ[g.aro.slot()] += x/k.lowest - 1
--- a/choice/state.go
+++ b/choice/state.go
@@ -108,6 +108,7 @@
 	split     int           // gateways over which the room is split
 	parts     float64       // stores that the quota is kept in
 	pass      float64       // share of asks that were granted of late
+	told      bool          // by its holder, that is
 	shut      time.Duration // no ask until then: the holder has refused
 	asks      []lease       // asks that have taken their units of late
 	leases    []lease       // attempts that this holder has granted under an open cap
@@ -176,6 +177,7 @@
 
 	refused          [whyCount]uint64 // requests, by what they were refused for
 	aro              aro
+	pass             float64 // share of asks that holders granted of late
 	deaf             int     // asks in a row that no holder has answered
 	retries          float64 // further attempts saved up
 	inbox, inboxRate float64 // messages taken in since the last probe, and per second
@@ -184,11 +186,12 @@
 	oks              float64 // answers since the last probe
 	okRate           float64 // answers per second, averaged
 	cold             map[string]*coldZone
-	okWarm           float64 // work answered by warm servers since the last probe
-	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
-	probeDue         float64 // probes earned by sends
-	topWeight        float64 // the largest of their weights
-	sized            bool    // their weights differ
+	okWarm           float64       // work answered by warm servers since the last probe
+	warmRate         float64       // work answered per second and unit of weight of a warm server, by this gateway
+	reported         time.Duration // last load report of any server
+	probeDue         float64       // probes earned by sends
+	topWeight        float64       // the largest of their weights
+	sized            bool          // their weights differ
 	kindLat          []*kindMean
 	logAt            time.Duration
 }
@@ -617,6 +620,15 @@
 	}
 }
 
+// Part counts the servers of this gateway's part, and those of them that are held to be silent. Where it keeps to no part,
+// both are 0.
+func (g *Gateway) Part() (servers, doubted int) {
+	if g.whole() {
+		return 0, 0
+	}
+	return len(g.near), g.doubted()
+}
+
 // doubted counts the servers of the part that are silent to this gateway or, as peers say, to them.
 func (g *Gateway) doubted() (n int) {
 	for _, s := range g.near {
@@ -768,6 +780,15 @@
 	return out, servers
 }
 
+// unreported tells whether latency has to stand for a server's load report. With a part of the servers, each of which is
+// probed seldom, any report of late will do: latencies of a fleet under load have no lowest yet, and would outweigh the reports.
+func (g *Gateway) unreported(s *server) bool {
+	if g.whole() {
+		return s.reported == 0
+	}
+	return g.reported == 0 || g.now-g.reported > forgetAfter
+}
+
 // report takes in a load report.
 func (g *Gateway) report(s *server, l *Load) {
 	if l == nil {
@@ -777,7 +798,7 @@
 		s.queue = l.Queue
 	}
 	if l.Util >= 0 {
-		s.reported = g.now
+		s.reported, g.reported = g.now, g.now
 		if s.util < 0 {
 			s.util = l.Util
 		}
@@ -865,6 +886,9 @@
 	return g.holderOf(st, g.set.Me%st.split)
 }
 
+// silentMeans is the mean latencies after which an attempt at a server that says nothing is no work out.
+const silentMeans = 3
+
 // ages counts the attempts out that were sent less than a share of their class's aim ago, and those that are past
 // the aim at servers not known to be lost.
 func (g *Gateway) ages(share float64) (younger, overdue float64) {
@@ -874,9 +898,12 @@
 			if a.done || a.begun {
 				continue
 			}
-			age := (g.now - a.sent).Seconds() / g.set.Classes[r.class].Aim.Seconds()
-			younger += b2f(age < share)
-			overdue += b2f(age > 1 && !a.server.lost)
+			age, aim := (g.now - a.sent).Seconds(), g.set.Classes[r.class].Aim.Seconds()
+			// One at a server that has said nothing since, for several times as long as answers take, tells of that
+			// server and not of work that waits: where a fifth falls silent, the bound would refuse what the others can do.
+			silent := !g.whole() && a.server.heard < a.sent && age > math.Max(silentMeans*g.lat[r.class].mean, aim/4)
+			younger += b2f(age < share*aim && !silent)
+			overdue += b2f((age > aim || silent) && !a.server.lost)
 		}
 	}
 	return younger, overdue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -186,8 +187,12 @@
 func (n *Node) figures() string {
 	n.mu.Lock()
 	size, unhealthy := n.gw.Servers(n.now())
+	part, doubted := n.gw.Part()
+	var rules strings.Builder
+	fmt.Fprintf(&rules, "choice.part=%d\nchoice.part_doubted=%d\n", part, doubted)
+	n.gw.Refused(func(rule string, count uint64) { fmt.Fprintf(&rules, "choice.refused.%s=%d\n", rule, count) })
 	n.mu.Unlock()
-	return n.counts.text(size, unhealthy)
+	return n.counts.text(size, unhealthy) + rules.String()
 }
 
 // boot starts the gateway with the saved list.
--- a/parts/width.go
+++ b/parts/width.go
@@ -10,6 +10,7 @@
 // hall that comes and goes must not move the fleet's connections each time. The zero value is a part by the rule.
 type Width struct {
 	steps int
+	grown time.Duration // when it was last widened
 	calm  time.Duration // since when one step less would have been enough; 0: it would not
 }
 
@@ -17,7 +18,9 @@
 	widthStep  = 1.5  // factor between two widths
 	widthMost  = 8    // steps: 25 times the rule's part
 	widthFit   = 0.35 // share of the rule's part that must be fit to serve
-	widthSlow  = 5 * time.Second
+	widthSlow  = 3 * time.Second
+	widthJump  = 2 // steps at once
+	widthPause = time.Second
 	widthLoads = 1.0 // attempts out for each member that is fit; more of them need more members
 )
 
@@ -38,7 +41,13 @@
 		if w.steps >= widthMost {
 			return false
 		}
-		for w.steps++; w.steps < widthMost && !enough(w.steps); w.steps++ {
+		// What is fit may be misjudged for a moment: it must not take the whole fleet at once.
+		if now-w.grown < widthPause && w.grown != 0 {
+			return false
+		}
+		w.grown = now
+		for n := 0; n < widthJump && w.steps < widthMost && !enough(w.steps); n++ {
+			w.steps++
 		}
 		return true
 	}
