Connections outside of a node's part are closed soon; cold servers of it are held by their budget alone

A server holds only so many connections, and a fleet's nodes are many: idle ones outside of the part go after 1 s. A cold server's expected delay no longer counts its warmth within a part: it was asked when both looks met cold ones only, and stayed cold, as it warms up by requests; what it may be sent is bounded by the ramp.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,6 +17,7 @@
 	slowShare    = 0.1                    // share of a new sample in the slow average of mu max
 	pressed      = 0.8                    // occupancy from which fA acts: the design page's figure
 	calm         = 0.5                    // occupancy up to which spare capacity may go to extras
+	calmPart     = 0.7                    // and with a part of the servers, whose reports alone tell it
 	learnLeast   = 0.1                    // occupancy from which mu max is sampled: the design page's figure
 	batchLeast   = 16                     // samples in a mean that may count as the lowest latency
 	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
@@ -47,7 +48,7 @@
 	meanShare    = 0.05                   // share of a new sample in the slow means
 	utilShare    = 0.3                    // share of a new report in a server's busy share
 	triedWeight  = 4                      // cost factor of a server that this request has tried
-	openWeight   = 2.5                    // cost factor of a server to which no connection stands idle
+	openWeight   = 1.5                    // cost factor of a server to which no connection stands idle
 	probesSent   = 0.5                    // probes for each request sent on
 	partProbes   = 0.17                   // and with a part of the servers, which many gateways look at
 	lostEarly    = 3 * time.Second        // a silent server's turn to be probed comes earlier by so much
@@ -77,7 +78,7 @@
 
 // Start begins the gateway's work. Call it once, before any other event.
 func (g *Gateway) Start(now time.Duration, out Actions) {
-	g.now, g.out, g.started, g.aro.f, g.pass = now, out, now, 1, 1
+	g.now, g.out, g.started, g.aro.f = now, out, now, 1
 	g.tellGap = probeEvery
 	if in := g.set.InboxPerS; in > 0 {
 		gap := time.Duration(inboxRoom * float64(g.set.Instances-1) / in * float64(time.Second))
@@ -208,7 +209,7 @@
 	why := whyQuota
 	var s *server
 	// Exception: beyond the quota only where that earns more than it costs and the back end is calm.
-	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < calm && g.aro.f >= 1) {
+	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < g.spareBelow() && g.aro.f >= 1) {
 	} else if !r.granted && st.ceiling < r.Units && p.CeilingRate > 0 {
 		wait, why = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart), whyCeiling
 		if st.dry += r.Units; !st.wide {
@@ -490,18 +491,13 @@
 	g.out.SetTimer(r.num<<timerBits|timerAsk, askWait)
 }
 
-// unanswered goes by the share of asks that its holder granted of late or, for a customer of whom nothing was
-// heard, by that of all customers: those that ask most are mostly beyond their quota. It covers lost
+// unanswered goes by the share of asks that its holder granted of late, as far as heard. It covers lost
 // messages, holders that are down, stalled or flooded; it harms while that share changes unheard.
 func (g *Gateway) unanswered(r *request) {
 	r.drawn = true
 	g.peers[r.holder].unanswered++
 	g.deaf++
-	pass := r.store.pass
-	if !r.store.told {
-		pass = g.pass
-	}
-	in := g.rng.Float64() < pass
+	in := g.rng.Float64() < r.store.pass
 	g.admit(r, in, askWait)
 	if in && len(r.attempts) > 0 {
 		g.out.Tell(r.holder, g.encodeAsk(r, kindSpent))
@@ -558,8 +554,7 @@
 		if r == nil || r.closed || r.holder != from || len(r.attempts) > 0 {
 			return
 		}
-		r.store.pass, r.store.told = m.pass, true
-		g.pass += meanShare * (b2f(m.granted) - g.pass)
+		r.store.pass = m.pass
 		if !m.granted {
 			r.store.shut = g.now + m.wait
 		}
@@ -794,8 +789,9 @@
 		lat = math.Max(lat, (g.now-s.seen).Seconds()/math.Max(g.meanLatency(), 1e-3))
 	}
 	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
-	cost /= g.warmth(s)
-	if !g.whole() && !s.stands(g.now) {
+	if g.whole() {
+		cost /= g.warmth(s)
+	} else if !s.stands(g.now) { // cold servers of a part are bounded by coldRoom alone
 		cost *= openWeight
 	}
 	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -108,7 +108,6 @@
 	split     int           // gateways over which the room is split
 	parts     float64       // stores that the quota is kept in
 	pass      float64       // share of asks that were granted of late
-	told      bool          // by its holder, that is
 	shut      time.Duration // no ask until then: the holder has refused
 	asks      []lease       // asks that have taken their units of late
 	leases    []lease       // attempts that this holder has granted under an open cap
@@ -177,7 +176,6 @@
 
 	refused          [whyCount]uint64 // requests, by what they were refused for
 	aro              aro
-	pass             float64 // share of asks that holders granted of late
 	deaf             int     // asks in a row that no holder has answered
 	retries          float64 // further attempts saved up
 	inbox, inboxRate float64 // messages taken in since the last probe, and per second
@@ -591,6 +589,14 @@
 	return partProbes
 }
 
+// spareBelow is the occupancy up to which spare capacity may go to extras.
+func (g *Gateway) spareBelow() float64 {
+	if g.whole() {
+		return calm
+	}
+	return calmPart
+}
+
 // turn orders servers by when they are to be probed: those of a part that are silent come earlier.
 func (g *Gateway) turn(s *server) time.Duration {
 	if s.lost && !g.whole() {
@@ -620,6 +626,18 @@
 	}
 }
 
+// Near names the servers of this gateway's part, to which the host keeps connections; nil stands for all.
+func (g *Gateway) Near() map[string]bool {
+	if g.whole() {
+		return nil
+	}
+	near := make(map[string]bool, len(g.near))
+	for _, s := range g.near {
+		near[s.ID] = true
+	}
+	return near
+}
+
 // Part counts the servers of this gateway's part, and those of them that are held to be silent. Where it keeps to no part,
 // both are 0.
 func (g *Gateway) Part() (servers, doubted int) {
--- a/cmd/mulleingate/main_test.go
+++ b/cmd/mulleingate/main_test.go
@@ -96,6 +96,7 @@
 		{[]string{"lab", "--for", "1ms"}, 2, []string{"--for"}},
 		{[]string{"lab", "--list"}, 0, []string{"calm", "mixed", "contract-change"}},
 		{[]string{"bench", "--rounds", "0"}, 2, []string{"--rounds"}},
+		{[]string{"bench", "--parts", "--size", "0"}, 2, []string{"--size"}},
 		{[]string{"certs", "--cluster", "c", "--members", "1,2", "--dir", filepath.Join(dir, "certs")}, 0, []string{"cluster c for members [1 2]"}},
 		{[]string{"certs", "--members", "3", "--dir", filepath.Join(dir, "certs")}, 0, []string{"cluster c for members [3]"}},
 		{[]string{"certs", "--cluster", "d", "--members", "4", "--dir", filepath.Join(dir, "certs")}, 2, []string{"authority-key.pem", "exists"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 		cfg:    cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
 		up: newUpstream(cfg.Transport, serverSockets(cfg.Sockets)),
 	}
-	n.up.sent = n.counts.sent
+	n.up.sent, n.up.near = n.counts.sent, n.near
 	return n, nil
 }
 
@@ -183,6 +183,13 @@
 	}
 }
 
+// near names the servers to which connections are kept.
+func (n *Node) near() map[string]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gw.Near()
+}
+
 // figures words what operators read.
 func (n *Node) figures() string {
 	n.mu.Lock()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -28,6 +28,7 @@
 	loadPath     = "/stats"               // an app server's load report
 	probeTimeout = 500 * time.Millisecond // a probe that takes longer tells nothing of the present
 	idleShare    = 0.8                    // of connIdle after which an idle connection is not used again
+	farIdle      = time.Second            // after which an idle connection outside of this node's part is closed
 	leastKeep    = 50 * time.Millisecond  // one that rested for less is not reset for that
 	staleWithin  = 20 * time.Millisecond  // from the write to the reset of a connection that was given up
 	keepDoubles  = 10 * time.Second       // after which idle connections are kept for twice as long again
@@ -66,8 +67,9 @@
 type upstream struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
-	most    int    // connections open at once, descriptors being limited
-	sent    func() // called when the last byte of an attempt, not of a probe, is written; may be nil
+	most    int                    // connections open at once, descriptors being limited
+	near    func() map[string]bool // servers to which idle connections are kept; nil, or a nil map: all
+	sent    func()                 // called when the last byte of an attempt, not of a probe, is written; may be nil
 
 	mu       sync.Mutex
 	backends map[string]*backend
@@ -218,20 +220,33 @@
 			return
 		case <-tick.C:
 		}
-		var stale []*conn
-		u.mu.Lock()
-		for _, b := range u.backends {
-			fresh := 0
-			for fresh < len(b.idle) && time.Since(b.idle[fresh].idle) >= u.maxIdle {
-				fresh++
-			}
-			stale = append(stale, b.idle[:fresh]...)
-			b.idle = append([]*conn(nil), b.idle[fresh:]...)
+		closeAll(u.stand())
+	}
+}
+
+// stand takes the connections that have been idle for too long out of their pools, for the caller to close: at servers
+// outside of this node's part soon, for each server holds only so many and a fleet's nodes are many.
+func (u *upstream) stand() (stale []*conn) {
+	var near map[string]bool
+	if u.near != nil {
+		near = u.near()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, b := range u.backends {
+		most := u.maxIdle
+		if near != nil && !near[id] {
+			most = min(most, farIdle)
 		}
-		u.open -= len(stale)
-		u.mu.Unlock()
-		closeAll(stale)
+		fresh := 0
+		for fresh < len(b.idle) && time.Since(b.idle[fresh].idle) >= most {
+			fresh++
+		}
+		stale = append(stale, b.idle[:fresh]...)
+		b.idle = append([]*conn(nil), b.idle[fresh:]...)
 	}
+	u.open -= len(stale)
+	return stale
 }
 
 var (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -367,6 +367,25 @@
 	}
 }
 
+// Outside of the node's part an idle connection is closed soon; in it, and where there is no part, it stays.
+func TestFarConnectionsRetireSoon(t *testing.T) {
+	near, far := newAppServer(t, say(okAnswer)), newAppServer(t, say(okAnswer))
+	u := testUpstream(near.instance("near"), far.instance("far"))
+	for _, id := range []string{"near", "far"} {
+		exchange(t, u, id)
+		u.backends[id].idle[0].idle = time.Now().Add(-farIdle)
+	}
+	if stale := u.stand(); len(stale) != 0 {
+		t.Fatalf("without a part %d connections are closed", len(stale))
+	}
+	u.near = func() map[string]bool { return map[string]bool{"near": true} }
+	closeAll(u.stand())
+	wantClosed(t, <-far.conns)
+	if u.open != 1 || len(u.backends["near"].idle) != 1 {
+		t.Errorf("%d connections counted, the one in the part is open", u.open)
+	}
+}
+
 // A server whose machine is gone says nothing: the dial has a bound of its own, and
 // what it ends has never run.
 func TestDialIsBounded(t *testing.T) {
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -99,7 +99,7 @@
 		for i := range servers {
 			members = append(members, Member{Index: i, Held: max(f.Nodes, 1), Share: servers[i].size()})
 		}
-		return shares(members)
+		return Normalize(members)
 	}
 	var sum float64
 	zones := map[string][]int{}
@@ -144,7 +144,7 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return a.Index - b.Index })
-	return shares(members)
+	return Normalize(members)
 }
 
 // holders counts the nodes whose lot for a server is under its bar: those that have it in their part, but for
@@ -158,7 +158,8 @@
 	return max(n, 1)
 }
 
-func shares(members []Member) []Member {
+// Normalize scales the members' shares in place to sum to 1, and returns them.
+func Normalize(members []Member) []Member {
 	var sum float64
 	for _, m := range members {
 		sum += m.Share
