Gateways that just started tell no means, and take the first that they hear

After a herd two thirds of the gateways began with means of nought, told them to the others and let all in until they had grown. A gateway tells means once it has heard some or measured for two seconds; noughts are ignored; the first heard are taken whole.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -510,9 +510,7 @@
 	if !ok {
 		return
 	}
-	if m.kind != kindBack {
-		g.aro.mix(poolShare, m.pool)
-	}
+	g.aro.hear(m.pool)
 	for _, n := range m.notes {
 		g.heedNote(from, n)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -888,7 +888,7 @@
 // Sums of occupancy below nought, as latencies under the lowest mean give, must reach peers as they are.
 func TestPoolIsPackedSigned(t *testing.T) {
 	g, _ := wideGate(t, 10)
-	g.aro.pool = [poolSize]float64{-0.5, 0.25, 2, 0, 1}
+	g.aro.heard, g.aro.pool = true, [poolSize]float64{-0.5, 0.25, 2, 0, 1}
 	m, ok := g.decodeAsk(g.encodeAnswer(1, true, 0, 1))
 	if !ok || m.pool != g.aro.pool {
 		t.Errorf("%v came as %v", g.aro.pool, m.pool)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -948,3 +948,36 @@
 		t.Errorf("%v, want %s", r.acts, want)
 	}
 }
+
+// A gateway that has just started tells no means of its own, and takes the first that it hears as they are.
+func TestMeansAfterAHerd(t *testing.T) {
+	fresh, _ := partGate(t)
+	fresh.aro.mix(1, [poolSize]float64{0.01, 0.02, 0.1, 0.1, 0.1})
+	old, _ := partGate(t)
+	old.aro.heard = true
+	means := [poolSize]float64{0.5, 1, 2, 0.75, 1.25}
+	old.aro.pool = means
+	tell := func(from, to *Gateway) {
+		m, ok := to.decodeAsk(from.encodeAnswer(7, true, 0, 1))
+		if !ok {
+			t.Fatal("malformed")
+		}
+		to.aro.hear(m.pool)
+	}
+	if tell(fresh, old); old.aro.pool != means {
+		t.Errorf("a fresh gateway made %v of the means", old.aro.pool)
+	}
+	if tell(old, fresh); fresh.aro.pool != means {
+		t.Errorf("a fresh gateway has %v, and heard %v", fresh.aro.pool, means)
+	}
+	if tell(old, fresh); !fresh.aro.knows() {
+		t.Error("it has heard means and does not know them")
+	}
+	alone, _ := partGate(t)
+	for range knowsAfter {
+		alone.aro.assess(1, 1)
+	}
+	if !alone.aro.knows() || alone.aro.heard {
+		t.Error("what it measured for two seconds is not told")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -212,6 +212,7 @@
 	probes     int
 	rho, alpha float64
 	mu         float64
+	heard      bool              // figures of a peer
 	pool       [poolSize]float64 // means per probe, over this gateway and those it hears from
 }
 
@@ -325,6 +326,26 @@
 	}
 }
 
+// hear takes in a peer's figures. The first that a gateway hears it takes as they are: after a herd of starts, means that
+// all begin at nought would let all in at the same moment, and those of gateways that know nothing yet, which
+// are told as noughts, would lower what the others know.
+func (a *aro) hear(x [poolSize]float64) {
+	if x == [poolSize]float64{} {
+		return
+	}
+	share := poolShare
+	if !a.heard {
+		a.heard, share = true, 1
+	}
+	a.mix(share, x)
+}
+
+// knows tells whether the gateway's means are worth telling: it has heard some, or measured for long enough.
+func (a *aro) knows() bool { return a.heard || a.probes >= knowsAfter }
+
+// knowsAfter is the probes after which a gateway's own means are worth telling: two seconds.
+const knowsAfter = 20
+
 func (a *aro) slot() int { return a.probes % probesKept }
 
 // sample enters one reading of the occupancy into the present probe.
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -198,6 +198,9 @@
 // appendPool ends a message with the pool and what the gateway found out of servers of late.
 func (g *Gateway) appendPool(b []byte) []byte {
 	for _, x := range g.aro.pool {
+		if !g.aro.knows() {
+			x = 0
+		}
 		b = binary.AppendVarint(b, int64(math.Round(math.Min(x*poolParts, 1e6))))
 	}
 	g.notes = slices.DeleteFunc(g.notes, func(n note) bool { return g.now-n.at >= noteLasts })
