--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,6 +17,7 @@
 	slowShare    = 0.1                    // share of a new sample in the slow average of mu max
 	pressed      = 0.8                    // occupancy from which fA acts: the design page's figure
 	calm         = 0.5                    // occupancy up to which spare capacity may go to extras
+	calmPart     = 0.7                    // and with a part of the servers, whose reports alone tell it
 	learnLeast   = 0.1                    // occupancy from which mu max is sampled: the design page's figure
 	batchLeast   = 16                     // samples in a mean that may count as the lowest latency
 	jamShare     = 0.3                    // share of a class's aim that attempts out may take to be answered
@@ -208,7 +209,7 @@
 	why := whyQuota
 	var s *server
 	// Exception: beyond the quota only where that earns more than it costs and the back end is calm.
-	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < calm && g.aro.f >= 1) {
+	if !in && !(p.OverWorth > p.OverCost && g.aro.rho < g.spareBelow() && g.aro.f >= 1) {
 	} else if !r.granted && st.ceiling < r.Units && p.CeilingRate > 0 {
 		wait, why = fill(r.Units-st.ceiling, p.CeilingRate*st.ratePart), whyCeiling
 		if st.dry += r.Units; !st.wide {
@@ -509,9 +510,7 @@
 	if !ok {
 		return
 	}
-	if m.kind != kindBack {
-		g.aro.mix(poolShare, m.pool)
-	}
+	g.aro.hear(m.pool)
 	for _, n := range m.notes {
 		g.heedNote(from, n)
 	}
@@ -706,7 +705,7 @@
 		}
 		k.sum, k.n = 0, 0
 	}
-	if g.set.Report == ReportNone || s.reported == 0 {
+	if g.set.Report == ReportNone || g.unreported(s) {
 		if k.lowest > 0 {
 			// Each latency weighs by its length, which makes the mean over a probe 1 - lowest/mean.
 			g.aro.occ[g.aro.slot()] += x/k.lowest - 1
@@ -788,8 +787,9 @@
 		lat = math.Max(lat, (g.now-s.seen).Seconds()/math.Max(g.meanLatency(), 1e-3))
 	}
 	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
-	cost /= g.warmth(s)
-	if !g.whole() && !s.stands(g.now) {
+	if g.whole() {
+		cost /= g.warmth(s)
+	} else if !s.stands(g.now) { // cold servers of a part are bounded by coldRoom alone
 		cost *= openWeight
 	}
 	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -184,11 +184,12 @@
 	oks              float64 // answers since the last probe
 	okRate           float64 // answers per second, averaged
 	cold             map[string]*coldZone
-	okWarm           float64 // work answered by warm servers since the last probe
-	warmRate         float64 // work answered per second and unit of weight of a warm server, by this gateway
-	probeDue         float64 // probes earned by sends
-	topWeight        float64 // the largest of their weights
-	sized            bool    // their weights differ
+	okWarm           float64       // work answered by warm servers since the last probe
+	warmRate         float64       // work answered per second and unit of weight of a warm server, by this gateway
+	reported         time.Duration // last load report of any server
+	probeDue         float64       // probes earned by sends
+	topWeight        float64       // the largest of their weights
+	sized            bool          // their weights differ
 	kindLat          []*kindMean
 	logAt            time.Duration
 }
@@ -211,6 +212,7 @@
 	probes     int
 	rho, alpha float64
 	mu         float64
+	heard      bool              // figures of a peer
 	pool       [poolSize]float64 // means per probe, over this gateway and those it hears from
 }
 
@@ -324,6 +326,26 @@
 	}
 }
 
+// hear takes in a peer's figures. The first that a gateway hears it takes as they are: after a herd of starts, means that
+// all begin at nought would let all in at the same moment, and those of gateways that know nothing yet, which
+// are told as noughts, would lower what the others know.
+func (a *aro) hear(x [poolSize]float64) {
+	if x == [poolSize]float64{} {
+		return
+	}
+	share := poolShare
+	if !a.heard {
+		a.heard, share = true, 1
+	}
+	a.mix(share, x)
+}
+
+// knows tells whether the gateway's means are worth telling: it has heard some, or measured for long enough.
+func (a *aro) knows() bool { return a.heard || a.probes >= knowsAfter }
+
+// knowsAfter is the probes after which a gateway's own means are worth telling: two seconds.
+const knowsAfter = 20
+
 func (a *aro) slot() int { return a.probes % probesKept }
 
 // sample enters one reading of the occupancy into the present probe.
@@ -588,6 +610,14 @@
 	return partProbes
 }
 
+// spareBelow is the occupancy up to which spare capacity may go to extras.
+func (g *Gateway) spareBelow() float64 {
+	if g.whole() {
+		return calm
+	}
+	return calmPart
+}
+
 // turn orders servers by when they are to be probed: those of a part that are silent come earlier.
 func (g *Gateway) turn(s *server) time.Duration {
 	if s.lost && !g.whole() {
@@ -617,6 +647,27 @@
 	}
 }
 
+// Near names the servers of this gateway's part, to which the host keeps connections; nil stands for all.
+func (g *Gateway) Near() map[string]bool {
+	if g.whole() {
+		return nil
+	}
+	near := make(map[string]bool, len(g.near))
+	for _, s := range g.near {
+		near[s.ID] = true
+	}
+	return near
+}
+
+// Part counts the servers of this gateway's part, and those of them that are held to be silent. Where it keeps to no part,
+// both are 0.
+func (g *Gateway) Part() (servers, doubted int) {
+	if g.whole() {
+		return 0, 0
+	}
+	return len(g.near), g.doubted()
+}
+
 // doubted counts the servers of the part that are silent to this gateway or, as peers say, to them.
 func (g *Gateway) doubted() (n int) {
 	for _, s := range g.near {
@@ -768,6 +819,15 @@
 	return out, servers
 }
 
+// unreported tells whether latency has to stand for a server's load report. With a part of the servers, each of which is
+// probed seldom, any report of late will do: latencies of a fleet under load have no lowest yet, and would outweigh the reports.
+func (g *Gateway) unreported(s *server) bool {
+	if g.whole() {
+		return s.reported == 0
+	}
+	return g.reported == 0 || g.now-g.reported > forgetAfter
+}
+
 // report takes in a load report.
 func (g *Gateway) report(s *server, l *Load) {
 	if l == nil {
@@ -777,7 +837,7 @@
 		s.queue = l.Queue
 	}
 	if l.Util >= 0 {
-		s.reported = g.now
+		s.reported, g.reported = g.now, g.now
 		if s.util < 0 {
 			s.util = l.Util
 		}
@@ -865,6 +925,9 @@
 	return g.holderOf(st, g.set.Me%st.split)
 }
 
+// silentMeans is the mean latencies after which an attempt at a server that says nothing is no work out.
+const silentMeans = 3
+
 // ages counts the attempts out that were sent less than a share of their class's aim ago, and those that are past
 // the aim at servers not known to be lost.
 func (g *Gateway) ages(share float64) (younger, overdue float64) {
@@ -874,9 +937,12 @@
 			if a.done || a.begun {
 				continue
 			}
-			age := (g.now - a.sent).Seconds() / g.set.Classes[r.class].Aim.Seconds()
-			younger += b2f(age < share)
-			overdue += b2f(age > 1 && !a.server.lost)
+			age, aim := (g.now - a.sent).Seconds(), g.set.Classes[r.class].Aim.Seconds()
+			// One at a server that has said nothing since, for several times as long as answers take, tells of that
+			// server and not of work that waits: where a fifth falls silent, the bound would refuse what the others can do.
+			silent := !g.whole() && a.server.heard < a.sent && age > math.Max(silentMeans*g.lat[r.class].mean, aim/4)
+			younger += b2f(age < share*aim && !silent)
+			overdue += b2f((age > aim || silent) && !a.server.lost)
 		}
 	}
 	return younger, overdue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -89,7 +90,7 @@
 		cfg:    cfg, log: logger, start: time.Now(), ctx: ctx, gw: gw, flights: map[string]*flight{},
 		up: newUpstream(cfg.Transport, serverSockets(cfg.Sockets)),
 	}
-	n.up.sent = n.counts.sent
+	n.up.sent, n.up.near = n.counts.sent, n.near
 	return n, nil
 }
 
@@ -182,12 +183,23 @@
 	}
 }
 
+// near names the servers to which connections are kept.
+func (n *Node) near() map[string]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gw.Near()
+}
+
 // figures words what operators read.
 func (n *Node) figures() string {
 	n.mu.Lock()
 	size, unhealthy := n.gw.Servers(n.now())
+	part, doubted := n.gw.Part()
+	var rules strings.Builder
+	fmt.Fprintf(&rules, "choice.part=%d\nchoice.part_doubted=%d\n", part, doubted)
+	n.gw.Refused(func(rule string, count uint64) { fmt.Fprintf(&rules, "choice.refused.%s=%d\n", rule, count) })
 	n.mu.Unlock()
-	return n.counts.text(size, unhealthy)
+	return n.counts.text(size, unhealthy) + rules.String()
 }
 
 // boot starts the gateway with the saved list.
