--- a/choice/lend_test.go
+++ b/choice/lend_test.go
@@ -147,6 +147,7 @@
 // All parts of a ceiling, with the units that are under way between them, hold no more than the whole, and what is
 // sent on never passes what the ceiling gives, whatever is lost, late or started again.
 func TestLentPartsKeepTheCeiling(t *testing.T) {
+	t.Parallel()
 	lent := 0.0
 	for seed := uint64(1); seed <= 40; seed++ {
 		w := newLenders(t, seed, 3)
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -444,6 +444,7 @@
 }
 
 func TestRulesHoldOnRandomSequences(t *testing.T) {
+	t.Parallel()
 	served, total := 0, 0
 	for seed := uint64(1); seed <= 48; seed++ {
 		loss := []float64{0, 0.1, 1}[seed%3]
