A part that had widened to all servers stayed so: it shrinks again

Found in reading the change once more: a part counted as whole when it had as many servers as the list, so one that had widened to all of them, since all had seemed silent, was never looked at again. Now the rule alone says whether there are parts. A test of it fails without that, as it does for a node with eight times as many attempts out as its part has servers.

Also: SplitMix's finalizer stood in sites and parts, and FNV was written out in choice and parts: one package and hash/fnv. The list is not copied where there are no parts. Four more tests: holders share a ramp, only members' work counts, fresh evidence counts for more than peers, one server of 30 connections for 300 gateways.

--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -818,6 +818,12 @@
 	if n := suspects(); n != 0 {
 		t.Errorf("an old voice counted: %d servers in doubt", n)
 	}
+	for _, s := range g.near {
+		s.heard = g.now - noteFresh/2
+	}
+	if say(10, false); suspects() != 0 {
+		t.Error("peers count for more than what was heard a moment ago")
+	}
 }
 
 // What a gateway finds out goes with its next asks, for a while, and is understood.
@@ -981,3 +987,93 @@
 		t.Error("what it measured for two seconds is not told")
 	}
 }
+
+// A part that has widened to all servers, since all seemed silent, shrinks again when they are not; so does that of a node
+// with more attempts out than its part has servers.
+func TestWidePartsShrink(t *testing.T) {
+	for _, why := range []string{"silent", "load"} {
+		g, r := partGate(t)
+		g.now, g.out = t0, r
+		narrow, widest := len(g.near), 0
+		step := func(pressed bool) {
+			g.now += probeEvery
+			for _, s := range g.servers {
+				s.lost = pressed && why == "silent"
+			}
+			if g.held = 0; pressed && why == "load" {
+				g.held = 8 * narrow
+			}
+			if g.widen() {
+				g.takePart()
+			}
+			widest = max(widest, len(g.near))
+		}
+		for range 100 {
+			step(true)
+		}
+		if want := map[string]int{"silent": 170, "load": 4 * narrow}[why]; widest < want {
+			t.Errorf("%s: the part grew from %d to %d servers, want %d", why, narrow, widest, want)
+		}
+		for range 600 {
+			step(false)
+		}
+		if len(g.near) != narrow {
+			t.Errorf("%s: a minute later the part has %d servers, not %d", why, len(g.near), narrow)
+		}
+	}
+}
+
+// One server takes 30 connections, and there are 300 gateways: with parts few of them come to it.
+func TestFleetOneServerOfThirtyConnections(t *testing.T) {
+	with, without := both(t, func() fleetTotals {
+		s := newFleet(9, 300, 170, 0.5)
+		s.booths[17].cap = 30
+		s.run(s.now + 4*time.Second)
+		return s.total
+	})
+	if without.noConn == 0 || 4*with.noConn > without.noConn {
+		t.Errorf("%d connections not made, %d without parts", with.noConn, without.noConn)
+	}
+}
+
+// What a cold server may be sent is shared out among those that have it in their part: they do all the work of a warm one,
+// and no others take of it. Where nothing is known that is a second's work a second over them all.
+func TestHoldersShareARamp(t *testing.T) {
+	g, _ := partGate(t)
+	g.now = t0 + time.Second
+	held := map[string]int{}
+	for node := range g.set.Instances {
+		other := *g
+		other.set.Me = node
+		other.servers = nil
+		for _, s := range g.servers {
+			own := *s
+			other.servers = append(other.servers, &own)
+		}
+		other.takePart()
+		for _, s := range other.near {
+			held[s.ID]++
+		}
+	}
+	for _, s := range g.near {
+		s.Boot, s.credit, s.credited = g.now, 0, g.now-10*ms
+		g.coldRoom(s, 0)
+		all := s.credit * float64(held[s.ID]) / 0.01
+		if most := coldShare * g.set.FallMultiple * g.warmth(s); math.Abs(all/most-1) > 0.15 {
+			t.Errorf("%s: %d holders may send it %.3f of a second's work a second, want %.3f", s.ID, held[s.ID], all, most)
+		}
+	}
+	g.lat[0].kinds = []kindLatency{{lowest: 0.05}}
+	r := &request{Request: Request{ID: "r"}, store: &store{}}
+	for _, s := range g.servers {
+		if s.Boot = 0; !s.near {
+			g.learn(r, s, Outcome{Result: OK, Took: 50 * ms})
+		}
+	}
+	if g.okWarm != 0 {
+		t.Error("work of servers outside of the part counts for what its members carry")
+	}
+	if g.learn(r, g.near[0], Outcome{Result: OK, Took: 50 * ms}); g.okWarm == 0 {
+		t.Error("work of a member does not count")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -156,6 +157,7 @@
 	servers []*server
 	notes   []note    // what it found out of late
 	near    []*server // this gateway's part of them, or all
+	parted  bool      // the rule leaves servers out of the part
 	holders float64   // gateways that have a server of it in their part, on average
 	width   parts.Width
 	byID    map[string]*server
@@ -560,19 +562,21 @@
 // takePart forms this gateway's part of the servers that take requests.
 func (g *Gateway) takePart() {
 	fleet := parts.Fleet{Nodes: g.set.Instances, Seed: 1, Rule: partRule}
-	var at []*server
-	var list []parts.Server
+	takes := 0
 	for _, s := range g.servers {
-		if s.near, s.lean = false, 1; s.takes() {
-			at, list = append(at, s), append(list, parts.Server{ID: s.ID, Zone: s.Zone, Size: g.weight(s)})
-		}
+		takes += b2i(s.takes())
+		s.near, s.lean = true, 1
 	}
-	if g.near, g.holders = g.servers, float64(g.set.Instances); fleet.Size(len(at)) == len(at) {
-		for _, s := range g.servers {
-			s.near = true
-		}
+	g.near, g.holders = g.servers, float64(g.set.Instances)
+	if g.parted = fleet.Size(takes) < takes; !g.parted {
 		return
 	}
+	at, list := make([]*server, 0, takes), make([]parts.Server, 0, takes)
+	for _, s := range g.servers {
+		if s.near = false; s.takes() {
+			at, list = append(at, s), append(list, parts.Server{ID: s.ID, Zone: s.Zone, Size: g.weight(s)})
+		}
+	}
 	members := fleet.Form(list, g.set.Me, g.width.Factor())
 	g.near, g.holders = make([]*server, 0, len(members)), 0
 	for _, m := range members {
@@ -599,8 +603,8 @@
 	return all > 0 && !g.whole() && g.width.Now(g.now, fit/all, len(g.near), float64(g.held))
 }
 
-// whole tells whether the part is all servers.
-func (g *Gateway) whole() bool { return len(g.near) == len(g.servers) }
+// whole tells whether the rule gives this gateway all servers. A part that has widened to all of them is one still, and shrinks.
+func (g *Gateway) whole() bool { return !g.parted }
 
 // probeShare is the probes for each request sent on.
 func (g *Gateway) probeShare() float64 {
@@ -695,10 +699,9 @@
 
 // tagOf names a server in notes. Two that share a tag are probed for each other's sake, and no more.
 func tagOf(id string) uint16 {
-	h := uint32(2166136261) // FNV-1a
-	for i := 0; i < len(id); i++ {
-		h = (h ^ uint32(id[i])) * 16777619
-	}
+	f := fnv.New32a()
+	f.Write([]byte(id))
+	h := f.Sum32()
 	return uint16(h ^ h>>16)
 }
 
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -14,8 +14,11 @@
 package parts
 
 import (
+	"hash/fnv"
 	"math"
 	"slices"
+
+	"mulleinmux/internal/splitmix"
 )
 
 // Server is a server that takes requests, as the list has it.
@@ -59,27 +62,16 @@
 	return size
 }
 
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, "Fast Splittable Pseudorandom Number Generators", 2014).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // mark is a server's half of its lots: FNV-1a over its id, mixed with the seed.
 func (f Fleet) mark(id string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(id); i++ {
-		h = (h ^ uint64(id[i])) * 1099511628211
-	}
-	return mix(h + f.Seed)
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return splitmix.Mix(h.Sum64() + f.Seed)
 }
 
 // lot is the lot of a node and a server's mark, from 0 to 1.
 func lot(node int, mark uint64) float64 {
-	return float64(mix(mark+uint64(node+1)*0x9e3779b97f4a7c15)>>11) / (1 << 53)
+	return float64(splitmix.Mix(mark+uint64(node+1)*0x9e3779b97f4a7c15)>>11) / (1 << 53)
 }
 
 func (s *Server) size() float64 {
--- a/sites/keys.go
+++ b/sites/keys.go
@@ -24,6 +24,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"mulleinmux/internal/splitmix"
 )
 
 // Config is what an instance is told at its start.
@@ -230,17 +232,13 @@
 	return best
 }
 
-// weigh mixes a hall's name (FNV-1a) and a key by the finalizer of SplitMix64 (Steele, Lea and
-// Flood, 2014).
+// weigh mixes a hall's name (FNV-1a) and a key.
 func weigh(name string, key uint64) uint64 {
 	x := uint64(14695981039346656037)
 	for i := range len(name) {
 		x = (x ^ uint64(name[i])) * 1099511628211
 	}
-	x ^= key
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return splitmix.Mix(x ^ key)
 }
 
 func (h *Homes) open(name string) bool {
