Nodes of a large fleet spread their calls for lists: a herd no longer jams the register

Cause, from a log of each call: Follower.Run called at once and then after 0.1, 0.2, 0.4 s and each second, in step at all nodes. The register serves some 9 calls a second, queues calls for longer than the 2 s after which they fail, and works on them all the same: its line never got under 2 s again (some 9 calls a second taken and timed out, 45 turned away).

Change: register.Pace. A fleet of over 8 nodes draws its first calls, at a start that has a list and after a watch that ended, from 0.1 s a node (5 s at most); a pause after a failure is drawn from a range that doubles. Few nodes call as before.

--- /dev/null
+++ b/internal/register/pace_test.go
@@ -0,0 +1,123 @@
+package register
+
+import (
+	"container/heap"
+	"testing"
+	"time"
+)
+
+// A register that serves calls in turn, each for as long as the next, turns those away that would wait for more than
+// three time-outs, and works on calls that nobody waits for any more.
+type line struct {
+	each, timeout time.Duration
+	free          time.Duration // when it has served all that it took
+}
+
+// call tells when an answer comes, and whether it is a list.
+func (l *line) call(now time.Duration) (time.Duration, bool) {
+	begin := max(l.free, now)
+	if begin+l.each-now > 3*l.timeout {
+		return now + 2*time.Millisecond, false
+	}
+	l.free = begin + l.each
+	if l.free-now > l.timeout {
+		return now + l.timeout, false
+	}
+	return l.free, true
+}
+
+type turn struct {
+	at   time.Duration
+	node int
+}
+
+type turns []turn
+
+func (q turns) Len() int           { return len(q) }
+func (q turns) Less(i, j int) bool { return q[i].at < q[j].at || q[i].at == q[j].at && q[i].node < q[j].node }
+func (q turns) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *turns) Push(x any)        { *q = append(*q, x.(turn)) }
+func (q *turns) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// herd lets some nodes that hold a list begin at the same moment, and returns how many have a watch after a time, the last
+// of them, and the calls.
+func herd(nodes int, pace func(node int) *Pace, within time.Duration) (have int, last time.Duration, calls int) {
+	l := line{each: 110 * time.Millisecond, timeout: 2 * time.Second}
+	paces := make([]*Pace, nodes)
+	q := &turns{}
+	for i := range paces {
+		paces[i] = pace(i)
+		heap.Push(q, turn{paces[i].First(), i})
+	}
+	for q.Len() > 0 {
+		t := heap.Pop(q).(turn)
+		if t.at > within {
+			break
+		}
+		calls++
+		at, ok := l.call(t.at)
+		if ok {
+			have, last = have+1, max(last, at)
+			continue
+		}
+		heap.Push(q, turn{at + paces[t.node].Next(), t.node})
+	}
+	return have, last, calls
+}
+
+// 60 nodes start at once while the register serves 9 calls a second: all have their lists soon. Calling at
+// once and again every second, as few nodes may, keeps the line long for good.
+func TestAHerdOfCallsIsSpreadOut(t *testing.T) {
+	for seed := range uint64(5) {
+		have, last, calls := herd(60, func(i int) *Pace { return NewPace(80, seed<<8+uint64(i)) }, 20*time.Second)
+		t.Logf("seed %d: %d of 60 have a watch, the last after %v, %d calls", seed, have, last, calls)
+		if have < 60 || calls > 150 {
+			t.Errorf("seed %d: %d of 60 have a watch after 20 s and %d calls", seed, have, calls)
+		}
+	}
+	have, _, calls := herd(60, func(int) *Pace { return NewPace(1, 0) }, 20*time.Second)
+	t.Logf("all at once: %d of 60 have a watch, %d calls", have, calls)
+	if have > 40 || calls < 300 {
+		t.Errorf("the register of this test is not overbooked: %d of 60 have a watch after %d calls", have, calls)
+	}
+}
+
+// Few nodes lose nothing: they call at once, and soon again.
+func TestFewNodesCallAtOnce(t *testing.T) {
+	for _, nodes := range []int{1, 3, fewNodes} {
+		p := NewPace(nodes, 1)
+		if w := p.First(); w != 0 {
+			t.Errorf("%d nodes: a first call after %v", nodes, w)
+		}
+		for _, want := range []time.Duration{backoffLeast, 2 * backoffLeast, 4 * backoffLeast, 8 * backoffLeast, backoffMost, backoffMost} {
+			if w := p.Next(); w != want {
+				t.Errorf("%d nodes: a pause of %v, want %v", nodes, w, want)
+			}
+		}
+		p.Heard()
+		if w := p.Next(); w != backoffLeast {
+			t.Errorf("%d nodes: a pause of %v after an answer", nodes, w)
+		}
+	}
+}
+
+// Pauses stay within their range at any size of the fleet, and nodes differ.
+func TestPausesGrowAndDiffer(t *testing.T) {
+	for _, nodes := range []int{fewNodes + 1, 80, 300, 1000} {
+		a, b := NewPace(nodes, 1), NewPace(nodes, 2)
+		spread := min(time.Duration(nodes)*callApart, spreadMax)
+		if w := a.First(); w < 0 || w >= spread || w == b.First() {
+			t.Errorf("%d nodes: a first call after %v", nodes, w)
+		}
+		for range 20 {
+			if w := a.Next(); w < 0 || w > pauseMax*spread*3/2 || w == b.Next() {
+				t.Errorf("%d nodes: a pause of %v", nodes, w)
+			}
+		}
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -103,18 +103,17 @@
 	return s, nil
 }
 
-// Pace of the watch.
-const (
-	Silent       = 3 * time.Second        // a watch that says nothing for so long is given up: a line comes every 2 s, and what is told counts as known 6 s later at the latest
-	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
-	backoffMost  = time.Second
-)
+// Silent is how long a watch may say nothing before it is given up: a line comes every 2 s, and what is told counts as known 6 s
+// later at the latest.
+const Silent = 3 * time.Second
 
 // Follower follows the changes of the list of app servers. Its fields are set before Run.
 type Follower struct {
 	Addr   netip.AddrPort
 	Silent time.Duration // the constant Silent but in tests
 	Last   uint64        // the version that is held; 0: none
+	Pace   *Pace         // nil: that of a node alone
+	Wait   bool          // the first call waits as well, since a list is held: others may have started at the same moment
 	Apply  func(List)    // called by Run, one list at a time
 	Logf   func(format string, args ...any)
 
@@ -122,31 +121,49 @@
 }
 
 // Run watches until ctx ends. A watch that breaks, ends or falls silent is opened
-// again from the version held, after a pause that doubles while nothing comes.
+// again from the version held, after a pause that grows while nothing comes.
 func (r *Follower) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: r.Silent}).DialContext,
 		DisableKeepAlives: true, // each watch is a connection of its own
 	}}
-	pause := backoffLeast
+	pace := r.Pace
+	if pace == nil {
+		pace = NewPace(1, 0)
+	}
+	if r.Wait && !sleep(ctx, pace.First()) {
+		return
+	}
 	for {
 		heard, err := r.watch(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
 		if heard {
-			pause = backoffLeast
+			pace.Heard()
 		}
 		if !r.down { // one line for an outage, however often the watch is tried
 			r.down = true
 			r.Logf("discovery: watch ended: %v", err)
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, pace.Next()) {
 			return
-		case <-time.After(pause):
 		}
-		pause = min(2*pause, backoffMost)
+	}
+}
+
+// sleep waits, and is false if ctx ended meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
