--- a/internal/register/pace_test.go
+++ b/internal/register/pace_test.go
@@ -33,10 +33,12 @@
 
 type turns []turn
 
-func (q turns) Len() int           { return len(q) }
-func (q turns) Less(i, j int) bool { return q[i].at < q[j].at || q[i].at == q[j].at && q[i].node < q[j].node }
-func (q turns) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *turns) Push(x any)        { *q = append(*q, x.(turn)) }
+func (q turns) Len() int { return len(q) }
+func (q turns) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].node < q[j].node
+}
+func (q turns) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *turns) Push(x any)   { *q = append(*q, x.(turn)) }
 func (q *turns) Pop() any {
 	old := *q
 	x := old[len(old)-1]
