A calm holder no longer shuts members out for seconds; late tries take no crowded units

Counted from the logs, each request with its rule and wait: members refused customers of kati for a median of 3.75 s (5.9 s at the 90th percentile) after one refusal of their holder, where a store fills by one in 0.4 s.

Cause: in heed, a holder whose inbox takes more than askShare (0.3) of the limit has a member pause for spread / split asks at that rate. Second: a wide store's late tries took units like fresh ones (st.crowded was put to 0 there). Ruled out: units that go unused at holders that refuse (0 to 3%); ceilings; work out (15 refusals of 700 a second then).

Change: asks in vain pause from 0.6 of the inbox on; an ask says that its try comes too late, and a holder gives such a one no units of a customer that it had to refuse in the last second (or the time in which its store fills by two).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	crossWeight  = 1.1                    // cost factor of another zone where crossing has a price
 	slowDevs     = 10                     // mean deviations over the mean at which an attempt counts as slow
 	crowdedFor   = time.Second            // a customer refused counts as crowded for so long
+	crowdedTries = 2                      // and for as long as it takes to fill in so many tries
 	unheardGaps  = 10                     // gaps between tells after which a level told is forgotten
 	idleOpen     = 5 * time.Second        // a store without a rate is dropped when idle so long
 	retryEarn    = 0.2                    // further attempts earned by each first one
@@ -70,6 +71,7 @@
 	memberBurst  = 0.5                    // part of a ceiling's burst that members have without asking
 	memberRate   = 0.4                    // and of its rate
 	askShare     = 0.3                    // share of an inbox for a customer's asks granted or refused
+	askFlood     = 0.6                    // share of an inbox from which asks in vain have to pause
 	lendAhead    = 4.0                    // gaps between tells that a part of a ceiling should last for
 	lendKeep     = 0.25                   // share of its part that a lender keeps
 	lendLeast    = 300 * time.Millisecond // a unit lent is under way for at most as long,
@@ -174,11 +176,12 @@
 		return
 	}
 	if r.holder = g.holder(st); st.wide && r.holder != g.set.Me {
+		r.late = late
 		g.ask(r)
 		return
 	}
-	in, wait := g.quota(st, q.Units)
-	if in = in && !(late && now < st.crowded); in {
+	in, wait := g.quota(st, q.Units, late)
+	if in {
 		g.take(st, q.Units)
 	}
 	g.admit(r, in, wait)
@@ -292,18 +295,22 @@
 	}
 }
 
-// quota tells whether units are inside the customer's quota and, if not, when to come back.
-func (g *Gateway) quota(st *store, units float64) (bool, time.Duration) {
+// quota tells whether units are inside the customer's quota and, if not, when to come back. A late try takes
+// none of a customer that others were refused of late: it would cost one that can still be answered in time.
+func (g *Gateway) quota(st *store, units float64, late bool) (bool, time.Duration) {
 	p := &g.set.Plans[st.plan]
 	n := float64(st.split)
 	if st.wide {
 		n = 1
-		st.since, st.opened, st.crowded = 0, 0, 0 // nothing is spent here without the store's knowing
+		st.since, st.opened = 0, 0 // nothing is spent here without the store's knowing
+	}
+	if late && g.now < st.crowded {
+		return false, 0
 	}
 	if p.Open > 0 {
 		room := g.openRoom(st)
 		least := 1
-		if g.now < st.crowded {
+		if g.now < st.crowded && !st.wide {
 			least = max(min(st.spread, p.Open/2), 1)
 		}
 		if room < least || st.opened > 0 && float64(st.opened+1) > float64(room+st.opened)/n {
@@ -321,7 +328,8 @@
 			least = math.Max(units, math.Min(units*n, p.Burst/2))
 		}
 		if st.level < least || st.since > 0 && st.since+units > room {
-			st.crowded = g.now + crowdedFor
+			// A store that fills slowly is waited for for longer.
+			st.crowded = g.now + max(crowdedFor, fillIf(crowdedTries*units, p.Rate*b2f(st.wide)/st.parts))
 			return false, max(fill(units-st.level, p.Rate/st.parts), min(g.tellGap, askWait))
 		}
 	}
@@ -483,7 +491,7 @@
 // fleets; it costs two hops of waiting, and a holder that restarts begins with a full store.
 
 func (g *Gateway) ask(r *request) {
-	g.out.Tell(r.holder, g.encodeAsk(r, kindAsk))
+	g.out.Tell(r.holder, g.encodeAsk(r, kindAsk+byte(b2i(r.late))*(kindLate-kindAsk)))
 	if g.peers[r.holder].unanswered >= silentAsks || g.deaf >= deafAsks {
 		g.unanswered(r)
 		return
@@ -530,18 +538,19 @@
 			}
 			return
 		}
-		in, wait := g.quota(st, m.units)
+		in, wait := g.quota(st, m.units, m.late)
 		if in = in && (g.set.Plans[m.plan].CeilingRate <= 0 || st.ceiling >= m.units); in {
 			wait, st.ceiling = 0, st.ceiling-m.units
 			g.take(st, m.units)
 			if g.set.Plans[m.plan].Open > 0 {
 				st.leases = append(st.leases, lease{from, m.num, g.now + g.longestAim()})
 			}
-		} else if g.inboxRate > askShare*g.set.InboxPerS {
-			// More members ask in vain than the inbox takes: each pauses until it is their turn again.
+		} else if g.inboxRate > askFlood*g.set.InboxPerS {
+			// More members ask in vain than the inbox takes: each pauses until it is their turn again. In
+			// large fleets a third of an inbox is what all customers' asks come to on a calm day.
 			wait = max(wait, fill(float64(st.spread/st.split), askShare*g.set.InboxPerS))
 		}
-		st.pass += passShare * (b2f(in) - st.pass)
+		st.pass += passShare * (b2f(in) - st.pass) * (1 - b2f(m.late))
 		if in {
 			st.note(from, m.num, g.now)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -768,11 +768,17 @@
 
 // wideGate is a gateway of a fleet of 300, whose sets are so wide that holders are asked.
 func wideGate(t *testing.T, me int) (*Gateway, *recorder) {
-	s := testSettings()
-	s.Me, s.Instances, s.Peers, s.InboxPerS = me, 300, true, 40
+	s := wideSettings()
+	s.Me = me
 	return newGate(t, s, fleet(4)...)
 }
 
+func wideSettings() Settings {
+	s := testSettings()
+	s.Instances, s.Peers, s.InboxPerS = 300, true, 40
+	return s
+}
+
 // wideRequest is of a customer that comes in through the gateways 10 to 109.
 func wideRequest(n int, customer uint64) Request {
 	q := newRequest(n, "safe", "rate", customer)
@@ -837,6 +843,83 @@
 	}
 }
 
+// A calm day's asks must not look like a flood: a member refused by a holder whose inbox is a third full comes back as soon as the
+// store has filled, not in the seconds after which it would be its turn if all members asked in vain.
+func TestRefusedMembersComeBackSoon(t *testing.T) {
+	wait := func(inbox float64) time.Duration {
+		member, r := wideGate(t, 10)
+		member.Request(t0, wideRequest(1, 77), r)
+		to := member.holder(member.stores[77])
+		h, hr := wideGate(t, to)
+		h.inboxRate = inbox
+		h.storeFor(77, h.plan["rate"], 100, 10).level = 0
+		h.Peer(t0, 10, r.tells[to][0], hr)
+		member.Peer(t0, to, hr.tells[10][0], r)
+		if r.count("refuse") != 1 {
+			t.Fatalf("%v", r.acts)
+		}
+		return member.stores[77].shut - t0
+	}
+	p := wideSettings().Plans
+	one := time.Duration(0)
+	for i := range p {
+		if p[i].Name == "rate" {
+			one = fill(1, p[i].Rate/math.Ceil(p[i].Rate/(askShare*40)))
+		}
+	}
+	if w := wait(14); w > max(one, askWait)+waitUnit {
+		t.Errorf("a calm holder shuts a member out for %v, its store fills by one in %v", w, one)
+	}
+	if w := wait(39); w < 2*time.Second {
+		t.Errorf("a flooded holder has a member come back after %v", w)
+	}
+}
+
+// A holder gives no units of a customer whose tries it has to refuse to one that comes too late for its aim; the
+// member that sent it may go on asking for others.
+func TestHoldersRefuseLateTries(t *testing.T) {
+	member, r := wideGate(t, 10)
+	ask := func(n int, late bool, at time.Duration) bool {
+		q := wideRequest(n, 77)
+		member.lat[member.class["safe"]].fresh = q.Grace
+		if late {
+			q.Grace -= member.set.Classes[member.class["safe"]].Aim * 3 / 2
+		}
+		r.tells = nil
+		member.Request(at, q, r)
+		to := member.holder(member.stores[77])
+		if r.tells[to] == nil {
+			t.Fatalf("try %d was not asked for: %v", n, r.acts)
+		}
+		h, hr := wideGate(t, to)
+		st := h.storeFor(77, h.plan["rate"], 100, 10)
+		st.level, st.crowded = 5, at+time.Second
+		if n == 0 {
+			st.crowded = 0
+		}
+		h.Peer(at, 10, r.tells[to][0], hr)
+		sent := r.count("send")
+		member.Peer(at, to, hr.tells[10][0], r)
+		if r.count("send") == sent {
+			return false
+		}
+		member.Outcome(at+ms, Outcome{ID: q.ID, Result: OK, Closed: true}, r)
+		return true
+	}
+	if !ask(0, true, t0) {
+		t.Error("a late try was refused with room for all")
+	}
+	for n := 1; n < 7; n += 2 {
+		at := t0 + time.Duration(n)*time.Second
+		if ask(n, true, at) {
+			t.Error("a late try took the units of a crowded customer")
+		}
+		if !ask(n+1, false, at) {
+			t.Error("a fresh try was refused in its place")
+		}
+	}
+}
+
 // A holder that is down must cost a wait, not the customer.
 func TestUnansweredAskGoesByTheShareGranted(t *testing.T) {
 	for _, pass := range []float64{0, 1} {
@@ -965,7 +1048,7 @@
 		t.Errorf("%d leases after the answer", n)
 	}
 	h.stores[77].out = h.set.Plans[h.plan["open"]].Open
-	if in, wait := h.quota(h.stores[77], 1); in || wait > askWait {
+	if in, wait := h.quota(h.stores[77], 1, false); in || wait > askWait {
 		t.Errorf("in %v, wait %v", in, wait)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -63,6 +63,7 @@
 	attempts []attempt
 	out      int
 	inQuota  bool
+	late     bool // it is known to come too late for its aim
 	drawn    bool // its ask came to nothing: sent by chance or not at all
 	granted  bool // by its holder, with its part of the ceiling
 	holder   int  // gateway that was asked for its units, or this one
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -26,6 +26,7 @@
 	kindBack
 	kindTell
 	kindSpent // an ask again, of units that were sent without its answer
+	kindLate  // an ask for a try that comes too late for its aim
 )
 
 // messageMost is the longest message that the wire takes.
@@ -123,6 +124,7 @@
 	num, key            uint64
 	plan, spread, first int
 	units               float64
+	late                bool
 	granted             bool
 	pass                float64
 	wait                time.Duration
@@ -158,7 +160,10 @@
 	r := reader{b: b[1:]}
 	m.kind, m.num = b[0], r.uint()
 	switch m.kind {
-	case kindAsk, kindSpent:
+	case kindAsk, kindSpent, kindLate:
+		if m.kind == kindLate {
+			m.kind, m.late = kindAsk, true
+		}
 		m.key = r.uint()
 		ok = g.decode(r.uint(), &m.plan, &m.spread, &m.first)
 		m.units = float64(r.int())
