A lost zone is found as a whole within a second; the bound on work out counts servers by the part

The gateways held 50 servers on average to be in reach when 27 were, still at 13 s.

Causes: a gateway finds a lost server by a request of its own, one by one, and asks each of its 18 some times in 10 s; and inReach counted all servers outside of the part as alive, which no gateway ever meets, so that the bound on work out was nearly twice what the living servers do. Ruled out: the ramp (cold servers get less than they may) and quotas (units all used).

Change: package outage, a watch over groups of servers: a zone is down when things sent to several of its servers came to nothing or wait for long, with nothing heard of it since, while another zone is heard; peers' findings count for less. Its servers are asked last, and one answer brings it back. inReach judges the servers outside of the part by those inside.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1085,7 +1085,10 @@
 // each time. It covers lost halls, single machines and cut links; it harms where servers answer nothing at
 // all for as long as a probe waits and then go on: for a round of probes the others carry their load.
 func (g *Gateway) silent(s *server, sent time.Duration) {
-	if !g.set.Probes || g.set.Report == ReportNone || s.heard >= sent || s.lost {
+	if !g.set.Probes || g.set.Report == ReportNone || s.heard >= sent {
+		return
+	}
+	if g.failedZone(s, sent); s.lost {
 		return
 	}
 	s.lost = true
@@ -1101,6 +1104,7 @@
 		g.log("server %s answers again", s.ID)
 	}
 	s.heard, s.suspect = g.now, 0
+	g.heardZone(s)
 }
 
 // heedNote takes in what a peer says of a server of this gateway's part: that it was silent to it, or answers
@@ -1109,7 +1113,11 @@
 // in doubt, nothing more is believed: a spoilt gateway, or a cut between peers and servers, can't empty it.
 func (g *Gateway) heedNote(from int, n note) {
 	for _, s := range g.near {
-		if s.tag != n.tag || g.whole() || !s.voices[b2i(n.up)].second(from, g.now) || s.lost != n.up {
+		if s.tag != n.tag || g.whole() {
+			continue
+		}
+		g.toldZone(s, from, n.up)
+		if !s.voices[b2i(n.up)].second(from, g.now) || s.lost != n.up {
 			continue
 		}
 		if !n.up && (g.now-s.heard < noteFresh || 2*g.doubted() >= len(g.near)) {
@@ -1204,6 +1212,7 @@
 	if f >= 1 && g.aro.f < 1 {
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
+	g.outages()
 	g.sweep()
 	if g.widen() {
 		g.takePart()
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,13 +1,16 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"mulleinmux/outage"
 	"mulleinmux/parts"
 )
 
@@ -161,6 +164,7 @@
 	parted  bool      // the rule leaves servers out of the part
 	holders float64   // gateways that have a server of it in their part, on average
 	width   parts.Width
+	watch   *outage.Watch // over the zones, where gateways keep to parts
 	byID    map[string]*server
 	reqs    map[string]*request
 	byNum   map[uint64]*request
@@ -228,6 +232,7 @@
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
 		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)), cold: map[string]*coldZone{},
+		watch: outage.New(outage.Usual),
 	}
 	g.set.Classes = append([]Class(nil), s.Classes...)
 	g.set.Plans = append([]Plan(nil), s.Plans...)
@@ -673,6 +678,66 @@
 	return len(g.near), g.doubted()
 }
 
+// heardZone and failedZone take in what was met at one server of a zone, for the watch over all of it, and toldZone
+// what a peer says of one.
+func (g *Gateway) heardZone(s *server) {
+	if !g.whole() {
+		g.watch.Heard(s.Zone, g.now)
+	}
+}
+
+func (g *Gateway) failedZone(s *server, sent time.Duration) {
+	if !g.whole() {
+		g.watch.Failed(s.Zone, uint64(s.tag), sent, g.now)
+	}
+}
+
+func (g *Gateway) toldZone(s *server, from int, up bool) {
+	switch {
+	case g.whole():
+	case up:
+		g.watch.Met(s.Zone, from, g.now)
+	default:
+		g.watch.Told(s.Zone, uint64(s.tag), from, g.now)
+	}
+}
+
+// outages puts in doubt the servers of zones that seem to be lost, so that they get no request while others will do, and the
+// bound on work out counts without them.
+func (g *Gateway) outages() {
+	if g.whole() {
+		return
+	}
+	for _, r := range slices.SortedFunc(maps.Values(g.reqs), func(a, b *request) int { return cmp.Compare(a.num, b.num) }) {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.done && !a.begun && g.unheard(a, r.class) {
+				g.watch.Waits(a.zone, uint64(a.server.tag), a.sent, g.now)
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for _, s := range g.near {
+		down, ok := seen[s.Zone]
+		if !ok {
+			var found bool
+			if down, found = g.watch.Down(s.Zone, g.now); found {
+				g.out.Log("zone " + s.Zone + " is silent: its servers are held to be lost until one answers")
+			}
+			seen[s.Zone] = down
+		}
+		if down {
+			s.suspect = max(s.suspect, g.now+2*probeEvery)
+		}
+	}
+	g.watch.Keep(seen)
+}
+
+// unheard tells whether an attempt has been out for several times as long as answers take, at a server that has said nothing since.
+func (g *Gateway) unheard(a *attempt, class int) bool {
+	return a.server.heard < a.sent &&
+		(g.now-a.sent).Seconds() > math.Max(silentMeans*g.lat[class].mean, g.set.Classes[class].Aim.Seconds()/4)
+}
+
 // doubted counts the servers of the part that are silent to this gateway or, as peers say, to them.
 func (g *Gateway) doubted() (n int) {
 	for _, s := range g.near {
@@ -810,17 +875,26 @@
 }
 
 // inReach counts the attempts out at servers that are held to be alive, overdue ones aside, and these servers,
-// a cold one as the part of one that it is.
+// a cold one as the part of one that it is. Of servers outside of its part a gateway knows nothing: they are held
+// to be as those of the part are.
 func (g *Gateway) inReach() (out, servers float64) {
 	out = math.Max(float64(g.held)-g.overdue, 0)
+	take, near := 0.0, 0.0
 	for _, s := range g.servers {
 		if s.lost {
 			out -= float64(s.out)
-		} else if s.takes() {
-			servers += g.warmth(s)
+		}
+		if !s.takes() {
+			continue
+		}
+		if take++; s.near {
+			near++
+			if !s.lost && g.now >= s.suspect {
+				servers += g.warmth(s)
+			}
 		}
 	}
-	return out, servers
+	return out, servers * take / math.Max(near, 1)
 }
 
 // unreported tells whether latency has to stand for a server's load report. With a part of the servers, each of which is
@@ -944,7 +1018,7 @@
 			age, aim := (g.now - a.sent).Seconds(), g.set.Classes[r.class].Aim.Seconds()
 			// One at a server that has said nothing since, for several times as long as answers take, tells of that
 			// server and not of work that waits: where a fifth falls silent, the bound would refuse what the others can do.
-			silent := !g.whole() && a.server.heard < a.sent && age > math.Max(silentMeans*g.lat[r.class].mean, aim/4)
+			silent := !g.whole() && g.unheard(a, r.class)
 			younger += b2f(age < share*aim && !silent)
 			overdue += b2f((age > aim || silent) && !a.server.lost)
 		}
--- /dev/null
+++ b/outage/outage.go
@@ -0,0 +1,173 @@
+// Package outage finds out that a whole group of servers has gone, such as those of a hall, from what a node meets at some of
+// them. Server by server it would take a node that asks each of them once in some seconds as many seconds, and each finding
+// would cost a request.
+//
+// The rule: a group is down while nothing has been heard of it since things that were sent to several of its servers came to
+// nothing, and another group was heard meanwhile. One answer from any of its servers ends that. What is sent and comes to nothing at one
+// server alone, however often, says nothing of the others; a node that hears nobody is cut off itself and concludes nothing.
+//
+// Evidence has three strengths: a failure of one's own (a time-out, a connection that did not come up); a wait of one's own
+// that has become long; and what a peer says it found. A peer is believed for its first server only, so that it takes
+// several of them, and they count for less alone: a node that has something out at the group and sees no fault is to go by that.
+// Peers that meet answers there end it as well, two of them, since a node that sends nothing there hears nothing.
+//
+// The package does no I/O, keeps no clock and draws no random numbers. Times are readings of any clock that does not go back.
+package outage
+
+import (
+	"maps"
+	"time"
+)
+
+// Rule sets what evidence it takes.
+type Rule struct {
+	Enough float64       // weight of evidence at which a group is down
+	Wait   float64       // weight of a long wait at a server; of a failure it is 1
+	Peer   float64       // weight of a peer's finding
+	Lasts  time.Duration // evidence older than that counts no more
+	Quiet  time.Duration // a group that was heard so recently is not down
+	Alone  time.Duration // nor by peers' word alone one that was heard so recently
+}
+
+// Usual is a rule for nodes that hear a group of theirs some times a second: two failures, or one and two peers, or four peers.
+var Usual = Rule{Enough: 1.4, Wait: 0.7, Peer: 0.5, Lasts: 3 * time.Second, Quiet: 200 * time.Millisecond, Alone: time.Second}
+
+// evidenceMost bounds what is kept of a group.
+const evidenceMost = 16
+
+// evidence is that something at a server came to nothing.
+type evidence struct {
+	server uint64
+	peer   int // -1: own
+	weight float64
+	at     time.Duration // when it became known
+	sent   time.Duration // what came to nothing was sent then
+}
+
+type group struct {
+	heard    time.Duration
+	ever     bool
+	evidence []evidence
+	down     bool
+	since    time.Duration // when it was found to be
+	peer     int           // that met an answer there since; -1: none
+}
+
+// Watch keeps watch over the groups that a node asks. The zero value watches none; make one with New.
+type Watch struct {
+	rule   Rule
+	groups map[string]*group
+}
+
+// New returns a watch by a rule.
+func New(rule Rule) *Watch { return &Watch{rule: rule, groups: map[string]*group{}} }
+
+func (w *Watch) of(name string) *group {
+	g := w.groups[name]
+	if g == nil {
+		g = &group{}
+		w.groups[name] = g
+	}
+	return g
+}
+
+// Keep forgets the groups that are not among the keys.
+func (w *Watch) Keep(names map[string]bool) {
+	maps.DeleteFunc(w.groups, func(name string, _ *group) bool {
+		_, ok := names[name]
+		return !ok
+	})
+}
+
+// Heard takes in an answer of any kind from a server of the group.
+func (w *Watch) Heard(name string, now time.Duration) {
+	g := w.of(name)
+	g.heard, g.ever, g.down = now, true, false
+	g.evidence = g.evidence[:0]
+}
+
+// Failed takes in that something sent to a server at a time came to nothing.
+func (w *Watch) Failed(name string, server uint64, sent, now time.Duration) {
+	w.add(name, evidence{server: server, peer: -1, weight: 1, at: now, sent: sent})
+}
+
+// Waits takes in that something sent to a server at a time has waited for long.
+func (w *Watch) Waits(name string, server uint64, sent, now time.Duration) {
+	w.add(name, evidence{server: server, peer: -1, weight: w.rule.Wait, at: now, sent: sent})
+}
+
+// Told takes in that a peer found a server silent.
+func (w *Watch) Told(name string, server uint64, peer int, now time.Duration) {
+	w.add(name, evidence{server: server, peer: peer, weight: w.rule.Peer, at: now, sent: now})
+}
+
+// Met takes in that a peer has met an answer there. What it met before it heard of the outage is no sign of its end.
+func (w *Watch) Met(name string, peer int, now time.Duration) {
+	g := w.groups[name]
+	switch {
+	case g == nil || !g.down || now-g.since < w.rule.Lasts:
+	case g.peer < 0 || g.peer == peer:
+		g.peer = peer
+	default:
+		g.down, g.evidence = false, g.evidence[:0]
+	}
+}
+
+// add keeps the strongest evidence of each server and, of peers, of each peer.
+func (w *Watch) add(name string, e evidence) {
+	g := w.of(name)
+	if g.ever && e.sent < g.heard {
+		return // the group was heard since
+	}
+	for i := range g.evidence {
+		old := &g.evidence[i]
+		if old.server != e.server && (e.peer < 0 || old.peer != e.peer) {
+			continue
+		}
+		if e.weight >= old.weight {
+			*old = e
+		}
+		return
+	}
+	if len(g.evidence) == evidenceMost {
+		g.evidence = append(g.evidence[:0], g.evidence[1:]...)
+	}
+	g.evidence = append(g.evidence, e)
+}
+
+// Down tells whether the group is down, and whether it has just been found to be.
+func (w *Watch) Down(name string, now time.Duration) (down, found bool) {
+	g := w.groups[name]
+	if g == nil {
+		return false, false
+	}
+	if g.down {
+		return true, false
+	}
+	if !g.ever || now-g.heard < w.rule.Quiet || !w.others(name, now) {
+		return false, false
+	}
+	sum, own := 0.0, false
+	for _, e := range g.evidence {
+		if now-e.at < w.rule.Lasts {
+			sum += e.weight
+			own = own || e.peer < 0
+		}
+	}
+	if sum < w.rule.Enough || !own && now-g.heard < w.rule.Alone {
+		return false, false
+	}
+	g.down, g.since, g.peer = true, now, -1
+	return true, true
+}
+
+// others tells whether another group was heard since this one was.
+func (w *Watch) others(name string, now time.Duration) bool {
+	g := w.groups[name]
+	for other, o := range w.groups {
+		if other != name && o.ever && o.heard > g.heard && !o.down && now-o.heard < w.rule.Lasts {
+			return true
+		}
+	}
+	return false
+}
