What a part's cold servers may be sent is sent there first, and heavy requests get their share

Causes: a cold server has no connection standing, so that openWeight ranked it behind any warm one (cost), and of two looks one fell on it by chance (best); and coldRoom capped the credit at the work of the class that looked in, so that each look-up cut off what had been saved for a booking, and bookings are most of what is let in then.

Change: with a part, a cold server that may be sent something costs half and is no look; credit is capped at the heaviest class's work.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,7 @@
 	utilShare    = 0.3                    // share of a new report in a server's busy share
 	triedWeight  = 4                      // cost factor of a server that this request has tried
 	openWeight   = 1.5                    // cost factor of a server to which no connection stands idle
+	coldWeight   = 0.5                    // cost factor of a part's cold server that may be sent something
 	probesSent   = 0.5                    // probes for each request sent on
 	partProbes   = 0.17                   // and with a part of the servers, which many gateways look at
 	lostEarly    = 3 * time.Second        // a silent server's turn to be probed comes earlier by so much
@@ -771,7 +772,7 @@
 			cost += 1e6 // only if no other is left; no look, or those in service would be taken blindly
 		case g.now < s.suspect, g.rng.Float64()*g.topWeight > g.share(s):
 			cost += 1e3 // candidates are drawn by their size
-		default:
+		case g.whole() || g.warmth(s) >= 1: // what a part's cold ones may be sent is to be sent
 			looks = max(looks-1, 0)
 		}
 		for _, a := range r.attempts {
@@ -798,7 +799,9 @@
 	cost := math.Max(lat, 0.1) * (1 + float64(s.out) + math.Max(s.queue, 0)) * (1 + errorWeight*s.errs)
 	if g.whole() {
 		cost /= g.warmth(s)
-	} else if !s.stands(g.now) { // cold servers of a part are bounded by coldRoom alone
+	} else if g.warmth(s) < 1 {
+		cost *= coldWeight // coldRoom alone bounds what a part's cold servers get
+	} else if !s.stands(g.now) {
 		cost *= openWeight
 	}
 	if s.Zone != g.set.Zone && g.set.PriceCross > 0 {
@@ -827,7 +830,7 @@
 		carries = c.Ramp
 	}
 	rate := coldShare * g.set.FallMultiple * w * g.weight(s) * carries
-	most := math.Max(work, rate*g.set.OverloadFor.Seconds()/2)
+	most := math.Max(g.savedMost(class), rate*g.set.OverloadFor.Seconds()/2)
 	if s.credit < 0 {
 		s.credit = most * g.rng.Float64()
 	} else {
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -932,6 +932,51 @@
 	}
 }
 
+// Part of the servers is new and cold: what may be sent there is sent there, before warm servers get it, and look-ups that look in don't cut off
+// what has been saved for bookings, which are heavier.
+func TestColdServersOfAPartGetWhatTheyMay(t *testing.T) {
+	g, r := partGate(t)
+	g.now, g.out, g.warmRate = t0+10*time.Second, r, 0.1
+	light, heavy := 0, 1
+	g.set.Classes = append([]Class{}, g.set.Classes[:2]...)
+	g.set.Classes[light].Aim, g.set.Classes[heavy].Aim = 400*ms, 800*ms // a quarter of it is the work until that is learned
+	cold := map[string]bool{}
+	for i, s := range g.near {
+		if g.alive(s); i%2 == 0 {
+			s.Boot, s.credit, s.credited = g.now-g.set.RampTime/4, 0, g.now
+			cold[s.ID] = true
+		} else {
+			s.conns, s.used = 1, g.now
+		}
+	}
+	for range 40 {
+		g.now += 100 * ms
+		for _, s := range g.near {
+			if cold[s.ID] {
+				g.coldRoom(s, light)
+			}
+		}
+	}
+	ready := 0
+	for _, s := range g.near {
+		s.used = g.now
+		ready += b2i(cold[s.ID] && g.coldRoom(s, heavy))
+	}
+	if ready < len(cold)/2 {
+		t.Fatalf("%d of %d cold servers may be sent a heavy request after 4 s", ready, len(cold))
+	}
+	for n := range ready {
+		s := g.pick(&request{Request: Request{ID: "x"}, class: heavy})
+		if !cold[s.ID] {
+			t.Fatalf("request %d of %d goes to a warm server while cold ones may be sent it", n, ready)
+		}
+		s.credit = 0
+	}
+	if s := g.pick(&request{Request: Request{ID: "x"}, class: heavy}); cold[s.ID] {
+		t.Error("a cold server is sent more than it may")
+	}
+}
+
 // Units that were sent without their holder's answer are taken from the store once, whether the ask or its answer was lost.
 func TestUnitsSentWithoutAnAnswerCount(t *testing.T) {
 	for _, lost := range []string{"ask", "answer"} {
--- a/choice/state.go
+++ b/choice/state.go
@@ -874,6 +874,18 @@
 	g.mark(st)
 }
 
+// savedMost is the work that is saved up for a cold server at least, so that a request of the class can go there. With a part each
+// gateway saves for seconds for one request: a light class that looks in must not cut off what has been saved for a heavier one.
+func (g *Gateway) savedMost(class int) float64 {
+	most := g.work(class)
+	for c := range g.set.Classes {
+		if !g.whole() {
+			most = math.Max(most, g.work(c))
+		}
+	}
+	return most
+}
+
 // inReach counts the attempts out at servers that are held to be alive, overdue ones aside, and these servers,
 // a cold one as the part of one that it is. Of servers outside of its part a gateway knows nothing: they are held
 // to be as those of the part are.
