A first call for the list is made at once again; only those after a failure are spread

Change: Pace spreads only the calls after one that failed: half of 0.1 s a node (of 5 s at most) to let the line get shorter, then as long by chance, growing by half. A watch that ended is opened again after 0.1 s.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -62,7 +62,7 @@
 		logger.Printf("known: %d entries left out, the first: %v", len(cfg.left), cfg.left[0])
 	}
 	n.boot()
-	watch := startWatch(life, n, cfg.Discovery, cfg.Known.Generation, len(cfg.Known.Servers) > 0)
+	watch := startWatch(life, n, cfg.Discovery, cfg.Known.Generation)
 	defer func() { watch.end() }()
 	side.Go(func() { n.up.reap(life) })
 	defer stop() // before the wait for what life owns
@@ -208,12 +208,12 @@
 }
 
 // startWatch follows an agent from a version of the list that came from it; from 0 it
-// tells the whole list. With wait the first call is spread out over the fleet.
-func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64, wait bool) *watch {
+// tells the whole list.
+func startWatch(ctx context.Context, n *Node, addr netip.AddrPort, from uint64) *watch {
 	ctx, stop := context.WithCancel(ctx)
 	w := &watch{addr: addr, stop: stop, done: make(chan struct{})}
 	reg := &register.Follower{Addr: addr, Silent: register.Silent, Last: from, Apply: n.heard, Logf: n.log.Printf,
-		Pace: register.NewPace(n.cfg.Settings.Instances, n.cfg.Seed), Wait: wait}
+		Pace: register.NewPace(n.cfg.Settings.Instances, n.cfg.Seed)}
 	go func() {
 		defer close(w.done)
 		reg.Run(ctx)
@@ -243,5 +243,5 @@
 	n.log.Printf("reload: discovery moves from %s to %s", w.addr, cfg.Discovery)
 	w.end()
 	// Another agent may count its versions in another way.
-	return startWatch(ctx, n, cfg.Discovery, 0, false)
+	return startWatch(ctx, n, cfg.Discovery, 0)
 }
--- a/internal/register/pace.go
+++ b/internal/register/pace.go
@@ -10,18 +10,19 @@
 	backoffLeast = 100 * time.Millisecond // before the first new try of a watch that ended
 	backoffMost  = time.Second
 
-	fewNodes  = 8                      // so many nodes may all call at once
+	fewNodes  = 8                      // so many nodes may all call again soon
 	callApart = 100 * time.Millisecond // between the calls of more, on average: a register that serves one from each in 8 s keeps up with 80
-	spreadMax = 5 * time.Second        // over which first calls are spread at most: what the register has to tell counts as told 6 s later
+	spreadMax = 5 * time.Second        // over which calls after a failure are spread at most, at first
 	pauseMax  = 4                      // spreads that a pause grows to
 )
 
-// Pace decides when a node of a fleet calls the register. A register serves calls in turn and works on those too that
-// nobody waits for any more; nodes that lost their watches at the same moment, or started together, and all call at
-// once fill its line with calls that each give up before their turn, and as long as they come back sooner than
-// it serves them the line never gets shorter and no call is ever answered. So the nodes of a large fleet spread their first
-// calls over a time that grows with their number, and each pause after a failure is drawn anew from a range that doubles.
-// Few nodes call at once and come back soon, as there the line is short.
+// Pace decides when a node of a fleet calls the register. A first call is made at once, and so is the first after a watch
+// that ended: what the register has to tell counts as told to a node that could have asked. But a register serves calls in turn
+// and works on those too that nobody waits for any more. Nodes that lost their watches at the same moment, or started together, fill its
+// line with calls of which most give up before their turn; if they come back sooner than it serves them, the line
+// never gets shorter, and no call is ever answered. So after a call that failed the nodes of a large fleet wait for half of a time that
+// grows with their number, in which the line gets shorter, and spread their calls over as long; after each further failure both
+// grow. Few nodes come back soon, as there the line is short.
 //
 // Pace does no I/O; its chance comes from the seed.
 type Pace struct {
@@ -35,34 +36,19 @@
 	if nodes > fewNodes {
 		p.spread = min(time.Duration(nodes)*callApart, spreadMax)
 	}
-	p.Heard()
 	return p
 }
 
-// Heard takes in that the register answered: the next pause is the shortest again.
-func (p *Pace) Heard() { p.pause = 0 }
-
-// First is the wait before the first call of a node that holds a list.
-func (p *Pace) First() time.Duration { return p.draw(p.spread) }
-
-// Next is the wait before the call after one that failed, or after a watch that ended.
-func (p *Pace) Next() time.Duration {
-	if p.spread == 0 {
+// Next is the wait before the call after a watch that ended or, where nothing was heard on it, after a call that failed.
+func (p *Pace) Next(heard bool) time.Duration {
+	switch {
+	case heard:
+		p.pause = backoffLeast
+		return p.pause
+	case p.spread == 0:
 		p.pause = min(max(2*p.pause, backoffLeast), backoffMost)
 		return p.pause
 	}
-	if p.pause == 0 { // a watch that ended: others may have ended with it
-		p.pause = p.spread
-		return p.draw(p.spread)
-	}
-	wait := p.pause/2 + p.draw(p.pause)
-	p.pause = min(2*p.pause, pauseMax*p.spread)
-	return wait
-}
-
-func (p *Pace) draw(most time.Duration) time.Duration {
-	if most <= 0 {
-		return 0
-	}
-	return time.Duration(p.rng.Int64N(int64(most)))
+	p.pause = min(max(p.pause+p.spread/2, p.spread), pauseMax*p.spread)
+	return p.pause/2 + time.Duration(p.rng.Int64N(int64(p.pause)))
 }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -113,7 +113,6 @@
 	Silent time.Duration // the constant Silent but in tests
 	Last   uint64        // the version that is held; 0: none
 	Pace   *Pace         // nil: that of a node alone
-	Wait   bool          // the first call waits as well, since a list is held: others may have started at the same moment
 	Apply  func(List)    // called by Run, one list at a time
 	Logf   func(format string, args ...any)
 
@@ -131,22 +130,16 @@
 	if pace == nil {
 		pace = NewPace(1, 0)
 	}
-	if r.Wait && !sleep(ctx, pace.First()) {
-		return
-	}
 	for {
 		heard, err := r.watch(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
-		if heard {
-			pace.Heard()
-		}
 		if !r.down { // one line for an outage, however often the watch is tried
 			r.down = true
 			r.Logf("discovery: watch ended: %v", err)
 		}
-		if !sleep(ctx, pace.Next()) {
+		if !sleep(ctx, pace.Next(heard)) {
 			return
 		}
 	}
