--- a/choice/choice.go
+++ b/choice/choice.go
@@ -825,7 +825,7 @@
 		return false // its holders warm it up
 	}
 	// A server does at least a second's work a second, which counts where no warm one is seen.
-	carries := math.Max(g.warmRate, 1/g.holders) * s.lean
+	carries := math.Max(g.warmRate, 1/g.holders) * s.lean / g.width.Factor()
 	if c != nil {
 		carries = c.Ramp
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -165,14 +165,17 @@
 	holders float64   // gateways that have a server of it in their part, on average
 	width   parts.Width
 	watch   *outage.Watch // over the zones, where gateways keep to parts
-	byID    map[string]*server
-	reqs    map[string]*request
-	byNum   map[uint64]*request
-	nextNum uint64
-	class   map[string]int
-	plan    map[string]int
-	kinds   map[string]int
-	lat     []classLatency
+
+	openReqs  []*request      // for outages, which run often
+	zonesDown map[string]bool // the same
+	byID      map[string]*server
+	reqs      map[string]*request
+	byNum     map[uint64]*request
+	nextNum   uint64
+	class     map[string]int
+	plan      map[string]int
+	kinds     map[string]int
+	lat       []classLatency
 
 	stores  map[uint64]*store
 	order   []*store // the stores, for sweeping
@@ -232,7 +235,7 @@
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
 		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)), cold: map[string]*coldZone{},
-		watch: outage.New(outage.Usual),
+		watch: outage.New(outage.Usual), zonesDown: map[string]bool{},
 	}
 	g.set.Classes = append([]Class(nil), s.Classes...)
 	g.set.Plans = append([]Plan(nil), s.Plans...)
@@ -560,10 +563,10 @@
 	}
 }
 
-// partRule is how large a gateway's part of the servers is: 16 are enough to lose half of them, and few enough for
-// some requests a second to find a connection open; each server is in 24 parts or more, so that gateways with several
+// partRule is how large a gateway's part of the servers is: 12 are enough to lose half of them, and few enough for
+// some requests a second to find a connection open; each server is in 16 parts or more, so that gateways with several
 // times the mean load do not weigh on single servers.
-var partRule = parts.Rule{Servers: 16, Holders: 24, Spare: 8}
+var partRule = parts.Rule{Servers: 12, Holders: 16, Spare: 8}
 
 // takePart forms this gateway's part of the servers that take requests.
 func (g *Gateway) takePart() {
@@ -708,14 +711,19 @@
 	if g.whole() {
 		return
 	}
-	for _, r := range slices.SortedFunc(maps.Values(g.reqs), func(a, b *request) int { return cmp.Compare(a.num, b.num) }) {
+	open := slices.AppendSeq(g.openReqs[:0], maps.Values(g.reqs))
+	slices.SortFunc(open, func(a, b *request) int { return cmp.Compare(a.num, b.num) })
+	for _, r := range open {
 		for i := range r.attempts {
 			if a := &r.attempts[i]; !a.done && !a.begun && g.unheard(a, r.class) {
 				g.watch.Waits(a.zone, uint64(a.server.tag), a.sent, g.now)
 			}
 		}
 	}
-	seen := map[string]bool{}
+	clear(open)
+	g.openReqs = open
+	seen := g.zonesDown
+	clear(seen)
 	for _, s := range g.near {
 		down, ok := seen[s.Zone]
 		if !ok {
