--- a/choice/choice.go
+++ b/choice/choice.go
@@ -492,7 +492,7 @@
 // fleets; it costs two hops of waiting, and a holder that restarts begins with a full store.
 
 func (g *Gateway) ask(r *request) {
-	g.out.Tell(r.holder, g.encodeAsk(r, kindAsk+byte(b2i(r.late))*(kindLate-kindAsk)))
+	g.out.Tell(r.holder, g.encodeAsk(r, kindAsk))
 	if g.peers[r.holder].unanswered >= silentAsks || g.deaf >= deafAsks {
 		g.unanswered(r)
 		return
@@ -1209,13 +1209,13 @@
 // tick is the work of each probe.
 func (g *Gateway) tick() {
 	f := g.aro.f
-	young, overdue := g.ages(jamAge)
+	young, overdue, waits := g.ages(jamAge)
 	g.overdue = overdue
 	g.aro.assess(g.oks, young) // attempts at a few silent servers must not read as a jam of all
 	if f >= 1 && g.aro.f < 1 {
 		g.log("overload: sending on %.2f of what quotas admit, occupancy %.2f", g.aro.f, g.aro.rho)
 	}
-	g.outages()
+	g.outages(waits)
 	g.sweep()
 	if g.widen() {
 		g.takePart()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -875,6 +875,20 @@
 	}
 }
 
+// A customer stays crowded for as long as its store takes to fill in two tries, which may be more than a second.
+func TestSlowStoresStayCrowded(t *testing.T) {
+	h, _ := wideGate(t, 10)
+	h.set.Plans[h.plan["rate"]].Rate = 0.5
+	st := h.storeFor(77, h.plan["rate"], 100, 10)
+	if st.level = 0; !st.wide {
+		t.Fatal("no holder is asked for this customer")
+	}
+	h.quota(st, 1, false)
+	if d := st.crowded - h.now; d != 4*time.Second {
+		t.Errorf("crowded for %v, it fills by two in 4 s", d)
+	}
+}
+
 // A holder gives no units of a customer whose tries it has to refuse to one that comes too late for its aim; the
 // member that sent it may go on asking for others.
 func TestHoldersRefuseLateTries(t *testing.T) {
@@ -983,11 +997,11 @@
 	g, r := newGate(t, testSettings(), fleet(4)...)
 	g.Request(t0, newRequest(1, "safe", "rate", 1), r)
 	aim := g.set.Classes[g.class["safe"]].Aim
-	if n, _ := g.ages(jamAge); n != 1 {
+	if n, _, _ := g.ages(jamAge); n != 1 {
 		t.Errorf("%v young at once", n)
 	}
 	g.now = t0 + aim
-	if n, _ := g.ages(jamAge); n != 0 {
+	if n, _, _ := g.ages(jamAge); n != 0 {
 		t.Errorf("%v young after the aim", n)
 	}
 }
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -934,6 +934,13 @@
 	if asked() == 0 {
 		t.Error("the zone stays out though one of its servers has answered")
 	}
+	step(time.Second)
+	for peer := range 3 {
+		g.heedNote(peer+10, note{tag: in[1][peer+3].tag})
+	}
+	if step(100 * ms); asked() > 0 {
+		t.Error("what three peers say of a zone of which nothing is heard counts for nothing")
+	}
 }
 
 // Part of the servers is new and cold: what may be sent there is sent there, before warm servers get it, and look-ups that look in don't cut off
@@ -1047,11 +1054,11 @@
 	}
 	g.now, g.out = t0+180*ms, r
 	busy.heard = t0 + 100*ms
-	if young, overdue := g.ages(jamAge); young != 1 || overdue != 1 {
+	if young, overdue, _ := g.ages(jamAge); young != 1 || overdue != 1 {
 		t.Errorf("%.0f count as work, %.0f as overdue, want 1 and 1", young, overdue)
 	}
 	g.now = t0 + 90*ms
-	if young, overdue := g.ages(jamAge); young != 2 || overdue != 0 {
+	if young, overdue, _ := g.ages(jamAge); young != 2 || overdue != 0 {
 		t.Errorf("early on %.0f count as work, %.0f as overdue, want 2 and 0", young, overdue)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -165,17 +164,14 @@
 	holders float64   // gateways that have a server of it in their part, on average
 	width   parts.Width
 	watch   *outage.Watch // over the zones, where gateways keep to parts
-
-	openReqs  []*request      // for outages, which run often
-	zonesDown map[string]bool // the same
-	byID      map[string]*server
-	reqs      map[string]*request
-	byNum     map[uint64]*request
-	nextNum   uint64
-	class     map[string]int
-	plan      map[string]int
-	kinds     map[string]int
-	lat       []classLatency
+	byID    map[string]*server
+	reqs    map[string]*request
+	byNum   map[uint64]*request
+	nextNum uint64
+	class   map[string]int
+	plan    map[string]int
+	kinds   map[string]int
+	lat     []classLatency
 
 	stores  map[uint64]*store
 	order   []*store // the stores, for sweeping
@@ -235,7 +231,7 @@
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x5ea)), byID: map[string]*server{}, reqs: map[string]*request{},
 		byNum: map[uint64]*request{}, class: map[string]int{}, plan: map[string]int{}, kinds: map[string]int{},
 		stores: map[uint64]*store{}, peers: make([]peer, s.Instances), lat: make([]classLatency, len(s.Classes)), cold: map[string]*coldZone{},
-		watch: outage.New(outage.Usual), zonesDown: map[string]bool{},
+		watch: outage.New(outage.Usual),
 	}
 	g.set.Classes = append([]Class(nil), s.Classes...)
 	g.set.Plans = append([]Plan(nil), s.Plans...)
@@ -681,8 +677,7 @@
 	return len(g.near), g.doubted()
 }
 
-// heardZone and failedZone take in what was met at one server of a zone, for the watch over all of it, and toldZone
-// what a peer says of one.
+// heardZone and failedZone take in what was met at one server of a zone, for the watch over all of it.
 func (g *Gateway) heardZone(s *server) {
 	if !g.whole() {
 		g.watch.Heard(s.Zone, g.now)
@@ -695,35 +690,26 @@
 	}
 }
 
+// toldZone takes in what a peer says of a server of this gateway's part.
 func (g *Gateway) toldZone(s *server, from int, up bool) {
-	switch {
-	case g.whole():
-	case up:
+	if up {
 		g.watch.Met(s.Zone, from, g.now)
-	default:
+	} else {
 		g.watch.Told(s.Zone, uint64(s.tag), from, g.now)
 	}
 }
 
 // outages puts in doubt the servers of zones that seem to be lost, so that they get no request while others will do, and the
-// bound on work out counts without them.
-func (g *Gateway) outages() {
+// bound on work out counts without them. It goes by the attempts that ages found unheard.
+func (g *Gateway) outages(waits []unheard) {
 	if g.whole() {
 		return
 	}
-	open := slices.AppendSeq(g.openReqs[:0], maps.Values(g.reqs))
-	slices.SortFunc(open, func(a, b *request) int { return cmp.Compare(a.num, b.num) })
-	for _, r := range open {
-		for i := range r.attempts {
-			if a := &r.attempts[i]; !a.done && !a.begun && g.unheard(a, r.class) {
-				g.watch.Waits(a.zone, uint64(a.server.tag), a.sent, g.now)
-			}
-		}
+	slices.SortStableFunc(waits, func(a, b unheard) int { return cmp.Compare(a.num, b.num) }) // not in a map's order
+	for _, w := range waits {
+		g.watch.Waits(w.zone, uint64(w.server.tag), w.sent, g.now)
 	}
-	clear(open)
-	g.openReqs = open
-	seen := g.zonesDown
-	clear(seen)
+	seen := map[string]bool{}
 	for _, s := range g.near {
 		down, ok := seen[s.Zone]
 		if !ok {
@@ -740,12 +726,6 @@
 	g.watch.Keep(seen)
 }
 
-// unheard tells whether an attempt has been out for several times as long as answers take, at a server that has said nothing since.
-func (g *Gateway) unheard(a *attempt, class int) bool {
-	return a.server.heard < a.sent &&
-		(g.now-a.sent).Seconds() > math.Max(silentMeans*g.lat[class].mean, g.set.Classes[class].Aim.Seconds()/4)
-}
-
 // doubted counts the servers of the part that are silent to this gateway or, as peers say, to them.
 func (g *Gateway) doubted() (n int) {
 	for _, s := range g.near {
@@ -1026,9 +1006,16 @@
 // silentMeans is the mean latencies after which an attempt at a server that says nothing is no work out.
 const silentMeans = 3
 
+// unheard is an attempt, of a request by its number, that has been out for several times as long as answers take at a
+// server that has said nothing since.
+type unheard struct {
+	*attempt
+	num uint64
+}
+
 // ages counts the attempts out that were sent less than a share of their class's aim ago, and those that are past
-// the aim at servers not known to be lost.
-func (g *Gateway) ages(share float64) (younger, overdue float64) {
+// the aim at servers not known to be lost. Where the gateway keeps to a part it tells the unheard ones, in no order.
+func (g *Gateway) ages(share float64) (younger, overdue float64, waits []unheard) {
 	for _, r := range g.reqs {
 		for i := range r.attempts {
 			a := &r.attempts[i]
@@ -1038,12 +1025,15 @@
 			age, aim := (g.now - a.sent).Seconds(), g.set.Classes[r.class].Aim.Seconds()
 			// One at a server that has said nothing since, for several times as long as answers take, tells of that
 			// server and not of work that waits: where a fifth falls silent, the bound would refuse what the others can do.
-			silent := !g.whole() && g.unheard(a, r.class)
+			silent := !g.whole() && a.server.heard < a.sent && age > math.Max(silentMeans*g.lat[r.class].mean, aim/4)
+			if silent {
+				waits = append(waits, unheard{a, r.num})
+			}
 			younger += b2f(age < share*aim && !silent)
 			overdue += b2f((age > aim || silent) && !a.server.lost)
 		}
 	}
-	return younger, overdue
+	return younger, overdue, waits
 }
 
 // CheckTables tells whether classes and plans can be put in force.
--- a/choice/tells.go
+++ b/choice/tells.go
@@ -134,6 +134,9 @@
 
 // encodeAsk returns an ask: kind, number, customer, code of plan, spread and first, units.
 func (g *Gateway) encodeAsk(r *request, kind byte) []byte {
+	if kind == kindAsk && r.late {
+		kind = kindLate
+	}
 	msg := binary.AppendUvarint([]byte{kind}, r.num)
 	msg = binary.AppendUvarint(msg, r.store.key)
 	msg = binary.AppendUvarint(msg, g.code(r.store))
--- a/internal/register/pace_test.go
+++ b/internal/register/pace_test.go
@@ -1,7 +1,7 @@
 package register
 
 import (
-	"container/heap"
+	"slices"
 	"testing"
 	"time"
 )
@@ -26,48 +26,27 @@
 	return l.free, true
 }
 
-type turn struct {
-	at   time.Duration
-	node int
-}
-
-type turns []turn
-
-func (q turns) Len() int { return len(q) }
-func (q turns) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].node < q[j].node
-}
-func (q turns) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *turns) Push(x any)   { *q = append(*q, x.(turn)) }
-func (q *turns) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // herd lets some nodes begin at the same moment, and returns how many have a watch after a time, the last
 // of them, and the calls.
 func herd(nodes int, pace func(node int) *Pace, within time.Duration) (have int, last time.Duration, calls int) {
 	l := line{each: 110 * time.Millisecond, timeout: 2 * time.Second}
-	paces := make([]*Pace, nodes)
-	q := &turns{}
+	const never = time.Hour
+	paces, due := make([]*Pace, nodes), make([]time.Duration, nodes)
 	for i := range paces {
 		paces[i] = pace(i)
-		heap.Push(q, turn{0, i})
 	}
-	for q.Len() > 0 {
-		t := heap.Pop(q).(turn)
-		if t.at > within {
+	for {
+		now := slices.Min(due)
+		if now > within {
 			break
 		}
+		i := slices.Index(due, now)
 		calls++
-		at, ok := l.call(t.at)
-		if ok {
-			have, last = have+1, max(last, at)
-			continue
+		if at, ok := l.call(now); ok {
+			have, last, due[i] = have+1, max(last, at), never
+		} else {
+			due[i] = at + paces[i].Next(false)
 		}
-		heap.Push(q, turn{at + paces[t.node].Next(false), t.node})
 	}
 	return have, last, calls
 }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -139,27 +139,14 @@
 			r.down = true
 			r.Logf("discovery: watch ended: %v", err)
 		}
-		if !sleep(ctx, pace.Next(heard)) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(pace.Next(heard)):
 		}
 	}
 }
 
-// sleep waits, and is false if ctx ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // watch follows one watch to its end, which always has a reason, and tells
 // whether anything was heard on it.
 func (r *Follower) watch(ctx context.Context, client *http.Client) (heard bool, err error) {
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -7,8 +7,8 @@
 // server alone, however often, says nothing of the others; a node that hears nobody is cut off itself and concludes nothing.
 //
 // Evidence has three strengths: a failure of one's own (a time-out, a connection that did not come up); a wait of one's own
-// that has become long; and what a peer says it found. A peer is believed for its first server only, so that it takes
-// several of them, and they count for less alone: a node that has something out at the group and sees no fault is to go by that.
+// that has become long; and what a peer says it found. A peer is believed for its latest server only, so that one alone
+// does nothing; without any evidence of one's own the group has to have been quiet for longer: a node that hears it is to go by that.
 // Peers that meet answers there end it as well, two of them, since a node that sends nothing there hears nothing.
 //
 // The package does no I/O, keeps no clock and draws no random numbers. Times are readings of any clock that does not go back.
@@ -16,6 +16,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -29,7 +30,8 @@
 	Alone  time.Duration // nor by peers' word alone one that was heard so recently
 }
 
-// Usual is a rule for nodes that hear a group of theirs some times a second: two failures, or one and two peers, or four peers.
+// Usual is a rule for nodes that hear a group of theirs some times a second: failures or long waits at two servers, a failure and a peer,
+// a long wait and two peers, or three peers.
 var Usual = Rule{Enough: 1.4, Wait: 0.7, Peer: 0.5, Lasts: 3 * time.Second, Quiet: 200 * time.Millisecond, Alone: time.Second}
 
 // evidenceMost bounds what is kept of a group.
@@ -130,7 +132,7 @@
 		return
 	}
 	if len(g.evidence) == evidenceMost {
-		g.evidence = append(g.evidence[:0], g.evidence[1:]...)
+		g.evidence = slices.Delete(g.evidence, 0, 1)
 	}
 	g.evidence = append(g.evidence, e)
 }
--- a/outage/outage_test.go
+++ b/outage/outage_test.go
@@ -53,6 +53,11 @@
 			w.Heard("a", 410*ms)
 			w.Failed("a", 2, 200*ms, 450*ms)
 		}, false},
+		{"heard an instant ago", func(w *Watch) {
+			w.Heard("a", 380*ms)
+			w.Failed("a", 1, 381*ms, 400*ms)
+			w.Failed("a", 2, 381*ms, 400*ms)
+		}, false},
 	} {
 		w := well()
 		w.Heard("b", 390*ms)
@@ -114,6 +119,12 @@
 	if w.Heard("a", 10*time.Second); down(w, "a", 10*time.Second) {
 		t.Error("an answer does not end it")
 	}
+	w.Heard("b", 10400*ms)
+	w.Failed("a", 1, 9*time.Second, 10400*ms)
+	w.Failed("a", 2, 9*time.Second, 10400*ms)
+	if down(w, "a", 10500*ms) {
+		t.Error("what was sent before it was heard counts")
+	}
 	w = fall()
 	w.Met("a", 3, time.Second)
 	w.Met("a", 4, time.Second)
