gateway: a relayed request ends with the connection that the other site gave up

Cause: the far instance counts the time left from when it reads the request, asked whether the near one was still there before a retry only, and ended nothing when it closed the connection; and the near instance began the next attempt after a time-out without knowing that the first was over.

Change: the close of a TLS connection (its alert) is told from a broken link, which must not end an attempt. A watch reads ahead while a relayed request is carried out, as net/http does: nothing begins after the close, and what is in flight ends. After a time-out the near instance asks what became of a request that is not idempotent, and begins no further attempt unless it has ended; if it is not told within 300 ms, the request fails. A client's close is looked for before the first attempt too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,9 +29,9 @@
 }
 
 // runAttempt carries out one attempt and brings its result to the engine. It asks in this order whether the attempt may
-// be sent: whether the relay has capacity, whether the site still owns the request's key, and, of a retry, whether the
-// client is still there.
-func (in *Instance) runAttempt(r *pendingRequest, a attempt, hasDisconnected func() bool) requestStep {
+// be sent: whether the relay has capacity, whether the site still owns the request's key, and whether the client is
+// still there.
+func (in *Instance) runAttempt(r *pendingRequest, a attempt, source requestSource) requestStep {
 	end := attemptEnd{sentAt: in.host.now()}
 	r.response.wasWritten, r.response.connectedAt = false, time.Time{}
 	r.isRelayed = isRemoteServer(a.server)
@@ -48,11 +48,13 @@
 	switch {
 	case r.hasKeyOwner && !end.usedKey:
 		end.result = policy.NotSent
-	case r.attempts > 1 && hasDisconnected():
+	case source.hasDisconnected():
 		end.result = policy.NotSent
-		in.host.handleEvent(func(time.Duration, policy.Actions) { in.answer(r, failed, 0) })
+		in.fail(r)
 	default:
+		stopWatch := source.watchClose(func() { in.host.handleEvent(in.abandonEvent(r)) })
 		end.result = in.send(r, a)
+		stopWatch()
 	}
 	return in.completeAttempt(r, a, end)
 }
@@ -101,16 +103,27 @@
 	return isOwner
 }
 
-// send exchanges an attempt with its server. The other site is asked what became of a relayed one whose connection
-// broke.
+// fail gives a request that has no answer yet a failure.
+func (in *Instance) fail(r *pendingRequest) {
+	in.host.handleEvent(func(time.Duration, policy.Actions) { in.answer(r, failed, 0) })
+}
+
+// send exchanges an attempt with its server. The other site is asked what became of a relayed one that may still be in
+// flight there. If it does not say, a further attempt could be a second one in flight: unless the request is
+// idempotent, it fails.
 func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
-	if r.isRelayed && result == policy.ConnectionReset {
-		query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), attempt: a}
-		return r.resolveRelayed(query.await(in.ctx))
+	deadline, isWanted := r.statusDeadline(time.Now(), a, result)
+	if !isWanted {
+		return result
+	}
+	query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), server: a.server, deadline: deadline}
+	status, hasEnded := query.await(in.ctx)
+	if !hasEnded && !r.isIdempotent() {
+		in.fail(r)
 	}
-	return result
+	return r.resolveRelayed(result, status)
 }
 
 // countAttempt counts an attempt that was written whole, and the request's units with the first of these.
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -39,6 +39,7 @@
 	request     pendingRequest
 	input       requestInput
 	output      responseOutput
+	closeWatch  closeWatch // set if isRelay
 	isBusy      atomic.Bool
 	isRelay     bool   // the other end is another site's instance
 	lastRelayID string // of the last relayed request that came on it; set if isRelay
@@ -46,16 +47,26 @@
 
 // requestInput reads the requests of a connection. Its goroutine alone uses it.
 type requestInput struct {
-	conn      net.Conn
-	deadline  time.Time // read deadline in force
-	readCount int       // since the request under way began
+	conn         net.Conn
+	deadline     time.Time // read deadline in force
+	readCount    int       // since the request under way began
+	hasReadAhead bool      // readAhead is set
+	readAhead    byte      // read before it was asked for
 }
 
+// setDeadline sets the read deadline.
+func (i *requestInput) setDeadline(deadline time.Time) {
+	i.deadline = deadline
+	i.conn.SetReadDeadline(deadline)
+}
+
+// keep keeps a byte that was read for the next call of Read.
+func (i *requestInput) keep(b byte) { i.readAhead, i.hasReadAhead = b, true }
+
 // beginRequest has the next request awaited for clientIdleTimeout.
 func (i *requestInput) beginRequest(now time.Time) {
 	if i.readCount > 1 || isDeadlineDue(i.deadline, now, clientIdleTimeout) {
-		i.deadline = now.Add(clientIdleTimeout)
-		i.conn.SetReadDeadline(i.deadline)
+		i.setDeadline(now.Add(clientIdleTimeout))
 	}
 	i.readCount = 0
 }
@@ -64,10 +75,14 @@
 // no client holds a connection by sending slowly.
 func (i *requestInput) Read(p []byte) (int, error) {
 	if i.readCount == 1 {
-		i.deadline = time.Now().Add(requestReadTimeout)
-		i.conn.SetReadDeadline(i.deadline)
+		i.setDeadline(time.Now().Add(requestReadTimeout))
 	}
 	i.readCount++
+	if i.hasReadAhead && len(p) > 0 {
+		i.hasReadAhead = false
+		p[0] = i.readAhead
+		return 1, nil
+	}
 	return i.conn.Read(p)
 }
 
@@ -124,7 +139,7 @@
 		return c.rejectBadRequest(err)
 	}
 	r.deadline = receivedAt.Add(engineRequest.Timeout + c.server.instance.config.Settings.ResponseSlack)
-	c.server.instance.serveRequest(r, engineRequest, c.hasDisconnected)
+	c.server.instance.serveRequest(r, engineRequest, c)
 	if c.isRelay {
 		c.finishRelayed()
 	}
@@ -178,9 +193,18 @@
 	return nil
 }
 
-// hasDisconnected reports whether the client has closed its connection.
+// watchClose calls onClose once if another site's instance closes its connection, until stop is called.
+func (c *clientConn) watchClose(onClose func()) (stop func()) {
+	if !c.isRelay {
+		return func() {}
+	}
+	c.closeWatch.start(onClose)
+	return c.closeWatch.stop
+}
+
+// hasDisconnected reports whether the client has closed its connection. Of another site's instance watchClose tells.
 func (c *clientConn) hasDisconnected() bool {
-	if c.reader.Buffered() > 0 {
+	if c.isRelay || c.reader.Buffered() > 0 {
 		return false
 	}
 	isClosed := false
--- a/internal/gateway/client_server.go
+++ b/internal/gateway/client_server.go
@@ -109,6 +109,9 @@
 func newClientConn(server *clientServer, conn net.Conn, isRelay bool) (*clientConn, error) {
 	c := &clientConn{server: server, nc: conn, isRelay: isRelay}
 	c.input.conn = conn
+	if relayConn, ok := conn.(*relayServerConn); ok {
+		c.closeWatch = closeWatch{conn: relayConn, input: &c.input}
+	}
 	c.output.conn = conn
 	c.reader = httpwire.NewReader(&c.input)
 	c.request.wake = make(chan struct{}, 1)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,7 +25,10 @@
 // as it came, with an ID that is new for each attempt. The remote instance forwards it within its own sites alone, so
 // that nothing is relayed twice, and reports truthfully what became of it: an answer; "never ran" (503 with
 // X-Never-Ran); or that it may have run (502). Its units were counted where it entered. If the connection breaks
-// before the answer, the remote instance is asked over another one: see [multisite.ForwardedRequests].
+// before the answer, the remote instance is asked over another one: see [multisite.ForwardedRequests]. An instance that
+// gives a relayed request up closes its connection; the remote one then begins no attempt of it, and ends the one that
+// is in flight. Unless the request is idempotent, no further attempt follows before the remote instance has said
+// that none is in flight there.
 
 // RelayConfig is an instance's part in the relay.
 type RelayConfig struct {
@@ -137,8 +140,8 @@
 
 // raw returns the descriptor of a connection, with TLS or without.
 func raw(nc net.Conn) (syscall.RawConn, error) {
-	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
+	if secured, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = secured.NetConn()
 	}
 	return nc.(syscall.Conn).SyscallConn()
 }
@@ -155,12 +158,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return tls.Server(nc, l.relay.config.TLS), nil
+	transport, err := newRelayTransport(nc)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return &relayServerConn{tls.Server(transport, l.relay.config.TLS), transport}, nil
 }
 
 // verifyPeer checks the certificate at the other end of a connection of another site's instance.
 func (c *clientConn) verifyPeer() bool {
-	conn, ok := c.nc.(*tls.Conn)
+	conn, ok := c.nc.(*relayServerConn)
 	if !ok {
 		return false
 	}
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -53,41 +53,57 @@
 	retained *retainedResponse // of one that was executed, where its response was retained
 }
 
-// relayedStatusQuery asks a remote instance, over another connection, what became of a relayed attempt whose connection
-// broke.
+// isIdempotent reports whether two attempts of the request may be in flight at once.
+func (r *pendingRequest) isIdempotent() bool {
+	return r.operation.Class.Idempotency == policy.Idempotent
+}
+
+// statusDeadline decides whether the remote instance is asked what became of a relayed attempt, and until when. If the
+// connection broke, it is: the request may have been answered, or may never run. If the attempt timed out, it is only
+// where a further attempt must not begin before this one has ended.
+func (r *pendingRequest) statusDeadline(
+	now time.Time, a attempt, result policy.Result,
+) (deadline time.Time, isWanted bool) {
+	switch {
+	case r.isRelayed && result == policy.ConnectionReset:
+		return a.deadline, true
+	case r.isRelayed && result == policy.TimedOut && !r.isIdempotent() && now.Before(r.deadline):
+		return attemptDeadline(now, statusTimeout, r.deadline), true
+	}
+	return time.Time{}, false
+}
+
+// relayedStatusQuery asks a remote instance, over another connection, what became of a relayed attempt.
 type relayedStatusQuery struct {
-	servers *serverPool
-	id      string // of the relayed attempt
-	attempt attempt
+	servers  *serverPool
+	id       string // of the relayed attempt
+	server   string // the remote instance
+	deadline time.Time
 }
 
-// await asks until the status is final or the attempt's deadline is over.
-func (q *relayedStatusQuery) await(ctx context.Context) relayedStatus {
-	for time.Now().Before(q.attempt.deadline) {
-		status, isFinal := q.send(ctx)
-		if isFinal {
-			return status
+// await asks until the attempt has ended or the query's deadline is over.
+func (q *relayedStatusQuery) await(ctx context.Context) (status relayedStatus, hasEnded bool) {
+	for time.Now().Before(q.deadline) {
+		if status, hasEnded = q.send(ctx); hasEnded {
+			return status, true
 		}
 		pause := time.NewTimer(statusPollInterval)
 		select {
 		case <-pause.C:
 		case <-ctx.Done():
 			pause.Stop()
-			return relayedStatus{status: multisite.ExecutionUnknown}
+			return relayedStatus{status: multisite.ExecutionUnknown}, false
 		}
 	}
-	return relayedStatus{status: multisite.ExecutionUnknown}
+	return relayedStatus{status: multisite.ExecutionUnknown}, false
 }
 
-// send asks once, and reports whether the status is final: the instance answered, and the request is not executing any
-// more.
-func (q *relayedStatusQuery) send(ctx context.Context) (result relayedStatus, isFinal bool) {
-	deadline := time.Now().Add(statusTimeout)
-	if q.attempt.deadline.Before(deadline) {
-		deadline = q.attempt.deadline
-	}
+// send asks once, and reports whether the attempt has ended: the instance answered, and the request is not executing
+// any more.
+func (q *relayedStatusQuery) send(ctx context.Context) (result relayedStatus, hasEnded bool) {
+	deadline := attemptDeadline(time.Now(), statusTimeout, q.deadline)
 	var rep response
-	sent := q.servers.exchange(ctx, &attemptControl{}, q.attempt.server, deadline, false, &rep, func(b []byte) []byte {
+	sent := q.servers.exchange(ctx, &attemptControl{}, q.server, deadline, false, &rep, func(b []byte) []byte {
 		b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
 		return append(httpwire.AppendField(b, relayIDField, q.id), "\r\n"...)
 	})
@@ -105,9 +121,9 @@
 	return result, result.status != multisite.Executing
 }
 
-// resolveRelayed decides the result of an attempt whose connection to a remote instance broke, from what became of it
-// there. One that never ran there counts as never written, so that a retry is harmless.
-func (r *pendingRequest) resolveRelayed(became relayedStatus) policy.Result {
+// resolveRelayed decides the result of an attempt without an answer from what became of it at the remote instance. One
+// that never ran there counts as never written, so that a retry is harmless.
+func (r *pendingRequest) resolveRelayed(result policy.Result, became relayedStatus) policy.Result {
 	switch {
 	case became.status == multisite.NeverExecuted:
 		r.response.wasWritten = false // as if it had not been written; and the remote instance lives
@@ -117,7 +133,7 @@
 		r.response.body = became.retained.body
 		return policy.OK
 	}
-	return policy.ConnectionReset
+	return result
 }
 
 // serveExecutionStatus answers another site's query of what became of a relayed request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,15 +98,24 @@
 // String returns the word that access log and figures have for an outcome.
 func (o outcome) String() string { return outcomeTexts[o] }
 
-// serveRequest takes a request to its final answer. hasDisconnected tells whether the client has closed its
-// connection; it is asked before each retry.
-func (in *Instance) serveRequest(r *pendingRequest, engineRequest policy.Request, hasDisconnected func() bool) {
+// requestSource is the connection that a request came on.
+type requestSource interface {
+	// hasDisconnected reports whether the client has closed its connection.
+	hasDisconnected() bool
+
+	// watchClose calls onClose once if another site's instance has closed its connection, before it returns, or closes
+	// it, until stop is called.
+	watchClose(onClose func()) (stop func())
+}
+
+// serveRequest takes a request to its final answer.
+func (in *Instance) serveRequest(r *pendingRequest, engineRequest policy.Request, source requestSource) {
 	step := in.handleRequestEvent(r, func(now time.Duration, out policy.Actions) {
 		in.admit(r, engineRequest, now, out)
 	})
 	for step.action != stepAnswer {
 		if step.action == stepSend {
-			step = in.runAttempt(r, step.attempt, hasDisconnected)
+			step = in.runAttempt(r, step.attempt, source)
 		} else {
 			step = in.awaitDecision(r)
 		}
@@ -141,15 +150,15 @@
 	case <-timeout.C:
 	case <-in.ctx.Done():
 	}
-	return in.failUndecided(r)
+	return in.handleRequestEvent(r, in.abandonEvent(r)) // the engine gave no answer in time
 }
 
-// failUndecided fails a request for which the engine gave no answer in time.
-func (in *Instance) failUndecided(r *pendingRequest) requestStep {
-	return in.handleRequestEvent(r, func(now time.Duration, out policy.Actions) {
+// abandonEvent fails a request whose answer nobody waits for any more, and ends its attempt in flight.
+func (in *Instance) abandonEvent(r *pendingRequest) engineEvent {
+	return func(now time.Duration, out policy.Actions) {
 		in.answer(r, failed, 0)
 		in.host.engine.ClientDisconnected(now, r.id, out)
-	})
+	}
 }
 
 // admit records a request and brings it to the engine, unless no site owns its key now. Called under the mutex.
--- a/internal/gateway/server_pool.go
+++ b/internal/gateway/server_pool.go
@@ -14,6 +14,9 @@
 // pastDeadline ends the reads and writes of a connection that are under way.
 var pastDeadline = time.Unix(1, 0)
 
+// noDeadline has reads and writes wait without a limit.
+var noDeadline time.Time
+
 // serverPool holds the connections to the servers of all sites. A connection carries one request at a time, and a call
 // of exchange writes a request once at most.
 type serverPool struct {
