gateway: a drain answers every request that was received, read or not

What callers saw: at a planned restart of an instance a connection closed without an answer to a request that had come.

Cause: the drain ended the reads of every connection that was not "busy", which it became only after the first bytes of a request had been read and that had been recorded; a read deadline that has passed lets nothing be read. In the same place: a deadline set in between cut off head or body; a connection whose answer had left it open was closed before its next read; pipelined requests were dropped; a new connection had no time for its first request; closing the listener reset what the kernel had accepted.

Change: a connection has a named state under one mutex; a drain interrupts only those without a request, again every 10 ms, new ones after 0.4 s; an interrupted wait looks at the socket, and a read that crosses an interruption undoes it. Answers of a drain leave a connection open while the next request has come. internal/graceful, cut out of the edge node, accepts the backlog before a listener closes; the edge node uses it too, with the same steps.

--- a/internal/edgeproxy/admin_server.go
+++ b/internal/edgeproxy/admin_server.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/logging"
 )
 
@@ -59,7 +60,7 @@
 
 // serve answers calls until close.
 func (s *adminServer) serve(ln net.Listener) error {
-	l := &limitedListener{Listener: ln, limiter: newConnectionLimiter(maxAdminConns)}
+	l := &limitedListener{Listener: graceful.NewListener(ln), limiter: newConnectionLimiter(maxAdminConns)}
 	l.limiter.evictsOldest = true // a call is sent in one piece
 	if err := s.httpServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("management: %w", err)
--- a/internal/edgeproxy/client_conn.go
+++ b/internal/edgeproxy/client_conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"mulleinmux/internal/graceful"
 )
 
 // clientConnState is the state of a client's connection.
@@ -123,7 +125,7 @@
 // hasUnreadData tells whether something was received that net/http has not read, or read a moment ago and is not
 // recorded yet. It does not wait for the goroutine that reads. Called under limiter.mu.
 func (c *clientConn) hasUnreadData() bool {
-	return c.later.hasKept() || c.hasUnrecordedData || hasDataToRead(c.Conn)
+	return c.later.hasKept() || c.hasUnrecordedData || graceful.HasUnreadData(c.Conn)
 }
 
 // readSocket reads from the socket. The read and hasUnrecordedData change together, under the mutex (the call never
--- a/internal/edgeproxy/client_server.go
+++ b/internal/edgeproxy/client_server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/logging"
 	"mulleinmux/policy"
 )
@@ -85,7 +86,7 @@
 
 // serve answers clients that a listener accepts, until drain has ended.
 func (s *clientServer) serve(ln net.Listener) error {
-	l := &limitedListener{Listener: ln, limiter: s.limiter, done: make(chan struct{})}
+	l := &limitedListener{Listener: graceful.NewListener(ln), limiter: s.limiter, done: make(chan struct{})}
 	defer close(l.done)
 	s.listenersMu.Lock()
 	s.listeners = append(s.listeners, l)
--- a/internal/edgeproxy/shutdown.go
+++ b/internal/edgeproxy/shutdown.go
@@ -73,7 +73,7 @@
 	listeners := s.listeners
 	s.listenersMu.Unlock()
 	for _, l := range listeners {
-		l.finish()
+		l.Finish()
 		select {
 		case <-l.done: // all are accepted
 		case <-s.shutdown.expired:
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -1,14 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/httpwire"
 	"mulleinmux/internal/logging"
 )
@@ -40,7 +42,7 @@
 	input       requestInput
 	output      responseOutput
 	closeWatch  closeWatch // set if isRelay
-	isBusy      atomic.Bool
+	life        connLife
 	isRelay     bool   // the other end is another site's instance
 	lastRelayID string // of the last relayed request that came on it; set if isRelay
 }
@@ -95,18 +97,38 @@
 	if c.isRelay && !c.verifyPeer() {
 		return
 	}
-	for first := true; c.server.drainState.mayServe(first); first = false {
-		c.input.beginRequest(time.Now())
-		if c.reader.Fill() != nil {
-			return
-		}
-		c.isBusy.Store(true)
-		isReusable := c.serveOne()
-		c.isBusy.Store(false)
-		if !isReusable {
-			return
-		}
+	for c.awaitRequest() && c.serveOne() {
+		c.life.idle()
+	}
+}
+
+// awaitRequest waits until the next request begins to arrive, and reports whether it has. A request that was received
+// by the end of the wait, whether that is the idle timeout's or a drain's, counts as arrived.
+func (c *clientConn) awaitRequest() bool {
+	c.input.beginRequest(time.Now())
+	err := c.reader.Fill()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasUnread() {
+		c.life.activate()
+		c.input.setDeadline(time.Now().Add(requestReadTimeout))
+		err = c.reader.Fill()
+	}
+	if c.life.activate() {
+		c.input.setDeadline(time.Now().Add(requestReadTimeout))
 	}
+	return err == nil
+}
+
+// hasUnread reports whether something was received that was not read, whatever the read deadline.
+func (c *clientConn) hasUnread() bool {
+	if c.isRelay {
+		return c.closeWatch.poll()
+	}
+	return graceful.HasUnreadData(c.nc)
+}
+
+// hasNextRequest reports whether the client has sent its next request already.
+func (c *clientConn) hasNextRequest() bool {
+	return c.reader.Buffered() > 0 || !c.isRelay && graceful.HasUnreadData(c.nc)
 }
 
 // serveOne answers one request and reports whether the connection can be used again.
--- a/internal/gateway/client_server.go
+++ b/internal/gateway/client_server.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/httpwire"
 )
 
@@ -27,7 +28,7 @@
 	acceptors  sync.WaitGroup // calls of serve
 	handlers   sync.WaitGroup // connections; an acceptor adds to it, so that it is awaited after them
 
-	relayListener net.Listener // for other sites' instances; nil: none connect
+	listeners []*graceful.Listener // on which it accepts, the relay's last
 }
 
 func newClientServer(in *Instance) *clientServer {
@@ -108,6 +109,7 @@
 // newClientConn returns a connection that was accepted, which does not count as one of the server's yet.
 func newClientConn(server *clientServer, conn net.Conn, isRelay bool) (*clientConn, error) {
 	c := &clientConn{server: server, nc: conn, isRelay: isRelay}
+	c.life = connLife{conn: conn, acceptedAt: time.Now()}
 	c.input.conn = conn
 	if relayConn, ok := conn.(*relayServerConn); ok {
 		c.closeWatch = closeWatch{conn: relayConn, input: &c.input}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,17 +1,20 @@
 package gateway
 
 import (
-	"net"
 	"sync/atomic"
 	"time"
 
 	"mulleinmux/policy"
 )
 
+// drainPollInterval is the time between two looks at the connections that are left.
+const drainPollInterval = 10 * time.Millisecond
+
 // drainState says how far an instance's life has come. Its fields are atomic: any goroutine may read them.
 type drainState struct {
 	isReady    atomic.Bool // since it listens, until it drains
 	isDraining atomic.Bool
+	isEnding   atomic.Bool // every answer closes its connection
 }
 
 // begin has the instance drain: it is not ready any more, so that load balancers send it no new connections.
@@ -20,10 +23,6 @@
 	d.isDraining.Store(true)
 }
 
-// mayServe decides whether a connection's next request is served. While the instance drains, each connection has one
-// answer more, which closes it: its client may have connected before it could know.
-func (d *drainState) mayServe(isFirst bool) bool { return isFirst || !d.isDraining.Load() }
-
 // isReadyToServe decides what a load balancer's health check is told: an instance serves from when it listens until it
 // drains, as long as requests are served on its setup.
 func (s *clientServer) isReadyToServe(now time.Time) bool {
@@ -32,34 +31,48 @@
 }
 
 // drain ends serving. Clients still come for DrainTimeout and are answered, on connections that close behind the
-// answer; then the listeners close, and what was taken is finished within maxFinishDuration.
-func (s *clientServer) drain(ln net.Listener) {
+// answer; then the listeners close, and what was taken is finished within maxFinishDuration: what the kernel has
+// accepted by then, and every request that was received, read or not. Connections that have nothing to read are closed,
+// new ones after newConnGrace.
+func (s *clientServer) drain() {
 	s.drainState.begin()
 	<-time.After(s.instance.config.DrainTimeout)
-	ln.Close()
-	if s.relayListener != nil {
-		s.relayListener.Close()
+	for _, listener := range s.listeners {
+		listener.Finish()
 	}
 	s.acceptors.Wait() // what is accepted in the moment of the close is drained with the others
-	s.conns.each(func(c *clientConn) {
-		if !c.isBusy.Load() {
-			c.nc.SetReadDeadline(pastDeadline)
-		}
-	})
 	ended := make(chan struct{})
 	go func() {
 		s.handlers.Wait()
 		close(ended)
 	}()
-	select {
-	case <-ended:
-		return
-	case <-time.After(maxFinishDuration(s.instance.Table().Classes, s.instance.config.Settings.ResponseSlack)):
-	}
+	s.interruptUntil(ended)
 	s.conns.each(func(c *clientConn) { c.nc.Close() })
 	<-ended
 }
 
+// interruptUntil interrupts connections as they become idle, until all have ended or maxFinishDuration is over. Once a
+// request that is being read has had its time, every answer closes its connection.
+func (s *clientServer) interruptUntil(ended <-chan struct{}) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	ending := time.After(requestReadTimeout)
+	over := time.After(maxFinishDuration(s.instance.Table().Classes, s.instance.config.Settings.ResponseSlack))
+	for {
+		now := time.Now()
+		s.conns.each(func(c *clientConn) { c.life.interrupt(now) })
+		select {
+		case <-ticker.C:
+		case <-ending:
+			s.drainState.isEnding.Store(true)
+		case <-over:
+			return
+		case <-ended:
+			return
+		}
+	}
+}
+
 // maxFinishDuration decides for how long a draining instance finishes what it has taken: a request that is being read
 // may need requestReadTimeout and then its class's deadline, with the slack for its response.
 func maxFinishDuration(classes []policy.Class, responseSlack time.Duration) time.Duration {
--- a/internal/gateway/held_listener_test.go
+++ b/internal/gateway/held_listener_test.go
@@ -3,18 +3,28 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
-// heldListener accepts connections whose reads can be held back: what has been received by then is returned once they
-// are released, as at a process that gets no processor. What follows stays in the socket meanwhile.
+// heldAt is where the calls of a heldListener's connections are held back, as at a process that gets no processor.
+type heldAt int
+
+const (
+	heldAfterRead  heldAt = iota // what was received has left the socket and is not returned
+	heldBeforeRead               // what was received is still in the socket
+	heldAfterWrite               // what was written has gone, and the writer does not know
+)
+
+// heldListener accepts connections whose calls can be held back until they are released.
 type heldListener struct {
 	net.Listener
+	at heldAt
 
 	mu       sync.Mutex
-	released chan struct{} // closed when the reads are released; nil: none is held
+	released chan struct{} // closed when the calls are released; nil: none is held
 }
 
-// hold holds back every read that returns from now on, and every new connection's, until release is called.
+// hold holds back, from now on, every call that comes to the place, also of new connections, until release is called.
 func (l *heldListener) hold() (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -28,6 +38,16 @@
 	})
 }
 
+// wait waits at a place while calls are held there.
+func (l *heldListener) wait(at heldAt) {
+	l.mu.Lock()
+	released := l.released
+	l.mu.Unlock()
+	if released != nil && at == l.at {
+		<-released
+	}
+}
+
 func (l *heldListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -36,18 +56,25 @@
 	return &heldConn{conn.(*net.TCPConn), l}, nil
 }
 
+// SyscallConn returns the descriptor of the listening socket.
+func (l *heldListener) SyscallConn() (syscall.RawConn, error) {
+	return l.Listener.(*net.TCPListener).SyscallConn()
+}
+
 type heldConn struct {
 	*net.TCPConn
 	listener *heldListener
 }
 
 func (c *heldConn) Read(p []byte) (int, error) {
+	c.listener.wait(heldBeforeRead)
 	n, err := c.TCPConn.Read(p)
-	c.listener.mu.Lock()
-	released := c.listener.released
-	c.listener.mu.Unlock()
-	if released != nil {
-		<-released
-	}
+	c.listener.wait(heldAfterRead)
+	return n, err
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.listener.wait(heldAfterWrite)
 	return n, err
 }
--- a/internal/gateway/relay_conn.go
+++ b/internal/gateway/relay_conn.go
@@ -87,12 +87,22 @@
 	done  chan struct{} // closed when the goroutine has ended; nil: there is none
 }
 
+// poll reports whether a request has come. It does not wait.
+func (w *closeWatch) poll() bool {
+	w.pollAhead(func() {})
+	return w.input.hasReadAhead
+}
+
+// pollAhead is readAhead without a wait.
+func (w *closeWatch) pollAhead(onClose func()) (isOver bool) {
+	w.conn.transport.isPolling.Store(true)
+	defer w.conn.transport.isPolling.Store(false)
+	return w.readAhead(onClose)
+}
+
 // start calls onClose, before it returns, if the connection is closed already, and else as soon as it is.
 func (w *closeWatch) start(onClose func()) {
-	w.conn.transport.isPolling.Store(true)
-	isOver := w.readAhead(onClose)
-	w.conn.transport.isPolling.Store(false)
-	if isOver {
+	if w.pollAhead(onClose) {
 		return
 	}
 	w.input.setDeadline(noDeadline)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -74,13 +74,20 @@
 	return err
 }
 
-// appendStatusLine starts an answer. While the instance drains, it closes the connection.
+// appendStatusLine starts an answer. While the instance drains, it closes the connection, unless the client's next
+// request has come: that one is owed an answer too, and closes the connection.
 func (c *clientConn) appendStatusLine(status int, reason string) []byte {
 	head := &c.request.requestHead
-	head.Close = head.Close || c.server.drainState.isDraining.Load()
+	head.Close = head.Close || c.closesForDrain()
 	return c.output.begin(status, reason, head.Close)
 }
 
+// closesForDrain decides whether an answer closes its connection because the instance drains.
+func (c *clientConn) closesForDrain() bool {
+	state := &c.server.drainState
+	return state.isDraining.Load() && (state.isEnding.Load() || !c.hasNextRequest())
+}
+
 // writeResponse ends the response that b begins with its body, writes it and reports whether the connection can be used
 // again.
 func (c *clientConn) writeResponse(b []byte, body responseBody) (isReusable bool) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"mulleinmux/internal/gossip"
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/logging"
 	"mulleinmux/routing"
 )
@@ -53,19 +54,24 @@
 
 // serve serves until ctx ends or a listener fails. When ctx ends it drains, then stops what the instance does by
 // itself.
-func (in *Instance) serve(ctx context.Context, ln net.Listener, stop, onListening func()) (err error) {
+func (in *Instance) serve(ctx context.Context, ln net.Listener, stop, onListening func()) error {
 	server := newClientServer(in)
+	clients := graceful.NewListener(ln)
+	server.listeners = []*graceful.Listener{clients}
 	failed := make(chan error, 2)
-	server.acceptors.Go(func() { failed <- server.serve(ln) })
+	server.acceptors.Go(func() { failed <- server.serve(clients) })
 	defer server.acceptors.Wait()
 	defer ln.Close()
 	if in.relay != nil {
-		if server.relayListener, err = in.relay.config.listen(); err != nil {
+		relayLn, err := in.relay.config.listen()
+		if err != nil {
 			ln.Close()
 			return err
 		}
-		defer server.relayListener.Close()
-		server.acceptors.Go(func() { failed <- server.serve(relayListener{server.relayListener, in.relay}) })
+		defer relayLn.Close()
+		instances := graceful.NewListener(relayLn)
+		server.listeners = append(server.listeners, instances)
+		server.acceptors.Go(func() { failed <- server.serve(relayListener{instances, in.relay}) })
 	}
 	server.drainState.isReady.Store(true)
 	onListening()
@@ -75,7 +81,7 @@
 	case <-ctx.Done():
 	}
 	in.logger.Info("draining")
-	server.drain(ln)
+	server.drain()
 	stop()
 	in.close()
 	in.logger.Info("drained")
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -37,6 +37,7 @@
 	"internal/discovery":      3,
 	"internal/gossip":         3,
 	"internal/serverpool":     3,
+	"internal/graceful":       3,
 	"internal/edgeproxy":      3,
 	"internal/raftnode":       3,
 	"internal/gateway":        3,
