edgeproxy: a successor's hello counts when it is in the socket, not when it is read

What callers saw: at an upgrade whose new process died before it served, the old one gave its clients' connections to it: none was answered any more.

Cause: "no hello was recorded" counted as "of an old version", which is not waited for, and whose silence counts as a takeover. A goroutine reads the hello; on one busy core it may run after the decision.

Change: successorConn has a named state; a message is recorded in the step in which it leaves the socket, and whoever decides looks into the socket first. A successor that has connected and was not accepted yet is accepted before the decision between handover and drain.

--- a/internal/edgeproxy/successor_listener.go
+++ b/internal/edgeproxy/successor_listener.go
@@ -8,11 +8,11 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"mulleinmux/internal/gossip"
+	"mulleinmux/internal/graceful"
 )
 
 // successorListener is the predecessor's side of a hot restart: it accepts a process that waits to take over.
@@ -26,17 +26,6 @@
 	isClosed  bool
 }
 
-// successorConn is the connection to a process that waits to take over.
-type successorConn struct {
-	conn      *net.UnixConn
-	version   atomic.Int32  // of the protocol that it knows
-	takenOver chan struct{} // closed once it has taken over
-	gone      chan struct{} // closed once it has ended
-}
-
-// maxSuccessorMessage is the size of a buffer for a successor's messages, which have two bytes.
-const maxSuccessorMessage = 16
-
 // errNoSuccessor says that no successor waits, or that it has gone.
 var errNoSuccessor = errors.New("handover: no successor")
 
@@ -52,105 +41,82 @@
 	return &successorListener{listener: ln, logger: logger}, nil
 }
 
-// acceptSuccessors accepts successors until stopListening, and waits until the last has gone. A second one replaces
-// the first.
+// acceptSuccessors accepts successors until stopListening, and waits until the last has gone.
 func (l *successorListener) acceptSuccessors() {
 	defer l.readers.Wait()
 	for {
-		c, err := l.listener.AcceptUnix()
+		conn, err := l.listener.AcceptUnix()
 		if err != nil {
 			return
 		}
-		s := &successorConn{conn: c, takenOver: make(chan struct{}), gone: make(chan struct{})}
-		l.mu.Lock()
-		replaced := l.successor
-		if l.successor = s; l.isClosed {
-			replaced, l.successor = s, nil
-		}
-		l.mu.Unlock()
-		if replaced != nil {
-			replaced.conn.Close()
-		}
-		l.readers.Go(func() { l.readMessages(s) })
-		l.logger.Info("successor waiting")
+		l.admit(conn)
 	}
 }
 
-// readMessages reads what a successor sends until it has gone.
-func (l *successorListener) readMessages(s *successorConn) {
-	defer close(s.gone)
-	buf := make([]byte, maxSuccessorMessage)
-	hasTakenOver := false
-	for {
-		n, err := s.conn.Read(buf)
-		if n == 0 || err != nil {
-			break
-		}
-		switch {
-		case buf[0] == msgHello && n == 2:
-			s.version.Store(int32(buf[1]))
-		case buf[0] == msgTakenOver && !hasTakenOver:
-			hasTakenOver = true
-			close(s.takenOver)
-		}
+// admit makes a process that has connected the successor; it replaces an earlier one.
+func (l *successorListener) admit(conn *net.UnixConn) {
+	s := newSuccessorConn(conn)
+	l.mu.Lock()
+	replaced := l.successor
+	if l.successor = s; l.isClosed {
+		replaced, l.successor = s, nil
 	}
+	l.mu.Unlock()
+	if replaced != nil {
+		replaced.conn.Close()
+	}
+	l.readers.Go(func() {
+		s.read()
+		l.remove(s)
+	})
+	l.logger.Info("successor waiting")
+}
+
+// remove forgets a successor that has gone.
+func (l *successorListener) remove(s *successorConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.successor == s {
-		l.successor = nil
-		s.conn.Close()
-		if !hasTakenOver {
-			l.logger.Warn("successor disconnected")
-		}
+	if l.successor != s {
+		return
 	}
+	l.successor = nil
+	s.conn.Close()
+	if s.currentState() != successorServing {
+		l.logger.Warn("successor disconnected")
+	}
+}
+
+// current returns the successor; nil: there is none.
+func (l *successorListener) current() *successorConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.successor
 }
 
-// hasSuccessor tells whether a successor waits. A nil listener has none.
+// hasSuccessor tells whether a successor waits, one that has connected and was not accepted yet among them. A nil
+// listener has none.
 func (l *successorListener) hasSuccessor() bool {
 	if l == nil {
 		return false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.successor != nil
+	for _, conn := range graceful.AcceptPending(l.listener) {
+		l.admit(conn.(*net.UnixConn))
+	}
+	s := l.current()
+	return s != nil && s.currentState() != successorEnded
 }
 
-// takeoverAnswer is what a successor answered to the message that it may go.
-type takeoverAnswer int
-
-const (
-	takeoverConfirmed   takeoverAnswer = iota // it has taken over
-	takeoverUnconfirmed                       // it lives and may have taken over: nothing may be taken back
-	successorGone                             // it has gone before, or there is none
-)
-
-// awaitTakeover waits for the successor's answer, for handoverMessageTimeout at most; one of version 0 sends none.
+// awaitTakeover waits for the successor's answer to the message that it may go.
 func (l *successorListener) awaitTakeover() takeoverAnswer {
-	l.mu.Lock()
-	s := l.successor
-	l.mu.Unlock()
+	s := l.current()
 	if s == nil {
 		return successorGone
 	}
-	if s.version.Load() == 0 {
-		return takeoverUnconfirmed
-	}
-	timer := time.NewTimer(handoverMessageTimeout)
-	defer timer.Stop()
-	select {
-	case <-s.takenOver:
-		return takeoverConfirmed
-	case <-s.gone:
-	case <-timer.C:
+	answer := s.awaitTakeover()
+	if answer == takeoverUnconfirmed && s.currentState() == successorWaiting {
 		l.logger.Warn("successor did not confirm takeover")
-		return takeoverUnconfirmed
-	}
-	select {
-	case <-s.takenOver: // it answered, and went
-		return takeoverConfirmed
-	default:
-		return successorGone
 	}
+	return answer
 }
 
 // stopListening ends the listening, so that the successor can take the path; messages can still be sent.
@@ -174,9 +140,7 @@
 
 // send sends one message, with the descriptor of rc beside it unless that is nil.
 func (l *successorListener) send(kind byte, body []byte, rc syscall.RawConn) error {
-	l.mu.Lock()
-	successor := l.successor
-	l.mu.Unlock()
+	successor := l.current()
 	if successor == nil {
 		return errNoSuccessor
 	}
--- a/internal/gateway/client_conn_state.go
+++ b/internal/gateway/client_conn_state.go
@@ -15,8 +15,8 @@
 	stateIdle                    // between requests
 )
 
-// newConnGrace is how long a draining instance waits for the first request of a connection: a client connects in order to
-// send one, and it may be on its way.
+// newConnGrace is how long a draining instance waits for the first request of a connection: a client connects in order
+// to send one, and it may be on its way.
 const newConnGrace = 400 * time.Millisecond
 
 // connLife is the state of a connection. Its goroutine changes the state; a drain interrupts its wait for a request.
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -29,8 +29,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.isFinished = true
-	// A listener that is closed already has no backlog.
-	_ = ControlSocket(l.Listener, func(fd int) { l.backlog = acceptPending(fd) })
+	l.backlog = AcceptPending(l.Listener)
 	l.Listener.Close()
 }
 
@@ -52,7 +51,14 @@
 	return conn, nil
 }
 
-// acceptPending accepts the connections that wait at a listening socket, without waiting for more.
+// AcceptPending returns the connections that the kernel has accepted at a listener, without waiting for more. One that
+// is closed has none.
+func AcceptPending(listener net.Listener) (all []net.Conn) {
+	_ = ControlSocket(listener, func(fd int) { all = acceptPending(fd) })
+	return all
+}
+
+// acceptPending is AcceptPending of a listening socket's descriptor.
 func acceptPending(fd int) (all []net.Conn) {
 	for {
 		n, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
