gateway: a request behind a slow one has the time that its client has left

What callers saw: a client that sends requests one behind the other was answered when its time was over, after an attempt for nobody; in a drain such a request could be lost.

Cause: a request's time counted from when its head left the connection's buffer, after the answer to the one ahead; and a drain that was nearly over let it begin, then closed its connection.

Change: a head that came with the request ahead counts from then; one whose time is over is rejected without an attempt (429). A drain has a time by which every request has its answer; what is served later is rejected (503).

Measured: TestPipelinedRequestHasItsOwnTime fails without the change (0.286 s left instead of a rejection); internal/gateway passes with -race.

--- a/internal/gateway/bad_request.go
+++ b/internal/gateway/bad_request.go
@@ -37,6 +37,14 @@
 	return &badRequest{status: http.StatusBadRequest, text: err.Error()}
 }
 
+// errDraining rejects a request that is served too late in a drain: another instance has the time.
+var errDraining = &badRequest{
+	status: http.StatusServiceUnavailable, text: textDraining, retryAfter: minKeyRetryAfter,
+}
+
+// errLate rejects a request whose time was over before it could be served.
+var errLate = &badRequest{status: http.StatusTooManyRequests, text: textRejected, retryAfter: minKeyRetryAfter}
+
 // rejectBadRequest answers a request that is not to be forwarded, for the reason in err.
 func (c *clientConn) rejectBadRequest(err error) (isReusable bool) {
 	bad := badRequestOf(err)
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -42,6 +42,7 @@
 	input       requestInput
 	output      responseOutput
 	closeWatch  closeWatch // set if isRelay
+	receivedAt  time.Time  // when the head of the request under way had come
 	life        connLife
 	isRelay     bool   // the other end is another site's instance
 	lastRelayID string // of the last relayed request that came on it; set if isRelay
@@ -141,18 +142,22 @@
 			isReusable = false
 		}
 	}()
-	err := c.reader.Request(&r.requestHead)
-	receivedAt := time.Now()
-	if err != nil {
+	if err := c.reader.Request(&r.requestHead); err != nil {
 		return c.rejectUnreadable(err)
 	}
+	if c.input.readCount > 0 { // else it had come with the request before it
+		c.receivedAt = time.Now()
+	}
 	if err := c.readBody(); err != nil {
 		return c.rejectBadRequest(err)
 	}
 	if handler := c.ownHandler(); handler != nil {
 		return handler()
 	}
-	engineRequest, err := c.server.parse(r, receivedAt)
+	engineRequest, err := c.server.parse(r, c.receivedAt)
+	if err == nil {
+		engineRequest.Timeout, err = c.limitTime(engineRequest.Timeout)
+	}
 	if err == nil && c.isRelay {
 		r.counters = &Counters{} // it counts where it entered
 		err = c.acceptRelayed()
@@ -160,7 +165,6 @@
 	if err != nil {
 		return c.rejectBadRequest(err)
 	}
-	r.deadline = receivedAt.Add(engineRequest.Timeout + c.server.instance.config.Settings.ResponseSlack)
 	c.server.instance.serveRequest(r, engineRequest, c)
 	if c.isRelay {
 		c.finishRelayed()
@@ -168,6 +172,21 @@
 	return c.writeAnswer()
 }
 
+// limitTime sets the deadline of the request by what is left of its timeout, and returns what the engine may use of it.
+// Its error rejects a request that has no time left: it came behind one that took long, or late in a drain.
+func (c *clientConn) limitTime(timeout time.Duration) (limited time.Duration, err error) {
+	now, slack := time.Now(), c.server.instance.config.Settings.ResponseSlack
+	if timeout <= 0 {
+		return 0, errLate
+	}
+	limited, isLeft := c.server.drainState.requestTimeout(now, timeout, slack)
+	if !isLeft {
+		return 0, errDraining
+	}
+	c.request.deadline = now.Add(limited + slack)
+	return limited, nil
+}
+
 // ownHandler returns what answers a request to the instance itself, or nil for one that is to be forwarded. Like
 // serveOne it tells whether the connection can be used again.
 func (c *clientConn) ownHandler() func() bool {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -14,7 +14,24 @@
 type drainState struct {
 	isReady    atomic.Bool // since it listens, until it drains
 	isDraining atomic.Bool
-	isEnding   atomic.Bool // every answer closes its connection
+	finishBy   atomic.Int64 // Unix time in ns by which every request must have its answer; 0: not known yet
+}
+
+// requestTimeout decides how long a request may take that is served from now on, and whether any time is left: its own
+// timeout, or what the drain leaves after slack for writing the answer.
+func (d *drainState) requestTimeout(now time.Time, timeout, slack time.Duration) (limited time.Duration, isLeft bool) {
+	finishBy := d.finishBy.Load()
+	if finishBy == 0 {
+		return timeout, true
+	}
+	limited = min(timeout, time.Unix(0, finishBy).Sub(now)-slack)
+	return limited, limited > 0
+}
+
+// isOver decides whether every request must have its answer by now.
+func (d *drainState) isOver(now time.Time) bool {
+	finishBy := d.finishBy.Load()
+	return finishBy != 0 && now.UnixNano() >= finishBy
 }
 
 // begin has the instance drain: it is not ready any more, so that load balancers send it no new connections.
@@ -51,20 +68,19 @@
 	<-ended
 }
 
-// interruptUntil interrupts connections as they become idle, until all have ended or maxFinishDuration is over. Once a
-// request that is being read has had its time, every answer closes its connection.
+// interruptUntil interrupts connections as they become idle, until all have ended or maxFinishDuration is over. What
+// was received is answered before: what is still being read then may need requestReadTimeout, and is rejected.
 func (s *clientServer) interruptUntil(ended <-chan struct{}) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	ending := time.After(requestReadTimeout)
-	over := time.After(maxFinishDuration(s.instance.Table().Classes, s.instance.config.Settings.ResponseSlack))
+	finish := maxFinishDuration(s.instance.Table().Classes, s.instance.config.Settings.ResponseSlack)
+	s.drainState.finishBy.Store(time.Now().Add(finish - requestReadTimeout).UnixNano())
+	over := time.After(finish)
 	for {
 		now := time.Now()
 		s.conns.each(func(c *clientConn) { c.life.interrupt(now) })
 		select {
 		case <-ticker.C:
-		case <-ending:
-			s.drainState.isEnding.Store(true)
 		case <-over:
 			return
 		case <-ended:
--- a/internal/gateway/drain_late_test.go
+++ b/internal/gateway/drain_late_test.go
@@ -210,3 +210,28 @@
 		}
 	}
 }
+
+// A request that was sent behind one that takes long has the time that is left to its client, and is rejected without
+// an attempt where that is over.
+func TestPipelinedRequestHasItsOwnTime(t *testing.T) {
+	h, _, c := startWithServer(t)
+	c.send(getRequest("GET /visits/1", "X-Expires-In: 0.6") + getRequest("GET /visits/2", "X-Expires-In: 0.3") +
+		getRequest("GET /visits/3", "X-Expires-In: 5"))
+	first := h.nextRequest()
+	time.Sleep(400 * time.Millisecond)
+	first.response <- responseText(200, "", "1")
+	if r := c.readResponse(); r.Body != "1" {
+		t.Errorf("%+v", r)
+	}
+	if r := c.readResponse(); r.Status != 429 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("with its time over: %+v", r)
+	}
+	third := h.nextRequest()
+	if left := third.header.Get("X-Expires-In"); third.line != "GET /visits/3" || left > "4.6" {
+		t.Errorf("%s has %s s left", third.line, left)
+	}
+	third.response <- responseText(200, "", "3")
+	if r := c.readResponse(); r.Body != "3" {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/gateway/request_parse.go
+++ b/internal/gateway/request_parse.go
@@ -18,7 +18,7 @@
 // request keeps it.
 func (s *clientServer) parse(r *pendingRequest, receivedAt time.Time) (policy.Request, error) {
 	var err error
-	if r.version, r.confirmationAge, err = s.instance.versions.take(receivedAt); err != nil {
+	if r.version, r.confirmationAge, err = s.instance.versions.take(time.Now()); err != nil {
 		return policy.Request{}, err
 	}
 	path, query, _ := strings.Cut(r.requestHead.Target, "?")
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -85,7 +85,13 @@
 // closesForDrain decides whether an answer closes its connection because the instance drains.
 func (c *clientConn) closesForDrain() bool {
 	state := &c.server.drainState
-	return state.isDraining.Load() && (state.isEnding.Load() || !c.hasNextRequest())
+	switch {
+	case !state.isDraining.Load():
+		return false
+	case state.isOver(time.Now()):
+		return c.reader.Buffered() == 0
+	}
+	return !c.hasNextRequest()
 }
 
 // writeResponse ends the response that b begins with its body, writes it and reports whether the connection can be used
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -81,6 +81,32 @@
 }
 
 // A draining instance waits for the longest deadline of a request that is just being read.
+func TestDrainLimitsRequestTimeout(t *testing.T) {
+	now := time.Unix(100, 0)
+	var d drainState
+	const slack = 10 * time.Millisecond
+	if timeout, isLeft := d.requestTimeout(now, time.Second, slack); timeout != time.Second || !isLeft || d.isOver(now) {
+		t.Errorf("before a drain: %v, %v", timeout, isLeft)
+	}
+	d.finishBy.Store(now.Add(time.Second).UnixNano())
+	for _, c := range []struct {
+		at, timeout, want time.Duration
+		isLeft, isOver    bool
+	}{
+		{0, 500 * time.Millisecond, 500 * time.Millisecond, true, false},
+		{0, 2 * time.Second, 990 * time.Millisecond, true, false},
+		{900 * time.Millisecond, 2 * time.Second, 90 * time.Millisecond, true, false},
+		{990 * time.Millisecond, 2 * time.Second, 0, false, false},
+		{time.Second, 2 * time.Second, -slack, false, true},
+	} {
+		at := now.Add(c.at)
+		timeout, isLeft := d.requestTimeout(at, c.timeout, slack)
+		if timeout != c.want || isLeft != c.isLeft || d.isOver(at) != c.isOver {
+			t.Errorf("%v after: %v, %v, over %v", c.at, timeout, isLeft, d.isOver(at))
+		}
+	}
+}
+
 func TestMaxFinishDuration(t *testing.T) {
 	classes := []policy.Class{{Deadline: 2 * time.Second}, {Deadline: 5 * time.Second}, {Deadline: time.Second}}
 	if got, want := maxFinishDuration(classes, 8*time.Millisecond), 6508*time.Millisecond; got != want {
--- a/internal/gateway/texts.go
+++ b/internal/gateway/texts.go
@@ -37,6 +37,7 @@
 const (
 	textRejected    = "refused: trying again does no harm"
 	textUnconfirmed = "refused: trying again at another instance does no harm"
+	textDraining    = "refused: ending; trying again at another instance does no harm"
 	textMayHaveRun  = "failed: it may have run"
 	textNotSent     = "failed: nothing was sent on"
 	textVoided      = "the crossing is void or can't be remembered"
