edgeproxy: a request behind a slow one has the time that its client has left

What callers saw: a client that sends requests one behind the other got answers after its time, and servers ran attempts for nobody.

Cause: X-Expires-In counts from when the client sent the request; the edge node counted from when it began to serve it, which is after the answer to the one ahead.

Change: what is received while a request is active is recorded with its time; a whole head among it counts from then, and is rejected once its time is over.

Measured: TestPipelinedRequestHasItsOwnTime fails without the change; internal/edgeproxy passes with -race.

--- a/internal/edgeproxy/client_conn.go
+++ b/internal/edgeproxy/client_conn.go
@@ -41,6 +41,7 @@
 	lastReadAt        time.Time     // when something was last received
 	hasUnrecordedData bool          // data has left the socket and is not recorded here yet
 	head              headRecorder  // of the request being read
+	headReceivedAt    time.Time     // if that was while the request before it was active; else zero
 	later             laterRequests // what was received behind the active request
 }
 
@@ -108,6 +109,7 @@
 		state == stateAnswered && !c.later.isEmpty()
 	if startsRequest {
 		state = stateReading
+		c.headReceivedAt = c.later.headReceivedAt()
 		c.head.begin(c.later.beginNext())
 	}
 	if state != stateReading || startsRequest {
--- a/internal/edgeproxy/client_watch.go
+++ b/internal/edgeproxy/client_watch.go
@@ -1,13 +1,27 @@
 package edgeproxy
 
+import (
+	"bytes"
+	"time"
+)
+
 // maxReadAhead limits the bytes that are read of later requests while one is active.
 const maxReadAhead = 16 << 10
 
 // laterRequests is what was received behind the active request.
 type laterRequests struct {
-	given        []byte // net/http has got it
-	kept         []byte // behind given; net/http has not got it
-	isWatchEnded bool   // kept was full: that the client disconnects goes unnoticed
+	given        []byte    // net/http has got it
+	kept         []byte    // behind given; net/http has not got it
+	receivedAt   time.Time // the last of both
+	isWatchEnded bool      // kept was full: that the client disconnects goes unnoticed
+}
+
+// headReceivedAt returns when the next request's head had been received; zero if it has not, or not whole.
+func (l *laterRequests) headReceivedAt() time.Time {
+	if !bytes.Contains(append(l.given[:len(l.given):len(l.given)], l.kept...), headEnd) {
+		return time.Time{}
+	}
+	return l.receivedAt
 }
 
 // isEmpty tells whether nothing was received.
@@ -16,12 +30,16 @@
 // hasKept tells whether something was received that net/http has not got.
 func (l *laterRequests) hasKept() bool { return len(l.kept) > 0 }
 
-// addGiven takes in what net/http has got of later requests.
-func (l *laterRequests) addGiven(p []byte) { l.given = append(l.given, p...) }
+// addGiven takes in what net/http has got of later requests, received at a time.
+func (l *laterRequests) addGiven(p []byte, receivedAt time.Time) {
+	l.given, l.receivedAt = append(l.given, p...), receivedAt
+}
 
 // keep keeps what was received and tells whether the limit is reached.
 func (l *laterRequests) keep(p []byte) (isFull bool) {
-	l.kept = append(l.kept, p...)
+	if len(p) > 0 {
+		l.kept, l.receivedAt = append(l.kept, p...), time.Now()
+	}
 	return len(l.kept) >= maxReadAhead
 }
 
--- a/internal/edgeproxy/request_head.go
+++ b/internal/edgeproxy/request_head.go
@@ -51,7 +51,7 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if isOneByteRead && c.state == stateActive {
-		c.later.addGiven(p)
+		c.later.addGiven(p, time.Now())
 		return
 	}
 	c.head.add(p)
@@ -61,11 +61,23 @@
 func (c *clientConn) recordEarlyBytes(p []byte) {
 	if len(p) > 0 {
 		c.limiter.mu.Lock()
-		c.later.addGiven(p)
-		c.limiter.mu.Unlock()
+		defer c.limiter.mu.Unlock()
+		receivedAt := c.headReceivedAt // they came with the head of this one
+		if receivedAt.IsZero() {
+			receivedAt = time.Now()
+		}
+		c.later.addGiven(p, receivedAt)
 	}
 }
 
+// earlyHeadAt returns when the head of the request whose handler calls had been received, if that was while the one
+// before it was active; else zero.
+func (c *clientConn) earlyHeadAt() time.Time {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.headReceivedAt
+}
+
 // takeHead returns the head of the request whose handler calls, or nil if it was not kept whole, and when its first
 // byte was received.
 func (c *clientConn) takeHead() ([]byte, time.Time) {
--- a/internal/edgeproxy/serve_request.go
+++ b/internal/edgeproxy/serve_request.go
@@ -54,16 +54,22 @@
 const (
 	noObstacle         obstacle = iota
 	connectionEvicted           // for another: the client can tell that nothing was forwarded
+	requestTimeIsOver           // it came behind one that took long
 	shutdownTimeIsOver          // the process ends before the request could be answered
 	clientIsGone
 )
 
-// findObstacle decides whether a request that was read is brought to the engine, and limits its timeout to what a
-// shutdown leaves.
+// findObstacle decides whether a request that was read is brought to the engine, and limits its timeout to what is left
+// to its client, which may have sent it behind another, and to what a shutdown leaves.
 func (s *clientServer) findObstacle(r *http.Request, conn *clientConn, engineRequest *policy.Request) obstacle {
 	if !conn.setState(stateActive) {
 		return connectionEvicted
 	}
+	if receivedAt := conn.earlyHeadAt(); !receivedAt.IsZero() {
+		if engineRequest.Timeout -= time.Since(receivedAt); engineRequest.Timeout <= 0 {
+			return requestTimeIsOver
+		}
+	}
 	var isTimeLeft bool
 	slack := s.node.cfg.Settings.ResponseSlack
 	if engineRequest.Timeout, isTimeLeft = s.shutdown.requestTimeout(engineRequest.Timeout, slack); !isTimeLeft {
@@ -79,6 +85,8 @@
 // http.ErrAbortHandler.
 func (o obstacle) answer(w http.ResponseWriter) {
 	switch o {
+	case requestTimeIsOver:
+		writeText(w, http.StatusTooManyRequests, textRejected)
 	case shutdownTimeIsOver:
 		w.Header().Set("Connection", "close")
 		writeText(w, http.StatusServiceUnavailable, textShuttingDown)
--- a/internal/edgeproxy/serve_request_test.go
+++ b/internal/edgeproxy/serve_request_test.go
@@ -215,3 +215,29 @@
 		t.Errorf("%d requests were forwarded, want 1", got)
 	}
 }
+
+// A request that was sent behind one that takes long has the time that is left to its client, and is rejected without
+// an attempt where that is over.
+func TestPipelinedRequestHasItsOwnTime(t *testing.T) {
+	t.Parallel()
+	lefts := make(chan string, 10)
+	app := newAppServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		lefts <- r.Header.Get("X-Trace-Id") + " " + r.Header.Get("X-Expires-In")
+		if strings.Contains(r.RequestURI, "slow") {
+			time.Sleep(400 * time.Millisecond)
+		}
+		return respondWith(okAnswer)(c, r, body)
+	})
+	n := runNode(t, testConfig(app.instance("a")))
+	c := dial(t, n.addr)
+	slow := request("check", "a", "", "GET /check/slow?customer=00000000b4d65521 HTTP/1.1", "X-Expires-In", "5")
+	c.send(slow + request("check", "b", "X-Expires-In", "0.3") + request("book", "c", "X-Expires-In", "5"))
+	for i, want := range []int{200, 429, 200} {
+		if a := c.read(); a.status != want {
+			t.Errorf("answer %d: %d, want %d", i, a.status, want)
+		}
+	}
+	if first, second := <-lefts, <-lefts; first[:2] != "a " || second[:2] != "c " || second > "c 4.61" {
+		t.Errorf("forwarded: %q, %q", first, second)
+	}
+}
