edgeproxy: a gossip socket that was handed over outlives a handover that fails

What callers saw: after an upgrade whose old process died half way, the new one took part in no gossip until its next start; quotas were its own part alone.

Cause: awaitState closed the socket on an error after it had come, and returned it with the error; the caller used it.

Evidence: TestGossipSocketOutlivesFailedHandover fails on the old program in both cases: no peer hears anything in 5 s.

Change: the socket is handed on with the error, and closed only where the process ends before it serves.

--- a/internal/edgeproxy/predecessor.go
+++ b/internal/edgeproxy/predecessor.go
@@ -53,15 +53,11 @@
 }
 
 // awaitState waits for the predecessor's state until the successor may go. Its error means that the predecessor has
-// ended before, or that ctx has.
+// ended before, or that ctx has. A gossip socket that came before it is the successor's all the same: peers know its
+// address, which nobody else could open.
 func (p *predecessor) awaitState(ctx context.Context) (state inheritedState, err error) {
 	stop := context.AfterFunc(ctx, func() { p.conn.SetReadDeadline(expiredDeadline) })
 	defer stop()
-	defer func() {
-		if err != nil && state.gossipConn != nil {
-			state.gossipConn.Close()
-		}
-	}()
 	stateSize := -1 // not known yet
 	for {
 		message, err := p.readMessage()
--- a/internal/edgeproxy/run.go
+++ b/internal/edgeproxy/run.go
@@ -217,6 +217,9 @@
 	p.isPredecessorAwaited.Store(true)
 	in, err := p.awaitPredecessorState(ctx)
 	if ctx.Err() != nil {
+		if in.gossipConn != nil {
+			in.gossipConn.Close()
+		}
 		p.predecessor.Close()
 		return errStoppedBeforeServing
 	}
--- a/internal/edgeproxy/successor_test.go
+++ b/internal/edgeproxy/successor_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -126,6 +127,61 @@
 	return next
 }
 
+// sendGossipSocket hands a socket over as a predecessor does.
+func (h handoverPeer) sendGossipSocket(conn *net.UDPConn) {
+	h.t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		_, _, err = h.WriteMsgUnix([]byte{msgGossipSocket}, syscall.UnixRights(int(fd)), nil)
+	})
+	if err := errors.Join(err, controlErr); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// A gossip socket that a predecessor has handed over goes on, also if the predecessor dies before the rest has come or
+// sends what is out of place.
+func TestGossipSocketOutlivesFailedHandover(t *testing.T) {
+	t.Parallel()
+	app := newAppServer(t, respondWith(okAnswer))
+	for name, last := range map[string]string{"dies": "", "out of place": "?what"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gossipPeer, socket := listenUDP(t), listenUDP(t)
+			mine := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+			dir := t.TempDir()
+			ln := listenAsPredecessor(t, dir)
+			cfg := hotRestartConfig(t, dir, app.instance("a"))
+			addPeer(cfg, mine, gossipPeer)
+			next := newSharedListener(t).start(t, cfg)
+			conn, err := ln.AcceptUnix()
+			if err != nil {
+				t.Fatal(err)
+			}
+			peer := handoverPeer{conn, t}
+			peer.readUntil(msgHello)
+			peer.send(stateMessages("some state")[0])
+			peer.sendGossipSocket(socket)
+			socket.Close()
+			if last != "" {
+				peer.send(last)
+			}
+			peer.Close()
+			next.awaitLog(t, "ready")
+			spender := []string{"X-Contract", "tight", "X-Metering", "units=1,spread=2,first=0"}
+			if a := dial(t, next.addr).ask(request("check", "a", spender...)); a.status != 200 {
+				t.Errorf("status %d", a.status)
+			}
+			awaitGossipFrom(t, gossipPeer, mine)
+			next.stop()
+			next.awaitEnd(t)
+		})
+	}
+}
+
 // requireServesAndEnds checks that a node serves a request, and ends it.
 func requireServesAndEnds(t *testing.T, n *runningNode) {
 	t.Helper()
