edgeproxy: a panic while a body is read gives its memory back

What callers saw: nothing yet. After each such panic a node had less memory for bodies, and in the end streamed every long one, which can't be retried.

Cause: what a body has reserved is known to the caller only once it is read.

Change: the reservation is given back where it was made, and the panic goes on.

Measured: the test passes; internal/edgeproxy passes with -race.

--- a/internal/edgeproxy/memory_budget.go
+++ b/internal/edgeproxy/memory_budget.go
@@ -45,6 +45,14 @@
 	return false
 }
 
+// releaseAtPanic is deferred where a body is read: a panic meanwhile gives what is reserved back.
+func (b *memoryBudget) releaseAtPanic(reserved *int64) {
+	if p := recover(); p != nil {
+		b.release(*reserved)
+		panic(p)
+	}
+}
+
 // release gives n bytes back.
 func (b *memoryBudget) release(n int64) {
 	if n != 0 {
--- a/internal/edgeproxy/request_body.go
+++ b/internal/edgeproxy/request_body.go
@@ -181,6 +181,7 @@
 func (b *requestBody) readSized(budget *memoryBudget) (buffered bufferedBody, err error) {
 	size := b.length
 	reserved, isBuffered := budget.reserveBody(size, 0)
+	defer budget.releaseAtPanic(&reserved)
 	if buffered.reservedBytes = reserved; !isBuffered {
 		buffered.rest = b
 		size = alwaysBufferedBody
@@ -194,6 +195,7 @@
 func (b *requestBody) readChunked(budget *memoryBudget) (buffered bufferedBody, err error) {
 	body := make([]byte, 0, initialChunkedBody)
 	var reserved int64
+	defer budget.releaseAtPanic(&reserved)
 	for {
 		if len(body) == cap(body) {
 			var isBuffered bool
--- a/internal/edgeproxy/request_body_test.go
+++ b/internal/edgeproxy/request_body_test.go
@@ -268,3 +268,46 @@
 		t.Errorf("status %d", a.status)
 	}
 }
+
+// panickingReader gives some bytes, then panics.
+type panickingReader struct{ left int }
+
+func (r *panickingReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		panic("while a body is read")
+	}
+	n := min(len(p), r.left)
+	r.left -= n
+	return n, nil
+}
+
+// deadlineWriter is a response writer whose read deadline can be set.
+type deadlineWriter struct{ http.ResponseWriter }
+
+func (deadlineWriter) SetReadDeadline(time.Time) error { return nil }
+
+// A panic while a body is read gives its memory back.
+func TestPanicWhileBodyIsRead(t *testing.T) {
+	t.Parallel()
+	for name, length := range map[string]int64{"of known length": 1 << 20, "chunked": -1} {
+		budget := newMemoryBudget(64)
+		before := budget.available.Load()
+		body := &requestBody{source: &panickingReader{left: 500 << 10}, startedAt: time.Now(), length: length,
+			controller: http.NewResponseController(deadlineWriter{})}
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Errorf("%s: no panic", name)
+				}
+			}()
+			if length > 0 {
+				body.readSized(budget)
+			} else {
+				body.readChunked(budget)
+			}
+		}()
+		if left := budget.available.Load(); left != before {
+			t.Errorf("%s: %d bytes of the budget are left of %d", name, left, before)
+		}
+	}
+}
