soak: seeded runs of the real programs under signals, with clients that use connections until the end

Need: each fault of a shutdown or an upgrade was found by luck, beside load.

Change: cmd/soak and internal/soak. A seed draws the plan: signals in series (SIGTERM twice, SIGHUP around it, restarts, upgrades, a successor that is stopped, killed or told to end, an old process that is killed), servers that hang through the shutdown, reset or reject, clients that go on, pipeline, rest, are slow, leave or connect anew, and in one run of four a crowd that fills the descriptors. The kill comes at the longest deadline and 0.7 s. Rules from the clients' and servers' own records: one answer in time, never two attempts in flight, nothing after a client's close, processes that end in order and are ready in 6 s.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,251 @@
+// Command soak plays seeded runs of a real program that is told to end, upgraded, stopped or killed under clients that
+// keep using their connections, and exits with 0 only if every rule was kept.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"mulleinmux/internal/soak"
+)
+
+// arguments are those of the command line.
+type arguments struct {
+	Target   string        `help:"Program under test: ${enum}." enum:"edgeproxy,gateway" required:""`
+	Seeds    string        `help:"Seed, or range of seeds, such as 1-50." default:"1-10"`
+	For      time.Duration `help:"How long clients send before the first signal." default:"2s"`
+	Parallel int           `help:"Runs at once." default:"2"`
+	Busy     int           `help:"Busy loops beside the runs." default:"0"`
+	Program  string        `help:"The built program; empty: it is built." type:"path"`
+	JSON     bool          `help:"Print verdicts as JSON, one a line."`
+	Verbose  bool          `help:"Print every plan." short:"v"`
+}
+
+// Limits of the arguments.
+const (
+	maxSeeds    = 100_000
+	maxParallel = 64
+	maxBusy     = 1024
+)
+
+// parseSeeds reads a seed or a range of seeds.
+func parseSeeds(text string) (first, last uint64, err error) {
+	low, high, isRange := strings.Cut(text, "-")
+	if !isRange {
+		high = low
+	}
+	first, err = strconv.ParseUint(low, 10, 64)
+	if err == nil {
+		last, err = strconv.ParseUint(high, 10, 64)
+	}
+	if err != nil || last < first || last-first >= maxSeeds {
+		return 0, 0, fmt.Errorf("--seeds: %q is no seed and no range of at most %d", text, maxSeeds)
+	}
+	return first, last, nil
+}
+
+// check returns what is wrong with the arguments.
+func (a *arguments) check() error {
+	switch {
+	case a.Parallel < 1 || a.Parallel > maxParallel:
+		return fmt.Errorf("--parallel: %d is outside 1 to %d", a.Parallel, maxParallel)
+	case a.Busy < 0 || a.Busy > maxBusy:
+		return fmt.Errorf("--busy: %d is outside 0 to %d", a.Busy, maxBusy)
+	}
+	_, err := soak.NewPlan(soak.Target(a.Target), 0, a.For)
+	if err != nil {
+		return fmt.Errorf("--for: %w", err)
+	}
+	return nil
+}
+
+// errRuleBroken means that a run broke a rule.
+var errRuleBroken = errors.New("a rule was broken")
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("soak"), kong.Description("Soak test of shutdowns and upgrades.\n\n"+
+		"Example: go run ./cmd/soak --target edgeproxy --seeds 1-50"))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := a.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// run plays the runs.
+func (a *arguments) run(ctx context.Context) error {
+	if err := a.check(); err != nil {
+		return err
+	}
+	first, last, err := parseSeeds(a.Seeds)
+	if err != nil {
+		return err
+	}
+	program, cleanUp, err := a.build(ctx)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	stopLoops := startBusyLoops(a.Busy)
+	defer stopLoops()
+	s := &summary{arguments: a}
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	for range a.Parallel {
+		workers.Go(func() {
+			for seed := range seeds {
+				s.play(ctx, seed, program)
+			}
+		})
+	}
+	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	workers.Wait()
+	return s.finish()
+}
+
+// build returns the program's path, and builds it if none is named.
+func (a *arguments) build(ctx context.Context) (program string, cleanUp func(), err error) {
+	if a.Program != "" {
+		return a.Program, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "soak-build")
+	if err != nil {
+		return "", nil, err
+	}
+	program = filepath.Join(dir, a.Target)
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/"+a.Target)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Run(); err != nil {
+		os.RemoveAll(dir)
+		return "", nil, fmt.Errorf("building %s: %w", a.Target, err)
+	}
+	return program, func() { os.RemoveAll(dir) }, nil
+}
+
+// startBusyLoops keeps processors busy until stop is called.
+func startBusyLoops(count int) (stop func()) {
+	var loops []*exec.Cmd
+	for range count {
+		cmd := exec.Command("/bin/sh", "-c", "while :; do :; done")
+		if cmd.Start() == nil {
+			loops = append(loops, cmd)
+		}
+	}
+	return func() {
+		for _, cmd := range loops {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}
+}
+
+// summary prints verdicts and adds them up.
+type summary struct {
+	arguments *arguments
+
+	mu                               sync.Mutex // guards all below
+	runs, broken, disturbed          int
+	disturbedBroken, failedToPlay    int
+	requests, crossed, excused, left int
+}
+
+// play plays one seed and prints its verdict.
+func (s *summary) play(ctx context.Context, seed uint64, program string) {
+	plan, err := soak.NewPlan(soak.Target(s.arguments.Target), seed, s.arguments.For)
+	var v *soak.Verdict
+	if err == nil {
+		v, err = soak.Run(ctx, plan, program)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	if err != nil {
+		s.failedToPlay++
+		fmt.Printf("seed %d: could not be played: %v\n", seed, err)
+		return
+	}
+	s.add(v)
+	s.print(v)
+}
+
+// add adds a verdict up. Called under the mutex.
+func (s *summary) add(v *soak.Verdict) {
+	s.requests += v.Requests
+	s.crossed += v.Crossed
+	s.excused += v.Excused
+	s.left += v.Left
+	switch {
+	case v.Disturbed && !v.OK:
+		s.disturbedBroken++
+	case v.Disturbed:
+		s.disturbed++
+	case !v.OK:
+		s.broken++
+	}
+}
+
+// print prints a verdict. Called under the mutex.
+func (s *summary) print(v *soak.Verdict) {
+	if s.arguments.JSON {
+		text, err := json.Marshal(v)
+		if err != nil {
+			text = []byte(err.Error())
+		}
+		fmt.Println(string(text))
+		return
+	}
+	word := "ok"
+	switch {
+	case v.Disturbed && !v.OK:
+		word = "DISTURBED, rules broken"
+	case v.Disturbed:
+		word = "disturbed"
+	case !v.OK:
+		word = "BROKEN"
+	}
+	fmt.Printf("seed %d %s: %s; %d requests, %d served, %d rejected, %d failed, %d left, %d crossed, %d excused, "+
+		"%d attempts; stall %v\n", v.Seed, v.Series, word, v.Requests, v.Served, v.Rejected, v.Failed, v.Left, v.Crossed,
+		v.Excused, v.Attempts, v.Stall.Round(time.Millisecond))
+	if s.arguments.Verbose || !v.OK {
+		fmt.Println("    plan:", v.Plan)
+	}
+	for _, example := range v.Examples {
+		fmt.Println("    " + example)
+	}
+}
+
+// finish prints the sums, and returns an error if a rule was broken in a run that was not disturbed.
+func (s *summary) finish() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.arguments.JSON {
+		fmt.Printf("%d runs of %s: %d broke a rule, %d were disturbed (%d of them with a rule broken), "+
+			"%d could not be played; %d requests, %d left, %d crossed, %d excused\n", s.runs, s.arguments.Target, s.broken,
+			s.disturbed+s.disturbedBroken, s.disturbedBroken, s.failedToPlay, s.requests, s.left, s.crossed, s.excused)
+	}
+	if s.broken > 0 {
+		return errRuleBroken
+	}
+	if s.failedToPlay > 0 {
+		return fmt.Errorf("%d runs could not be played", s.failedToPlay)
+	}
+	return nil
+}
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -50,12 +50,14 @@
 	"internal/configstreampb": 3,
 
 	"internal/scenario":  4,
+	"internal/soak":      4,
 	"internal/benchmark": 4,
 	"internal/layering":  4,
 
 	"cmd/edgeproxy":               5,
 	"cmd/gateway":                 5,
 	"cmd/simadapter":              5,
+	"cmd/soak":                    5,
 	"internal/configstreampb/gen": 5,
 }
 
--- /dev/null
+++ b/internal/soak/target.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+)
+
+// target is how a program is configured, started and called.
+type target interface {
+	// command returns the command that starts one more process, which inherits the listening socket if that is not nil.
+	command(socket *os.File) (*exec.Cmd, error)
+	requestText(r *request) string
+	method(r *request) string
+}
+
+// descriptorLimit is how many descriptors a process may hold: few, so that a crowd fills them.
+const descriptorLimit = 256
+
+// inheritedDescriptor is the descriptor of the inherited socket: the first after the standard ones.
+const inheritedDescriptor = 3
+
+// edgeTarget is the edge node.
+type edgeTarget struct {
+	program, dir, address string
+	config                string // its file
+}
+
+// edgeSettings are the settings of a tier of one node.
+const edgeSettings = `{"instances":1,"lanes":[
+	{"name":"check","idempotency":"retryable","onTime":0.4,"deadline":%[1]v,"worth":1},
+	{"name":"book","idempotency":"dedup","keyScope":"all","memorySpan":30,"onTime":0.4,"deadline":%[1]v,"worth":2},
+	{"name":"pay","idempotency":"fragile","onTime":0.4,"deadline":%[1]v,"worth":2}],
+	"tariffs":[{"name":"wide","quotaRate":1e6,"peakUnits":1e6,"worthFactor":1}],
+	"policyLimits":{"cancel":true,"probes":true,"retryAfter":true,"mostTries":4,"maxRetryAfter":2,"connIdle":20,
+	"connectTimeout":0.25},"rules":{"answerSlack":0.008},"tick":0.002}`
+
+func newEdgeTarget(p *Plan, program, dir, address string, discovery netip.AddrPort) (target, error) {
+	t := &edgeTarget{program: program, dir: dir, address: address, config: filepath.Join(dir, "config.json")}
+	settings := fmt.Sprintf(edgeSettings, p.Deadline.Seconds())
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x","limits":{"memory_mb":192,"sockets":%d},
+		"settings":%s}`, address, discovery, p.Seed, descriptorLimit, settings)
+	return t, os.WriteFile(t.config, []byte(text), 0o600)
+}
+
+func (t *edgeTarget) command(socket *os.File) (*exec.Cmd, error) {
+	cmd := exec.Command(t.program)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+t.config, "TMPDIR="+t.dir)
+	if socket != nil {
+		cmd.ExtraFiles = []*os.File{socket}
+		cmd.Env = append(cmd.Env, fmt.Sprint("PROXY_ACCEPT_FD=", inheritedDescriptor))
+	}
+	return cmd, nil
+}
+
+func (t *edgeTarget) method(r *request) string {
+	if r.class == classCheck {
+		return "GET"
+	}
+	return "POST"
+}
+
+func (t *edgeTarget) requestText(r *request) string {
+	text := fmt.Sprintf("%s /%s/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: app.svc\r\nX-Qos: %s\r\n"+
+		"X-Contract: wide\r\nX-Metering: units=1,spread=1,first=0\r\n", t.method(r), r.class, r.class)
+	return text + commonFields(r)
+}
+
+// commonFields are the fields that both programs want, and the body.
+func commonFields(r *request) string {
+	text := fmt.Sprintf("%s: %s\r\nX-Expires-In: %.3f\r\n", traceHeader, r.id, r.timeout.Seconds())
+	if r.class == classCheck {
+		return text + "\r\n"
+	}
+	if r.class == classBook {
+		text += "Idempotency-Key: " + r.id + "\r\n"
+	}
+	const body = `{}`
+	return text + fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// gatewayTarget is one instance of the gateway, without a cluster.
+type gatewayTarget struct {
+	program, dir, config string
+}
+
+const gatewayDescription = `openapi: 3.0.3
+info: {title: soak, version: "1"}
+paths:
+  /check/{id}:
+    parameters: [{name: id, in: path, required: true, schema: {type: string}}]
+    get: {operationId: check, x-mulleinmux: {class: check, units: 1}, responses: {"200": {description: ok}}}
+  /book:
+    post:
+      operationId: book
+      x-mulleinmux: {class: book, units: 1, effect: keyed, key: {header: Idempotency-Key}, group: zone, window: 30s}
+      parameters: [{name: Idempotency-Key, in: header, required: true, schema: {type: string}}]
+      responses: {"200": {description: ok}}
+  /pay:
+    post:
+      operationId: pay
+      x-mulleinmux: {class: pay, units: 1, effect: unsafe}
+      responses: {"200": {description: ok}}
+`
+
+func newGatewayTarget(p *Plan, program, dir, address string, discovery netip.AddrPort) (target, error) {
+	text := fmt.Sprintf("name = \"g0\"\nlisten = %q\nzone = \"z\"\ndescription = \"soak.yaml\"\n"+
+		"[limits]\nclients = %d\nservers = 256\nmax_attempts = 4\nanswer_slack = \"8ms\"\n"+
+		"[[hall]]\nname = \"z\"\nregister = %q\n"+
+		"[[plan]]\nname = \"wide\"\nrate = 1e6\nburst = 1e6\nprice = 1.0\n"+
+		"[[licensee]]\nname = \"honest\"\nplan = \"wide\"\n", address, descriptorLimit, discovery.String())
+	for _, class := range []class{classCheck, classBook, classPay} {
+		text += fmt.Sprintf("[[class]]\nname = %q\nworth = 1\naim = \"400ms\"\ndeadline = %q\n", class, p.Deadline)
+	}
+	t := &gatewayTarget{program: program, dir: dir, config: filepath.Join(dir, "gate.toml")}
+	if err := os.WriteFile(filepath.Join(dir, "soak.yaml"), []byte(gatewayDescription), 0o600); err != nil {
+		return nil, err
+	}
+	return t, os.WriteFile(t.config, []byte(text), 0o600)
+}
+
+func (t *gatewayTarget) command(*os.File) (*exec.Cmd, error) {
+	return exec.Command(t.program, "run", "--config", t.config), nil
+}
+
+func (t *gatewayTarget) method(r *request) string {
+	if r.class == classCheck {
+		return "GET"
+	}
+	return "POST"
+}
+
+func (t *gatewayTarget) requestText(r *request) string {
+	path := "/" + string(r.class)
+	if r.class == classCheck {
+		path += "/a"
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Licensee: honest\r\n", t.method(r), path) + commonFields(r)
+}
+
+// newTarget configures a plan's program.
+func newTarget(p *Plan, program, dir, address string, discovery netip.AddrPort) (target, error) {
+	if p.Target == TargetEdgeProxy {
+		return newEdgeTarget(p, program, dir, address, discovery)
+	}
+	return newGatewayTarget(p, program, dir, address, discovery)
+}
+
+// listenLoopback opens a listening socket.
+func listenLoopback() (*net.TCPListener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
+}
+
+// processTimeout bounds what a process may need for a step that is no rule.
+const processTimeout = 10 * time.Second
