clusterconfig: a hash of too many digits is an error, not the end of a follower

What callers saw: nothing yet; a damaged version would have ended each follower that read it.

Cause: NewFrozenState decoded into 32 bytes before it looked at the length; hex.Decode panics beyond its room.

Evidence: TestNewFrozenStateChecksHash panics on the old program at 65 digits.

Change: the length is checked first. Measured: the package's tests pass with -race.

--- a/clusterconfig/state.go
+++ b/clusterconfig/state.go
@@ -50,8 +50,10 @@
 		planOrder:        plans,
 		outcomes:         newOutcomeLog(),
 	}
-	n, err := hex.Decode(s.hash[:], []byte(hash))
-	if err != nil || n != len(s.hash) || len(hash) != 2*n {
+	if len(hash) != hex.EncodedLen(len(s.hash)) { // hex.Decode panics beyond its room
+		return nil, fmt.Errorf("hash of %d digits: %w", len(hash), ErrMalformed)
+	}
+	if _, err := hex.Decode(s.hash[:], []byte(hash)); err != nil {
 		return nil, fmt.Errorf("hash: %w", ErrMalformed)
 	}
 	return s, nil
