raftnode: a caller's own deadline and a full queue do not read as a stopped member

What callers saw: operators whose time was over read "the member has stopped" of a member that ran.

Cause: enqueue reports the end of the caller's context and of the loop alike, and callers took both for the loop's; ReadIndex had one error for "stopped" and "too many reads".

Change: eventLoop.enqueueError tells the two apart; errTooManyReads. A proposal whose caller's time ends in the queue gets the error of any other that ends in time.

--- a/internal/raftnode/errors.go
+++ b/internal/raftnode/errors.go
@@ -35,5 +35,8 @@
 		"if it is the newest, moved here, say so with gateway init --adopt")
 )
 
+// errTooManyReads rejects a read while maxPendingRequests others wait.
+var errTooManyReads = errors.New("too many reads are under way")
+
 // errTooManyProposals rejects a proposal while maxPendingRequests others wait.
 var errTooManyProposals = errors.New("too many proposals are under way")
--- a/internal/raftnode/event_loop.go
+++ b/internal/raftnode/event_loop.go
@@ -35,6 +35,17 @@
 	return false
 }
 
+// enqueueError is the error where enqueue has returned false: ErrStopped if the loop has ended, else that of ctx, whose
+// caller could not wait any longer.
+func (l *eventLoop) enqueueError(ctx context.Context) error {
+	select {
+	case <-l.done:
+		return errors.Join(ErrStopped, ctx.Err())
+	default:
+		return ctx.Err()
+	}
+}
+
 // call runs f on the loop and waits for its end. ctx limits only the wait until f is queued, so that f may use the
 // caller's variables.
 func (l *eventLoop) call(ctx context.Context, f func()) error {
@@ -44,7 +55,7 @@
 		close(finished)
 	}
 	if !l.enqueue(ctx, event) {
-		return errors.Join(ErrStopped, ctx.Err())
+		return l.enqueueError(ctx)
 	}
 	select {
 	case <-finished:
--- a/internal/raftnode/node_propose.go
+++ b/internal/raftnode/node_propose.go
@@ -18,7 +18,7 @@
 
 // errNotEnqueued and errNoAnswer are errors of an attempt besides those of the Core.
 var (
-	errNotEnqueued = errors.New("the event loop has ended")
+	errNotEnqueued = errors.New("the event loop has ended, or the caller's time")
 	errNoAnswer    = errors.New("no answer came in time")
 )
 
@@ -90,7 +90,11 @@
 	for {
 		outcome, err := n.proposeOnce(ctx, p, retry.answerTimeout)
 		if errors.Is(err, errNotEnqueued) {
-			return clusterconfig.Outcome{}, errors.Join(ErrStopped, retry.lastErr, ctx.Err())
+			err := n.loop.enqueueError(ctx)
+			if !errors.Is(err, ErrStopped) {
+				return clusterconfig.Outcome{}, retry.giveUp(err)
+			}
+			return clusterconfig.Outcome{}, errors.Join(err, retry.lastErr)
 		}
 		switch retry.afterAttempt(err) {
 		case retryNever:
--- a/internal/raftnode/node_read.go
+++ b/internal/raftnode/node_read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -31,7 +30,7 @@
 		results <- err
 	}
 	if !n.loop.enqueue(ctx, func() { n.core.ReadIndex(done) }) {
-		return errors.Join(ErrStopped, ctx.Err())
+		return n.loop.enqueueError(ctx)
 	}
 	select {
 	case err := <-results:
@@ -57,7 +56,7 @@
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	statuses := make(chan Status, 1)
 	if !n.loop.enqueue(ctx, func() { statuses <- n.core.status() }) {
-		return Status{}, errors.Join(ErrStopped, ctx.Err())
+		return Status{}, n.loop.enqueueError(ctx)
 	}
 	select {
 	case status := <-statuses:
--- a/internal/raftnode/read_index.go
+++ b/internal/raftnode/read_index.go
@@ -88,9 +88,13 @@
 // ReadIndex calls done as soon as all entries that were committed at the time of the call, at any member, are applied
 // here.
 func (c *Core) ReadIndex(done func(error)) {
-	if c.stopErr != nil || c.reads.isFull() {
+	switch {
+	case c.stopErr != nil:
 		done(errors.Join(ErrStopped, c.stopErr))
 		return
+	case c.reads.isFull():
+		done(errTooManyReads)
+		return
 	}
 	c.requestReadIndex(c.reads.add(done))
 }
