gateway: a key past its window is rejected without a time to come again

What callers saw: a client that repeats a booking after the deduplication window was told to come again after 50 ms, each time; no repeat can succeed.

Cause: a wait of 0 of the routing decision means "never"; keyRejectionWait raised it to the shortest wait.

Change: no Retry-After.

--- a/internal/gateway/site_coordinator.go
+++ b/internal/gateway/site_coordinator.go
@@ -94,8 +94,11 @@
 const minKeyRetryAfter = 50 * time.Millisecond
 
 // keyRejectionWait decides the Retry-After of a request whose key has no site now, from the one of the routing decision
-// (0: a retry can't succeed) and the longest that clients are told.
+// and the longest that clients are told. Where a retry can't succeed (0) there is none.
 func keyRejectionWait(wait, maxRetryAfter time.Duration) time.Duration {
+	if wait == 0 {
+		return 0
+	}
 	return min(max(wait, minKeyRetryAfter), maxRetryAfter)
 }
 
