cluster: the age of a configuration that was never confirmed is -1, as its help says

What operators saw: mulleingate_config_age_seconds at -0.001 where it says -1 for "not since the start".

Cause: -1 ms of the status was divided by 1,000.

--- a/internal/cluster/metrics.go
+++ b/internal/cluster/metrics.go
@@ -34,6 +34,10 @@
 	value func(*Status) float64
 }
 
+// confirmedAgeDesc describes the age of the version's last confirmation.
+var confirmedAgeDesc = newGaugeDesc("mulleingate_config_age_seconds",
+	"Since a quorum last confirmed it; -1: not since the start.")
+
 // statusGauges are the gauges of a member's status.
 var statusGauges = []statusGauge{
 	{
@@ -45,8 +49,8 @@
 		func(s *Status) float64 { return float64(s.InstalledVersion) },
 	},
 	{
-		newGaugeDesc("mulleingate_config_age_seconds", "Since a quorum last confirmed it; -1: not since the start."),
-		func(s *Status) float64 { return float64(s.ConfirmedAgeMs) / 1000 },
+		confirmedAgeDesc,
+		func(s *Status) float64 { return confirmedAgeSeconds(s.ConfirmedAgeMs) },
 	},
 	{
 		newGaugeDesc("mulleingate_serves", "1 if requests are served."),
@@ -99,6 +103,14 @@
 		[]string{labelOperation}, nil)
 )
 
+// confirmedAgeSeconds is an age in seconds, or -1 where there was no confirmation.
+func confirmedAgeSeconds(ageMs int64) float64 {
+	if ageMs < 0 {
+		return -1
+	}
+	return float64(ageMs) / 1000
+}
+
 // newGaugeDesc describes a gauge without labels.
 func newGaugeDesc(name, help string) *prometheus.Desc {
 	return prometheus.NewDesc(name, help, nil, nil)
