routing: the conflicts of a description are told in the same order each time

What operators saw: gateway check told the conflicts of one description in varying order.

Cause: visitOverlaps went through a map. Evidence: TestConflictsKeepTheirOrder fails on the old program.

Change: literal segments are visited in their order.

--- a/routing/match_test.go
+++ b/routing/match_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -108,3 +109,21 @@
 		})
 	}
 }
+
+// The conflicts of a description are told in the same order, and the same of them, each time.
+func TestConflictsKeepTheirOrder(t *testing.T) {
+	ops := []string{"GET /{x}/b"}
+	for i := range 12 {
+		ops = append(ops, fmt.Sprintf("GET /a%d/{y}", i))
+	}
+	ops = append(ops, "GET /{x}/{z}.b", "GET /{v}/b")
+	_, first := Compile(makeDocument(ops...), classOptions())
+	if first == nil {
+		t.Fatal("no conflict")
+	}
+	for range 50 {
+		if _, err := Compile(makeDocument(ops...), classOptions()); err.Error() != first.Error() {
+			t.Fatalf("%v\nand\n%v", first, err)
+		}
+	}
+}
--- a/routing/tree.go
+++ b/routing/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -92,7 +93,8 @@
 	return n.find(more)
 }
 
-// visitOverlaps calls visit for each item below n whose template and segments have a path in common.
+// visitOverlaps calls visit for each item below n whose template and segments have a path in common, always in the same
+// order.
 func (n *node) visitOverlaps(segments []segment, visit func(*pathItem)) {
 	if len(segments) == 0 {
 		if n.item != nil {
@@ -106,9 +108,9 @@
 			child.visitOverlaps(segments[1:], visit)
 		}
 	} else {
-		for text, child := range n.literals {
+		for _, text := range slices.Sorted(maps.Keys(n.literals)) {
 			if s.matches(text) {
-				child.visitOverlaps(segments[1:], visit)
+				n.literals[text].visitOverlaps(segments[1:], visit)
 			}
 		}
 	}
