--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 
 // send exchanges an attempt with its server. The other site is asked what became of a relayed one that may still be in
 // flight there. If it does not say, a further attempt could be a second one in flight: unless the request is
-// idempotent, it fails.
+// idempotent, so that this would do no harm, it fails.
 func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,8 +27,8 @@
 // X-Never-Ran); or that it may have run (502). Its units were counted where it entered. If the connection breaks
 // before the answer, the remote instance is asked over another one: see [multisite.ForwardedRequests]. An instance that
 // gives a relayed request up closes its connection; the remote one then begins no attempt of it, and ends the one that
-// is in flight. Unless the request is idempotent, no further attempt follows before the remote instance has said
-// that none is in flight there.
+// is in flight. No further attempt follows before the remote instance has said that none is in flight there; if it does
+// not say so in time, the request fails unless it is idempotent.
 
 // RelayConfig is an instance's part in the relay.
 type RelayConfig struct {
--- a/internal/gateway/relay_late_test.go
+++ b/internal/gateway/relay_late_test.go
@@ -223,42 +223,59 @@
 	return len(r.requests.byID) > 0
 }
 
-// While the far instance does not say that the first attempt of a booking has ended, no second one begins, neither
-// there nor at the site's other instance.
-func TestNoSecondAttemptWhileFirstMayRun(t *testing.T) {
-	h := newTestSites(t)
+// twoFarInstances starts a near instance and two far ones, whose links can be held back, and which know quickBooking.
+func twoFarInstances(t *testing.T, h *testSites) (near, second *testInstance, links []*heldListener) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	links := []*heldListener{{}, {Listener: listener}}
+	links = []*heldListener{{}, {Listener: listener}}
 	const secondMember = 3
 	near, first, _ := twoSites(t, h, func(near, far *RelayConfig) {
 		holdFarReads(links[0])(near, far)
 		second := RelayPeer{secondMember, listener.Addr().(*net.TCPAddr).AddrPort()}
 		near.Remote["site-b"] = append(near.Remote["site-b"], second)
 	})
-	second := startSecondFar(t, h, links[1], secondMember)
+	second = startSecondFar(t, h, links[1], secondMember)
 	for _, instance := range []*testInstance{near, first, second} {
 		instance.install(t, 2, quickBooking)
 	}
-	c := dial(t, near.addr)
-	book := func(key string) *receivedRequest {
-		c.send(postRequest("POST /visits", `{}`, "Idempotency-Key: "+key))
-		return h.nextRequest()
-	}
-	for i := range 40 { // the class's latency is learned, and retries are earned
-		book("warm" + strconv.Itoa(i)).response <- responseText(201, "", "")
+	return near, second, links
+}
+
+// learnLatencies has requests served, so that slow ones are retried early.
+func learnLatencies(t *testing.T, send func(key string) *receivedRequest, c *testClient) {
+	t.Helper()
+	for i := range 40 {
+		send("warm" + strconv.Itoa(i)).response <- responseText(201, "", "")
 		if got := c.readResponse(); got.Status != 201 {
 			t.Fatalf("warming up: %+v", got)
 		}
 	}
-	attempt := book("k")
-	link := links[0]
+}
+
+// holdServing holds back the far instance that serves a request.
+func holdServing(second *testInstance, links []*heldListener) (release func()) {
 	if second.isServing() {
-		link = links[1]
+		return links[1].hold()
 	}
-	release := link.hold()
+	return links[0].hold()
+}
+
+// While the far instance does not say that the first attempt of a booking has ended, no second one begins, neither
+// there nor at the site's other instance.
+func TestNoSecondAttemptWhileFirstMayRun(t *testing.T) {
+	h := newTestSites(t)
+	near, second, links := twoFarInstances(t, h)
+	c := dial(t, near.addr)
+	book := func(key string) *receivedRequest {
+		c.send(postRequest("POST /visits", `{}`, "Idempotency-Key: "+key))
+		return h.nextRequest()
+	}
+	learnLatencies(t, book, c)
+	attempt := book("k")
+	release := holdServing(second, links)
 	defer release()
 	if got := c.readResponse(); got.Status != 502 {
 		t.Errorf("with an attempt in doubt: %+v", got)
@@ -267,3 +284,30 @@
 	release()
 	attempt.response <- ""
 }
+
+// An idempotent request goes on to the site's other instance, once the far one has had time to say that its attempt has
+// ended.
+func TestIdempotentRequestOutlivesSilentInstance(t *testing.T) {
+	h := newTestSites(t)
+	near, second, links := twoFarInstances(t, h)
+	c := dial(t, near.addr)
+	get := func(key string) *receivedRequest {
+		c.send(getRequest("GET /visits/" + key))
+		return h.nextRequest()
+	}
+	learnLatencies(t, get, c)
+	began := time.Now()
+	attempt := get("k")
+	release := holdServing(second, links)
+	defer release()
+	retry := h.nextRequest()
+	if waited := time.Since(began); waited < statusTimeout {
+		t.Errorf("the next attempt follows after %v", waited)
+	}
+	retry.response <- responseText(200, "", "x")
+	if got := c.readResponse(); got.Status != 200 {
+		t.Errorf("%+v", got)
+	}
+	release()
+	attempt.response <- ""
+}
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -53,21 +53,21 @@
 	retained *retainedResponse // of one that was executed, where its response was retained
 }
 
-// isIdempotent reports whether two attempts of the request may be in flight at once.
+// isIdempotent reports whether the request may run any number of times.
 func (r *pendingRequest) isIdempotent() bool {
 	return r.operation.Class.Idempotency == policy.Idempotent
 }
 
 // statusDeadline decides whether the remote instance is asked what became of a relayed attempt, and until when. If the
-// connection broke, it is: the request may have been answered, or may never run. If the attempt timed out, it is only
-// where a further attempt must not begin before this one has ended.
+// connection broke, it is: the request may have been answered, or may never run. If the attempt timed out, it is where
+// a further attempt may follow: this one must have ended before.
 func (r *pendingRequest) statusDeadline(
 	now time.Time, a attempt, result policy.Result,
 ) (deadline time.Time, isWanted bool) {
 	switch {
 	case r.isRelayed && result == policy.ConnectionReset:
 		return a.deadline, true
-	case r.isRelayed && result == policy.TimedOut && !r.isIdempotent() && now.Before(r.deadline):
+	case r.isRelayed && result == policy.TimedOut && now.Before(r.deadline):
 		return attemptDeadline(now, statusTimeout, r.deadline), true
 	}
 	return time.Time{}, false
