--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,7 +27,7 @@
 	Series    string         `json:"series"`
 	OK        bool           `json:"ok"`
 	Disturbed bool           `json:"disturbed"`
-	Stall     time.Duration  `json:"stall_ns"` // the longest time for which the tool got no processor
+	Stall     time.Duration  `json:"stall_ns"` // the longest time for which the tool or the program got no processor
 	Requests  int            `json:"requests"`
 	Served    int            `json:"served"`
 	Rejected  int            `json:"rejected"`
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,7 +20,6 @@
 	readyTimeout   = 6 * time.Second
 	afterHandover  = 300 * time.Millisecond // for which a process serves before the next signal
 	stallThreshold = 50 * time.Millisecond  // from which on a run counts as disturbed
-	stallInterval  = 5 * time.Millisecond
 )
 
 // run is one run of a plan.
@@ -38,6 +37,7 @@
 	isEnding       atomic.Bool // the first signal was sent
 	refusedCount   atomic.Int64
 	processes      []*process
+	stalls         *stallMonitor
 	problems       []string // of processes
 	outages        []interval
 }
@@ -49,7 +49,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &run{plan: plan, dir: dir}
+	r := &run{plan: plan, dir: dir, stalls: newStallMonitor()}
 	if r.discovery, err = testserver.NewDiscovery(); err != nil {
 		return nil, err
 	}
@@ -108,7 +108,7 @@
 	if !r.awaitReady(first) {
 		return nil, fmt.Errorf("the first process does not become ready: %s", first.log())
 	}
-	stall := newStallMonitor()
+	r.stalls.start()
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	defer stopClients()
 	r.acceptsClients.Store(true)
@@ -120,7 +120,7 @@
 	stopClients()
 	clients.Wait()
 	r.closeServers()
-	return r.judge(stall.stop()), ctx.Err()
+	return r.judge(r.stalls.stop()), ctx.Err()
 }
 
 // closeServers ends the attempts that are in flight.
@@ -155,6 +155,7 @@
 		return nil, err
 	}
 	r.processes = append(r.processes, p)
+	r.stalls.add(cmd.Process.Pid)
 	return p, nil
 }
 
@@ -204,35 +205,3 @@
 	p.mu.Unlock()
 	p.awaitExit(told.Add(r.plan.killDelay()))
 }
-
-// stallMonitor measures for how long this process got no processor.
-type stallMonitor struct {
-	done    chan struct{}
-	longest chan time.Duration
-}
-
-func newStallMonitor() *stallMonitor {
-	m := &stallMonitor{done: make(chan struct{}), longest: make(chan time.Duration)}
-	go func() {
-		longest := time.Duration(0)
-		for last := time.Now(); ; {
-			time.Sleep(stallInterval)
-			now := time.Now()
-			longest = max(longest, now.Sub(last)-stallInterval)
-			last = now
-			select {
-			case <-m.done:
-				m.longest <- longest
-				return
-			default:
-			}
-		}
-	}()
-	return m
-}
-
-// stop ends the measurement.
-func (m *stallMonitor) stop() time.Duration {
-	close(m.done)
-	return <-m.longest
-}
