gateway: the watch for a relayed request's end costs other requests nothing

Read once more: every attempt made two functions for a watch that only relayed requests have, and read the clock for a question that only relays ask; a wait that failed recorded its connection as active; two rejections that have no key borrowed the wait of those that have one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,9 +52,7 @@
 		end.result = policy.NotSent
 		in.fail(r)
 	default:
-		stopWatch := source.watchClose(func() { in.host.handleEvent(in.abandonEvent(r)) })
-		end.result = in.send(r, a)
-		stopWatch()
+		end.result = in.sendWatched(r, a, source)
 	}
 	return in.completeAttempt(r, a, end)
 }
@@ -108,12 +106,25 @@
 	in.host.handleEvent(func(time.Duration, policy.Actions) { in.answer(r, failed, 0) })
 }
 
+// sendWatched sends an attempt, and ends it if another site's instance gives its request up.
+func (in *Instance) sendWatched(r *pendingRequest, a attempt, source requestSource) policy.Result {
+	if !r.cameByRelay {
+		return in.send(r, a)
+	}
+	stop := source.watchClose(func() { in.host.handleEvent(in.abandonEvent(r)) })
+	defer stop()
+	return in.send(r, a)
+}
+
 // send exchanges an attempt with its server. The other site is asked what became of a relayed one that may still be in
 // flight there. If it does not say, a further attempt could be a second one in flight: unless the request is
 // idempotent, so that this would do no harm, it fails.
 func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
+	if !r.isRelayed {
+		return result
+	}
 	deadline, isWanted := r.statusDeadline(time.Now(), a, result)
 	if !isWanted {
 		return result
--- a/internal/gateway/bad_request.go
+++ b/internal/gateway/bad_request.go
@@ -37,13 +37,16 @@
 	return &badRequest{status: http.StatusBadRequest, text: err.Error()}
 }
 
+// lateRetryAfter is the Retry-After of a request that was read too late.
+const lateRetryAfter = 50 * time.Millisecond
+
 // errDraining rejects a request that is served too late in a drain: another instance has the time.
 var errDraining = &badRequest{
-	status: http.StatusServiceUnavailable, text: textDraining, retryAfter: minKeyRetryAfter,
+	status: http.StatusServiceUnavailable, text: textDraining, retryAfter: lateRetryAfter,
 }
 
 // errLate rejects a request whose time was over before it could be served.
-var errLate = &badRequest{status: http.StatusTooManyRequests, text: textRejected, retryAfter: minKeyRetryAfter}
+var errLate = &badRequest{status: http.StatusTooManyRequests, text: textRejected, retryAfter: lateRetryAfter}
 
 // rejectBadRequest answers a request that is not to be forwarded, for the reason in err.
 func (c *clientConn) rejectBadRequest(err error) (isReusable bool) {
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -113,10 +113,13 @@
 		c.input.setDeadline(time.Now().Add(requestReadTimeout))
 		err = c.reader.Fill()
 	}
+	if err != nil {
+		return false
+	}
 	if c.life.activate() {
 		c.input.setDeadline(time.Now().Add(requestReadTimeout))
 	}
-	return err == nil
+	return true
 }
 
 // hasUnread reports whether something was received that was not read, whatever the read deadline.
@@ -234,11 +237,9 @@
 	return nil
 }
 
-// watchClose calls onClose once if another site's instance closes its connection, until stop is called.
+// watchClose calls onClose once if another site's instance closes its connection, until stop is called. The connection
+// must be such an instance's.
 func (c *clientConn) watchClose(onClose func()) (stop func()) {
-	if !c.isRelay {
-		return func() {}
-	}
 	c.closeWatch.start(onClose)
 	return c.closeWatch.stop
 }
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -65,9 +65,9 @@
 	now time.Time, a attempt, result policy.Result,
 ) (deadline time.Time, isWanted bool) {
 	switch {
-	case r.isRelayed && result == policy.ConnectionReset:
+	case result == policy.ConnectionReset:
 		return a.deadline, true
-	case r.isRelayed && result == policy.TimedOut && now.Before(r.deadline):
+	case result == policy.TimedOut && now.Before(r.deadline):
 		return attemptDeadline(now, statusTimeout, r.deadline), true
 	}
 	return time.Time{}, false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -103,8 +103,8 @@
 	// hasDisconnected reports whether the client has closed its connection.
 	hasDisconnected() bool
 
-	// watchClose calls onClose once if another site's instance has closed its connection, before it returns, or closes
-	// it, until stop is called.
+	// watchClose calls onClose once if another site's instance, which has relayed the request, has closed its connection,
+	// before it returns, or closes it, until stop is called.
 	watchClose(onClose func()) (stop func())
 }
 
