soak: a restart's gap ends when the next process is ready, and less stands twice

Read once more: the time in which a restart has nobody accept was taken for 6 s from the next process's start, so that a request that it dropped while it served could count as crossed; it ends when that process is ready now, which is stricter. The method of a request stood in both targets, one counter was never read, one error never returned, three bounds had no name.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		if r.plan.Series == seriesRestarts && !isLast {
-			ends.gaps = append(ends.gaps, interval{p.servesUntil(), r.processes[i+1].startedAt.Add(readyTimeout)})
+			ends.gaps = append(ends.gaps, interval{p.servesUntil(), r.processes[i+1].readyAt})
 		}
 		if until := p.servesUntil(); p.hasLogged("draining") && until.After(ends.served) {
 			ends.served = until
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -59,7 +59,6 @@
 		}
 		conn, err := net.DialTimeout("tcp", c.run.address, dialTimeout)
 		if err != nil {
-			c.run.refusedCount.Add(1)
 			sleep(ctx, maxPause)
 			continue
 		}
@@ -119,7 +118,7 @@
 		return false
 	}
 	for i, r := range open {
-		response, err := testserver.ReadResponse(conn.reader, c.run.target.method(r))
+		response, err := testserver.ReadResponse(conn.reader, r.method())
 		if err != nil {
 			end := endClosed
 			if netError, ok := errors.AsType[net.Error](err); ok && netError.Timeout() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,6 +58,9 @@
 
 // Bounds of what a plan draws.
 const (
+	minDuration       = 100 * time.Millisecond
+	maxDuration       = time.Hour
+	serverCount       = 3
 	clientsOfEachKind = 3
 	crowdEvery        = 4                      // one run in so many has a crowd
 	minDeadline       = 600 * time.Millisecond // of the classes
@@ -96,8 +99,8 @@
 	if target != TargetEdgeProxy && target != TargetGateway {
 		return nil, fmt.Errorf("target %q: want %s or %s", target, TargetEdgeProxy, TargetGateway)
 	}
-	if duration < 100*time.Millisecond || duration > time.Hour {
-		return nil, fmt.Errorf("duration %v: want 100ms to 1h", duration)
+	if duration < minDuration || duration > maxDuration {
+		return nil, fmt.Errorf("duration %v: want %v to %v", duration, minDuration, maxDuration)
 	}
 	random := rand.New(rand.NewPCG(seed, 0))
 	between := func(low, high time.Duration) time.Duration {
@@ -113,7 +116,7 @@
 		Gap:      between(0, maxSignalGap),
 		Stop:     between(minStop, maxStop),
 	}
-	for range 3 {
+	for range serverCount {
 		p.Servers = append(p.Servers, serverPlan{
 			MaxLatency:  between(2*time.Millisecond, 40*time.Millisecond),
 			Hangs:       0.01 * random.Float64(),
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,17 +21,17 @@
 	exited  chan struct{} // closed when it has ended
 
 	mu         sync.Mutex // guards all below
-	startedAt  time.Time
-	toldToEnd  time.Time // the first SIGTERM; zero: none
-	killedAt   time.Time // by the plan, not for being late
-	wasKilled  bool      // for being late
+	readyAt    time.Time  // zero: it was not awaited
+	toldToEnd  time.Time  // the first SIGTERM; zero: none
+	killedAt   time.Time  // by the plan, not for being late
+	wasKilled  bool       // for being late
 	exitStatus int
 	exitedAt   time.Time
 }
 
 // startProcess starts a command whose log goes to a file.
 func startProcess(number int, cmd *exec.Cmd, dir string) (*process, error) {
-	p := &process{number: number, cmd: cmd, exited: make(chan struct{}), startedAt: time.Now(),
+	p := &process{number: number, cmd: cmd, exited: make(chan struct{}),
 		logPath: filepath.Join(dir, fmt.Sprint("log-", number))}
 	log, err := os.Create(p.logPath)
 	if err != nil {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -43,6 +43,14 @@
 	err         error // of endClosed
 }
 
+// method is the request's method.
+func (r *request) method() string {
+	if r.class == classCheck {
+		return "GET"
+	}
+	return "POST"
+}
+
 // attempt is a request as a server received it.
 type attempt struct {
 	id           string
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,7 +35,6 @@
 
 	acceptsClients atomic.Bool // clients may connect
 	isEnding       atomic.Bool // the first signal was sent
-	refusedCount   atomic.Int64
 	processes      []*process
 	stalls         *stallMonitor
 	problems       []string // of processes
@@ -146,10 +145,7 @@
 
 // start starts one more process.
 func (r *run) start() (*process, error) {
-	cmd, err := r.target.command(r.socket)
-	if err != nil {
-		return nil, err
-	}
+	cmd := r.target.command(r.socket)
 	p, err := startProcess(len(r.processes), cmd, r.dir)
 	if err != nil {
 		return nil, err
@@ -162,6 +158,7 @@
 // awaitReady waits until a process serves, which it must within readyTimeout.
 func (r *run) awaitReady(p *process) bool {
 	if p.awaitLog("ready", readyTimeout) {
+		p.readyAt = time.Now()
 		return true
 	}
 	r.problems = append(r.problems, fmt.Sprintf("process %d is not ready within %v", p.number, readyTimeout))
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -13,9 +13,8 @@
 // target is how a program is configured, started and called.
 type target interface {
 	// command returns the command that starts one more process, which inherits the listening socket if that is not nil.
-	command(socket *os.File) (*exec.Cmd, error)
+	command(socket *os.File) *exec.Cmd
 	requestText(r *request) string
-	method(r *request) string
 }
 
 // descriptorLimit is how many descriptors a process may hold: few, so that a crowd fills them.
@@ -47,26 +46,19 @@
 	return t, os.WriteFile(t.config, []byte(text), 0o600)
 }
 
-func (t *edgeTarget) command(socket *os.File) (*exec.Cmd, error) {
+func (t *edgeTarget) command(socket *os.File) *exec.Cmd {
 	cmd := exec.Command(t.program)
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+t.config, "TMPDIR="+t.dir)
 	if socket != nil {
 		cmd.ExtraFiles = []*os.File{socket}
 		cmd.Env = append(cmd.Env, fmt.Sprint("PROXY_ACCEPT_FD=", inheritedDescriptor))
 	}
-	return cmd, nil
-}
-
-func (t *edgeTarget) method(r *request) string {
-	if r.class == classCheck {
-		return "GET"
-	}
-	return "POST"
+	return cmd
 }
 
 func (t *edgeTarget) requestText(r *request) string {
 	text := fmt.Sprintf("%s /%s/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: app.svc\r\nX-Qos: %s\r\n"+
-		"X-Contract: wide\r\nX-Metering: units=1,spread=1,first=0\r\n", t.method(r), r.class, r.class)
+		"X-Contract: wide\r\nX-Metering: units=1,spread=1,first=0\r\n", r.method(), r.class, r.class)
 	return text + commonFields(r)
 }
 
@@ -123,15 +115,8 @@
 	return t, os.WriteFile(t.config, []byte(text), 0o600)
 }
 
-func (t *gatewayTarget) command(*os.File) (*exec.Cmd, error) {
-	return exec.Command(t.program, "run", "--config", t.config), nil
-}
-
-func (t *gatewayTarget) method(r *request) string {
-	if r.class == classCheck {
-		return "GET"
-	}
-	return "POST"
+func (t *gatewayTarget) command(*os.File) *exec.Cmd {
+	return exec.Command(t.program, "run", "--config", t.config)
 }
 
 func (t *gatewayTarget) requestText(r *request) string {
@@ -139,7 +124,7 @@
 	if r.class == classCheck {
 		path += "/a"
 	}
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Licensee: honest\r\n", t.method(r), path) + commonFields(r)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Licensee: honest\r\n", r.method(), path) + commonFields(r)
 }
 
 // newTarget configures a plan's program.
