gateway: a restarted instance's "never ran" counts only for what it can know

What callers saw: a relayed request that is not idempotent could run twice when the far instance was killed under it and came up again in time; the key of a booking was free to go to the other site.

Cause: the far instance voids a request that it does not know and answers that it never ran; a restarted one knows nothing of what its predecessor sent.

Change: the answer to a status query tells for how long the instance has listened on the link. "Never" is believed only of one that was up before the request was sent; else the status is unknown. The recorded messages of the link gain that field.

--- a/cmd/gateway/fixture_relay_test.go
+++ b/cmd/gateway/fixture_relay_test.go
@@ -29,7 +29,7 @@
 
 // relayPlaceholders are what [maskRelayed] replaces.
 var relayPlaceholders = []placeholder{
-	{regexp.MustCompile(`(?m)^(X-Expires-In|Retry-After): \d+\.\d{3}$`), "$1: SECONDS.MILLISECONDS"},
+	{regexp.MustCompile(`(?m)^(X-Expires-In|Retry-After|X-Mulleinmux-Uptime): \d+\.\d{3}$`), "$1: SECONDS.MILLISECONDS"},
 	{regexp.MustCompile(`(?m)^Date: [A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT$`), "Date: TIME"},
 	{regexp.MustCompile(`\bserved-\d+\b`), "served-NUMBER"},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -120,6 +120,7 @@
 // flight there. If it does not say, a further attempt could be a second one in flight: unless the request is
 // idempotent, so that this would do no harm, it fails.
 func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
+	begunAt := time.Now()
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
 	if !r.isRelayed {
@@ -129,7 +130,8 @@
 	if !isWanted {
 		return result
 	}
-	query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), server: a.server, deadline: deadline}
+	query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), begunAt: begunAt, server: a.server,
+		deadline: deadline}
 	status, hasEnded := query.await(in.ctx)
 	if !hasEnded && !r.isIdempotent() {
 		in.fail(r)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -62,7 +62,8 @@
 
 // relay carries out an instance's part in the relay.
 type relay struct {
-	config *RelayConfig
+	config       *RelayConfig
+	listensSince time.Time // set before the first connection is accepted
 
 	mu       sync.Mutex // guards all below
 	arrivals *multisite.ForwardedRequests
--- a/internal/gateway/relay_harness_test.go
+++ b/internal/gateway/relay_harness_test.go
@@ -14,10 +14,10 @@
 // far side while they look open to the near one.
 type linkForwarder struct {
 	ln         net.Listener
-	to         string
 	goroutines sync.WaitGroup
 
-	mu    sync.Mutex
+	mu    sync.Mutex // guards all below
+	to    string     // the far side
 	conns []net.Conn // of the near side
 	all   []net.Conn
 	hold  chan struct{} // what comes waits for its close; nil: nothing waits
@@ -37,7 +37,7 @@
 			if err != nil {
 				return
 			}
-			far, err := net.Dial("tcp", w.to)
+			far, err := net.Dial("tcp", w.target())
 			if err != nil {
 				c.Close()
 				continue
@@ -79,6 +79,20 @@
 	}
 }
 
+// target is the far side's address.
+func (w *linkForwarder) target() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.to
+}
+
+// redirect has connections go to another address from now on.
+func (w *linkForwarder) redirect(to string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.to = to
+}
+
 // breakAll resets the connections of the near side.
 func (w *linkForwarder) breakAll() {
 	w.mu.Lock()
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulleinmux/internal/httpwire"
+	"mulleinmux/internal/loadreport"
 	"mulleinmux/multisite"
 	"mulleinmux/policy"
 )
@@ -17,6 +18,9 @@
 	minRelativeValue    = 1e-9
 )
 
+// maxUptime bounds the uptime that a remote instance may tell.
+const maxUptime = 100 * 365 * 24 * time.Hour
+
 // relativeValue is what a class earns for its latency objective, in priority weight a second.
 func relativeValue(class *policy.Class) float64 {
 	return class.PriorityWeight / max(class.LatencyObjective.Seconds(), minLatencyObjective)
@@ -76,8 +80,9 @@
 // relayedStatusQuery asks a remote instance, over another connection, what became of a relayed attempt.
 type relayedStatusQuery struct {
 	servers  *serverPool
-	id       string // of the relayed attempt
-	server   string // the remote instance
+	id       string    // of the relayed attempt
+	begunAt  time.Time // the relayed attempt
+	server   string    // the remote instance
 	deadline time.Time
 }
 
@@ -110,7 +115,8 @@
 	if sent != policy.OK {
 		return relayedStatus{}, false
 	}
-	result.status = multisite.ParseExecutionStatus(rep.head.Get(executionStatusField))
+	result.status = multisite.ParseExecutionStatus(rep.head.Get(executionStatusField)).
+		AsTold(parseUptime(rep.head.Get(uptimeField)), time.Since(q.begunAt))
 	if result.status == multisite.Executed && rep.head.Status != http.StatusNoContent {
 		result.retained = &retainedResponse{
 			status:      rep.head.Status,
@@ -149,17 +155,33 @@
 	retained, _ := answer.(*retainedResponse)
 	if retained == nil {
 		b := c.appendStatusLine(http.StatusNoContent, http.StatusText(http.StatusNoContent))
-		b = httpwire.AppendField(b, executionStatusField, status.String())
-		return c.writeResponse(b, noBody)
+		return c.writeResponse(relay.appendStatus(b, status), noBody)
 	}
 	b := c.appendStatusLine(retained.status, http.StatusText(retained.status))
-	b = httpwire.AppendField(b, executionStatusField, status.String())
+	b = relay.appendStatus(b, status)
 	if retained.contentType != "" {
 		b = httpwire.AppendField(b, "Content-Type", retained.contentType)
 	}
 	return c.writeResponse(b, wholeBody(retained.body))
 }
 
+// appendStatus appends the fields that tell a status, and for how long the instance knows what was relayed to it.
+func (r *relay) appendStatus(b []byte, status multisite.ExecutionStatus) []byte {
+	b = httpwire.AppendField(b, executionStatusField, status.String())
+	b = append(b, uptimeField+": "...)
+	b = appendSeconds(b, time.Since(r.listensSince))
+	return append(b, "\r\n"...)
+}
+
+// parseUptime returns the uptime that a remote instance tells; 0 where it tells none or what can't be read.
+func parseUptime(text string) time.Duration {
+	seconds, ok := loadreport.ParseDecimal(text)
+	if !ok || !(seconds >= 0 && seconds < maxUptime.Seconds()) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // relayID returns the id that a relayed request, or a query of one, must have.
 func relayID(head *httpwire.Head) (string, error) {
 	id, count := head.Values(relayIDField)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"mulleinmux/internal/gossip"
 	"mulleinmux/internal/graceful"
@@ -69,6 +70,7 @@
 			return err
 		}
 		defer relayLn.Close()
+		in.relay.listensSince = time.Now()
 		instances := graceful.NewListener(relayLn)
 		server.listeners = append(server.listeners, instances)
 		server.acceptors.Go(func() { failed <- server.serve(relayListener{instances, in.relay}) })
--- a/internal/gateway/texts.go
+++ b/internal/gateway/texts.go
@@ -24,6 +24,7 @@
 	configAgeField       = "X-Mulleinmux-Config-Age"
 	relayIDField         = "X-Mulleinmux-Crossing"
 	executionStatusField = "X-Mulleinmux-Fate"
+	uptimeField          = "X-Mulleinmux-Uptime" // seconds since which an instance knows what was relayed to it
 )
 
 // Requests to servers and between instances.
--- a/multisite/execution_status.go
+++ b/multisite/execution_status.go
@@ -1,5 +1,7 @@
 package multisite
 
+import "time"
+
 // ExecutionStatus is what a site knows of the execution of a request that was forwarded to it.
 type ExecutionStatus int
 
@@ -15,6 +17,19 @@
 	ExecutionUnknown
 )
 
+// uptimePrecision is what an uptime that another site tells may be too long by, as it is rounded.
+const uptimePrecision = time.Millisecond
+
+// AsTold returns what a status that a site told is worth to the one that asked. "Never executed" is what an instance
+// says of all that it does not know. Where it was restarted since the request was sent, its predecessor may have executed
+// the request: it has been up for less time than the request has been under way, and the status is unknown.
+func (s ExecutionStatus) AsTold(uptime, sinceSent time.Duration) ExecutionStatus {
+	if s == NeverExecuted && uptime-uptimePrecision <= sinceSent {
+		return ExecutionUnknown
+	}
+	return s
+}
+
 // String returns the text that is sent between sites.
 func (s ExecutionStatus) String() string { return executionStatusTexts[s] }
 
