gateway: a trace of each request's attempts, checked in every scenario

Change: trace_log has the steps of each request: attempts begun, written, closed, what a far instance said of them, the answer decided and written. Off by default: a nil recorder. The scenarios check over it that no attempt begins before the one ahead is known to have ended, that nothing begins after a close was seen, and that an answer is written by its deadline and the instance's wait for a processor. A verdict has, beside each of the first requests that broke a rule, what clients, servers and instances recorded of it, and which processes waited for a processor meanwhile: the soak's monitor, now internal/schedwait. One writer serves the access log and this one; the error of closing either was lost in a shadowed variable.

--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -34,15 +34,25 @@
 		return usageError{err}
 	}
 	if f.AccessLog != "" {
-		out, err := os.OpenFile(resolvePath(c.Config, f.AccessLog), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o640)
-		if err != nil {
-			return usageError{fmt.Errorf("access_log: %w", err)}
+		out, openErr := c.openLog("access_log", f.AccessLog)
+		if openErr != nil {
+			return openErr
 		}
 		defer out.Close()
 		access := gateway.NewAccessLog(out)
 		defer func() { err = errors.Join(err, access.Close()) }()
 		f.Config.Observe = access.Record
 	}
+	if f.TraceLog != "" {
+		out, openErr := c.openLog("trace_log", f.TraceLog)
+		if openErr != nil {
+			return openErr
+		}
+		defer out.Close()
+		traces := gateway.NewTraceLog(out)
+		defer func() { err = errors.Join(err, traces.Close()) }()
+		f.Config.Trace = traces.Record
+	}
 	logger := logging.New(e.stderr)
 	switch {
 	case f.Member != nil:
@@ -54,6 +64,15 @@
 	}
 }
 
+// openLog opens the file that a field of the instance's file names, to write behind what it holds.
+func (c *runCmd) openLog(field, name string) (*os.File, error) {
+	out, err := os.OpenFile(resolvePath(c.Config, name), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o640)
+	if err != nil {
+		return nil, usageError{fmt.Errorf("%s: %w", field, err)}
+	}
+	return out, nil
+}
+
 // runStandalone runs an instance with a description of its own, which SIGHUP has it read again.
 func (c *runCmd) runStandalone(e *environment, f *gatewayconfig.File, logger *slog.Logger) error {
 	cfg := &f.Config
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -1,22 +1,14 @@
 package gateway
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
-	"sync/atomic"
 	"time"
 )
 
 // AccessLog writes a line of JSON for each request that was charged or rejected. It never
 // holds a request up: a line that finds the queue full is dropped and counted.
-type AccessLog struct {
-	lines   chan accessLine
-	done    chan struct{} // closed when run has ended
-	dropped atomic.Int64
-	err     error // of run; read once done is closed
-}
+type AccessLog struct{ log *lineLog[accessLine] }
 
 // RequestRecord is what became of one request that was charged or rejected.
 type RequestRecord struct {
@@ -37,62 +29,17 @@
 	RequestRecord
 }
 
-const (
-	accessLogQueue         = 4096                   // lines
-	accessLogFlushInterval = 200 * time.Millisecond // between writes of buffered lines
-)
-
 // NewAccessLog starts a log on w. Close ends it.
-func NewAccessLog(w io.Writer) *AccessLog {
-	l := &AccessLog{lines: make(chan accessLine, accessLogQueue), done: make(chan struct{})}
-	go l.run(w)
-	return l
-}
+func NewAccessLog(w io.Writer) *AccessLog { return &AccessLog{newLineLog[accessLine](w)} }
 
 // Record takes a record; it is a [Config.Observe].
-func (l *AccessLog) Record(r RequestRecord) {
-	select {
-	case l.lines <- accessLine{time.Now(), r}:
-	default:
-		l.dropped.Add(1)
-	}
-}
-
-func (l *AccessLog) run(w io.Writer) {
-	defer close(l.done)
-	out := bufio.NewWriterSize(w, 64<<10)
-	enc := json.NewEncoder(out)
-	tick := time.NewTicker(accessLogFlushInterval)
-	defer tick.Stop()
-	keep := func(err error) {
-		if l.err == nil {
-			l.err = err
-		}
-	}
-	for {
-		select {
-		case line, ok := <-l.lines:
-			if !ok {
-				if n := l.dropped.Load(); n > 0 {
-					keep(enc.Encode(map[string]any{"time": time.Now(), "dropped": n}))
-				}
-				keep(out.Flush())
-				return
-			}
-			keep(enc.Encode(line))
-		case <-tick.C:
-			keep(out.Flush())
-		}
-	}
-}
+func (l *AccessLog) Record(r RequestRecord) { l.log.record(accessLine{time.Now(), r}) }
 
 // Close writes what is queued and returns the first error of writing. Observe must not be
 // called after it.
 func (l *AccessLog) Close() error {
-	close(l.lines)
-	<-l.done
-	if l.err != nil {
-		return fmt.Errorf("access log: %w", l.err)
+	if err := l.log.close(); err != nil {
+		return fmt.Errorf("access log: %w", err)
 	}
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,7 @@
 	end := attemptEnd{sentAt: in.host.now()}
 	r.response.wasWritten, r.response.connectedAt = false, time.Time{}
 	r.isRelayed = isRemoteServer(a.server)
+	r.recorder.add(TraceStep{Kind: StepBegun, Attempt: r.attempts, Server: a.server, Relayed: r.isRelayed})
 	if r.isRelayed {
 		if !in.relay.acquire(r) {
 			end.result = policy.RejectedByServer // no more may be relayed now
@@ -59,6 +60,7 @@
 
 // completeAttempt counts an attempt that has ended and brings its result to the engine.
 func (in *Instance) completeAttempt(r *pendingRequest, a attempt, end attemptEnd) requestStep {
+	r.recorder.attemptEnded(r.attempts, a, end.result)
 	r.countAttempt(end.result)
 	report := r.response.report()
 	return in.handleRequestEvent(r, func(now time.Duration, out policy.Actions) {
@@ -111,7 +113,10 @@
 	if !r.cameByRelay {
 		return in.send(r, a)
 	}
-	stop := source.watchClose(func() { in.host.handleEvent(in.abandonEvent(r)) })
+	stop := source.watchClose(func() {
+		r.recorder.add(TraceStep{Kind: StepClosedByPeer})
+		in.host.handleEvent(in.abandonEvent(r))
+	})
 	defer stop()
 	return in.send(r, a)
 }
@@ -123,6 +128,7 @@
 	begunAt := time.Now()
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
+	r.recorder.attemptExchanged(r.attempts, a, &r.response, result)
 	if !r.isRelayed {
 		return result
 	}
@@ -132,7 +138,9 @@
 	}
 	query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), begunAt: begunAt, server: a.server,
 		deadline: deadline}
+	r.recorder.add(TraceStep{Kind: StepStatusAsked, Attempt: r.attempts, Server: a.server})
 	status, hasEnded := query.await(in.ctx)
+	r.recorder.statusResolved(r.attempts, a.server, status.status, hasEnded)
 	if !hasEnded && !r.isIdempotent() {
 		in.fail(r)
 	}
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -168,11 +168,14 @@
 	if err != nil {
 		return c.rejectBadRequest(err)
 	}
+	r.recorder = c.server.instance.newTraceRecorder(r, c.receivedAt)
 	c.server.instance.serveRequest(r, engineRequest, c)
 	if c.isRelay {
 		c.finishRelayed()
 	}
-	return c.writeAnswer()
+	isReusable = c.writeAnswer()
+	r.recorder.finish(r.answerStatus(), c.output.err == nil, c.server.instance.config.Trace)
+	return isReusable
 }
 
 // limitTime sets the deadline of the request by what is left of its timeout, and returns what the engine may use of it.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -68,6 +68,9 @@
 	// Observe is called with each final answer, if set; it must not block.
 	Observe func(RequestRecord)
 
+	// Trace is called with the trace of each request once its answer was written, if set; it must not block.
+	Trace func(RequestTrace)
+
 	listener net.Listener // open, in tests and scenarios
 	peerConn *net.UDPConn
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,7 +92,7 @@
 	ctx context.Context, control *attemptControl, server string, deadline time.Time, headOnly bool, rep *response,
 	appendRequest func([]byte) []byte,
 ) policy.Result {
-	rep.wasWritten, rep.connectedAt, rep.body = false, time.Time{}, nil
+	*rep = response{head: rep.head}
 	pooled, err := p.acquireUntil(ctx, control, server, deadline)
 	if err != nil {
 		return failedConnect(err, control, deadline)
@@ -109,17 +109,17 @@
 		p.Discard(pooled)
 		return neverSent(control, deadline)
 	}
-	rep.wasWritten = true
-	writtenAt := time.Now()
+	rep.wasWritten, rep.writtenAt = true, time.Now()
 	result, isReusable, err := c.read(rep, headOnly)
 	isAborted := !control.finish()
 	if isReusable && !isAborted {
 		p.release(pooled)
 	} else {
 		p.Discard(pooled)
+		rep.closedAt = time.Now()
 	}
 	if err != nil {
-		result = p.failedRead(pooled, err, isAborted, writtenAt)
+		result = p.failedRead(pooled, err, isAborted, rep.writtenAt)
 	}
 	if result == policy.OK || result == policy.RejectedByServer || result == policy.ErrorResponse {
 		rep.connectedAt = c.connectedAt
@@ -203,6 +203,8 @@
 	body        []byte
 	connectedAt time.Time // when the connection that it came on was made; zero: there was no answer
 	wasWritten  bool      // the request was written whole
+	writtenAt   time.Time // set if wasWritten
+	closedAt    time.Time // when the connection was closed behind the exchange; zero: it was not
 }
 
 // read reads the whole answer and reports whether the connection can be used again.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -27,7 +27,7 @@
 		Answer:    "served",
 	})
 	l.Record(RequestRecord{Status: 503, Answer: "refused", KeyRejection: "its home is not known"})
-	l.dropped.Add(5)
+	l.log.dropped.Add(5)
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,8 @@
 	isWaiting    bool // its goroutine waits for wake
 	wake         chan struct{}
 	response     response // of the latest attempt
+
+	recorder *traceRecorder // nil: no trace is wanted
 }
 
 // reset makes the request ready for the next one on its connection. Nothing else may use it any more.
@@ -49,7 +51,7 @@
 	r.body, r.current, r.attempts = nil, nil, 0
 	r.isAnswered, r.hasNext, r.isWaiting = false, false, false
 	r.wasSent, r.mayRun, r.isRelayed = false, false, false
-	r.cameByRelay, r.keyRejection = cameByRelay, ""
+	r.cameByRelay, r.keyRejection, r.recorder = cameByRelay, "", nil
 	select {
 	case <-r.wake: // sent just as the last request's deadline ended its wait
 	default:
@@ -186,6 +188,7 @@
 		return
 	}
 	r.isAnswered, r.answer, r.retryAfter = true, result, retryAfter
+	r.recorder.answerDecided(result)
 	if r.current != nil { // no response to the attempt in flight counts any more
 		in.host.afterEvent(r.current.abort)
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -33,6 +33,7 @@
 	conn     net.Conn
 	deadline time.Time // write deadline in force
 	buffer   []byte    // of the response under way
+	err      error     // of the last write
 }
 
 // begin returns a buffer with the status line; closes adds that the connection closes after the response.
@@ -70,8 +71,8 @@
 		o.deadline = now.Add(clientWriteTimeout)
 		o.conn.SetWriteDeadline(o.deadline)
 	}
-	_, err := o.conn.Write(b)
-	return err
+	_, o.err = o.conn.Write(b)
+	return o.err
 }
 
 // appendStatusLine starts an answer. While the instance drains, it closes the connection, unless the client's next
--- a/internal/gatewayconfig/file.go
+++ b/internal/gatewayconfig/file.go
@@ -15,6 +15,7 @@
 	Config      gateway.Config
 	Description string          // file name of the OpenAPI description, as written
 	AccessLog   string          // file name of the access log, as written; empty: none
+	TraceLog    string          // file name of the log of traces, as written; empty: none
 	Member      *MemberConfig   // nil: the instance is no member of a cluster
 	Follower    *FollowerConfig // nil: the instance is no follower of a cluster
 }
--- a/internal/gatewayconfig/form.go
+++ b/internal/gatewayconfig/form.go
@@ -31,6 +31,7 @@
 	Peers      []string      `toml:"peers"`
 	Validate   string        `toml:"validate"`
 	AccessLog  string        `toml:"access_log"`
+	TraceLog   string        `toml:"trace_log"`
 	Seed       uint64        `toml:"seed"`
 	Limits     limitsForm    `toml:"limits"`
 	Servers    serversForm   `toml:"servers"`
--- a/internal/gatewayconfig/instance.go
+++ b/internal/gatewayconfig/instance.go
@@ -22,7 +22,7 @@
 
 // instance checks an instance's file and turns it into the instance's configuration.
 func (p *parser) instance(form *instanceForm) *File {
-	out := &File{Description: form.Description, AccessLog: form.AccessLog}
+	out := &File{Description: form.Description, AccessLog: form.AccessLog, TraceLog: form.TraceLog}
 	cfg := &out.Config
 	cfg.Name, cfg.Seed = form.Name, form.Seed
 	if cfg.Name == "" {
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -46,6 +46,7 @@
 	"internal/eventqueue":     3,
 	"internal/fixture":        3,
 	"internal/seedtest":       3,
+	"internal/schedwait":      3,
 	"internal/cluster":        3,
 	"internal/configstreampb": 3,
 
@@ -66,6 +67,7 @@
 	"internal/eventqueue",
 	"internal/fixture",
 	"internal/seedtest",
+	"internal/schedwait",
 	"internal/testserver",
 	"internal/scenario",
 	"internal/benchmark",
--- a/internal/scenario/cluster_checks_test.go
+++ b/internal/scenario/cluster_checks_test.go
@@ -14,7 +14,7 @@
 
 // newRuleChecker returns a checker of an empty verdict.
 func newRuleChecker() *ruleChecker {
-	return &ruleChecker{&Verdict{Rules: map[string]int{}, Figures: map[string]float64{}}}
+	return &ruleChecker{v: &Verdict{Rules: map[string]int{}, Figures: map[string]float64{}}}
 }
 
 // No instance may route with an older version than one that it has answered on.
--- a/internal/scenario/cluster_process.go
+++ b/internal/scenario/cluster_process.go
@@ -32,6 +32,9 @@
 	killed []time.Time
 }
 
+// name is the instance's name, in its logs and traces.
+func (m *member) name() string { return fmt.Sprintf("gate-%d", m.id) }
+
 // configFile is the name of the instance's configuration file.
 func (m *member) configFile() string { return fmt.Sprintf("gate-%d.toml", m.id) }
 
@@ -50,12 +53,12 @@
 // writeInstanceConfig writes what members and followers have alike.
 func (c *clusterRun) writeInstanceConfig(b *strings.Builder, i int) {
 	m := c.instances()[i]
-	fmt.Fprintf(b, "name = \"gate-%d\"\nlisten = %q\nzone = %q\ninstance = %d\npeer_listen = %q\npeers = [", m.id,
+	fmt.Fprintf(b, "name = %q\nlisten = %q\nzone = %q\ninstance = %d\npeer_listen = %q\npeers = [", m.name(),
 		m.listen, siteNames[i%2], i, m.gossip)
 	for _, other := range c.instances() {
 		fmt.Fprintf(b, "%q, ", other.gossip)
 	}
-	fmt.Fprintf(b, "]\naccess_log = \"access-%d.jsonl\"\n", m.id)
+	fmt.Fprintf(b, "]\naccess_log = \"access-%d.jsonl\"\ntrace_log = %q\n", m.id, m.traceLogName())
 	fmt.Fprintf(b, "[limits]\ndrain_for = %q\nanswer_slack = %q\nmax_attempts = 5\n", drainTimeout, responseSlack)
 	fmt.Fprintf(b, "[servers]\ndrain_grace = %q\n", drainGracePeriod)
 	if !c.environment.options.RampOff { // without these every server is warm, and sites have no bounds of their own
@@ -132,6 +135,7 @@
 	if err := m.cmd.Start(); err != nil {
 		return err
 	}
+	c.environment.waits.Add(m.name(), m.cmd.Process.Pid)
 	p := &process{done: make(chan struct{})}
 	m.process = p
 	cmd := m.cmd
--- a/internal/scenario/cluster_verdict.go
+++ b/internal/scenario/cluster_verdict.go
@@ -20,7 +20,7 @@
 func (c *clusterRun) checkRules(ctx context.Context, clientAttempts []testserver.Attempt, began time.Time) *Verdict {
 	w := c.environment
 	v := w.newVerdict(ruleAgreement, ruleConfigChanges)
-	j := &ruleChecker{v}
+	j := &ruleChecker{v: v}
 	history := c.checkAgreement(ctx, j)
 	c.checkFollowers(ctx, j)
 	arrivals, byTrace := w.arrivals()
@@ -47,6 +47,9 @@
 	v.Figures[figureUnansweredWhileDown] = float64(excused)
 	c.addFaultFigures(v)
 	c.checkFaults(j, clientAttempts, arrivals, byTrace, history)
+	traces := c.readTraces(j)
+	w.checkTraces(j, traces)
+	w.explain(j, clientAttempts, byTrace, traces)
 	v.judge()
 	return v
 }
--- /dev/null
+++ b/internal/scenario/evidence.go
@@ -0,0 +1,106 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/schedwait"
+	"mulleinmux/internal/testserver"
+)
+
+const (
+	harnessProcess = "harness" // the process of clients, test servers and links
+	maxExplained   = 6         // requests of a verdict
+	maxShownWaits  = 12        // waits for a processor of a request
+	minShownWait   = 10 * time.Millisecond
+	evidenceTime   = "05.0000"
+)
+
+// explain puts beside each of the first requests that broke a rule what clients, servers and instances recorded of it,
+// and which processes waited for a processor meanwhile.
+func (w *environment) explain(
+	j *ruleChecker,
+	clientAttempts []testserver.Attempt,
+	byTrace map[string][]testserver.Arrival,
+	traces requestTraces,
+) {
+	for _, trace := range j.suspects {
+		e := &evidence{}
+		for i := range clientAttempts {
+			if clientAttempts[i].Trace == trace {
+				e.addClient(&clientAttempts[i])
+			}
+		}
+		for i := range traces[trace] {
+			e.addTrace(&traces[trace][i])
+		}
+		for i := range byTrace[trace] {
+			e.addArrival(&byTrace[trace][i])
+		}
+		e.addWaits(w.waits)
+		j.v.Evidence = append(j.v.Evidence, trace+"\n"+e.text.String())
+	}
+}
+
+// evidence is the text of what was recorded of one request, and the time that it spans.
+type evidence struct {
+	text     strings.Builder
+	from, to time.Time
+}
+
+// line adds a line about something at a time.
+func (e *evidence) line(at time.Time, format string, args ...any) {
+	if e.from.IsZero() || at.Before(e.from) {
+		e.from = at
+	}
+	if at.After(e.to) {
+		e.to = at
+	}
+	fmt.Fprintf(&e.text, "  %s %s\n", at.Format(evidenceTime), fmt.Sprintf(format, args...))
+}
+
+func (e *evidence) addClient(t *testserver.Attempt) {
+	e.line(t.At, "client sends %s to %s", t.Operation, t.Instance)
+	e.line(t.Ended, "client has %d, %v later", t.Status, t.Ended.Sub(t.At))
+}
+
+func (e *evidence) addTrace(trace *gateway.RequestTrace) {
+	fmt.Fprintf(&e.text, "  %s %s, deadline %s\n", trace.Instance, trace.RelayID, trace.Deadline.Format(evidenceTime))
+	for _, step := range trace.Steps {
+		e.line(step.At, "  %s %d %s %s", step.Kind, step.Attempt, step.Server, step.Detail)
+	}
+}
+
+func (e *evidence) addArrival(a *testserver.Arrival) {
+	e.line(a.At, "server %s/%s receives it", a.Site, a.Server)
+	if !a.Ended.IsZero() {
+		e.line(a.Ended, "server %s/%s sees its end, status %d, ran %v", a.Site, a.Server, a.Status, a.Ran)
+	}
+}
+
+// addWaits adds the longest waits for a processor within the request's time, by process.
+func (e *evidence) addWaits(monitor *schedwait.Monitor) {
+	waits, lost := monitor.Between(e.from, e.to)
+	sums, longest := map[string]time.Duration{}, map[string]time.Duration{}
+	for _, wait := range waits {
+		sums[wait.Process] += wait.Waited
+		longest[wait.Process] = max(longest[wait.Process], wait.Waited)
+	}
+	for name := range sums {
+		fmt.Fprintf(&e.text, "  threads of %s waited %v in all, %v at most\n", name, sums[name].Round(time.Millisecond),
+			longest[name].Round(time.Millisecond))
+	}
+	shown := 0
+	for _, wait := range waits {
+		if wait.Waited >= minShownWait && shown < maxShownWaits {
+			shown++
+			fmt.Fprintf(&e.text, "  %s to %s a thread of %s waited %v\n", wait.From.Format(evidenceTime),
+				wait.To.Format(evidenceTime), wait.Process, wait.Waited.Round(time.Millisecond))
+		}
+	}
+	if lost > 0 {
+		fmt.Fprintf(&e.text, "  %d waits of the run were not kept\n", lost)
+	}
+}
--- /dev/null
+++ b/internal/scenario/request_traces_test.go
@@ -0,0 +1,106 @@
+package scenario
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/schedwait"
+)
+
+// stepsOf returns steps that are 1 ms apart, from ruleTestStart on.
+func stepsOf(steps ...gateway.TraceStep) []gateway.TraceStep {
+	for i := range steps {
+		steps[i].At = millisecondsAfterStart(i)
+	}
+	return steps
+}
+
+func directAttempt(n int) gateway.TraceStep {
+	return gateway.TraceStep{Kind: gateway.StepBegun, Attempt: n, Server: "a/s"}
+}
+
+func relayedAttempt(n int) gateway.TraceStep {
+	return gateway.TraceStep{Kind: gateway.StepBegun, Attempt: n, Server: "b/@2", Relayed: true}
+}
+
+func stepOf(kind gateway.StepKind, detail string) gateway.TraceStep {
+	return gateway.TraceStep{Kind: kind, Detail: detail}
+}
+
+// The next attempt of a request begins only when the one before is known to have ended.
+func TestAttemptOrderCheck(t *testing.T) {
+	written, closed := stepOf(gateway.StepWritten, ""), stepOf(gateway.StepConnClosed, "")
+	timedOut := stepOf(gateway.StepEnded, "timed out")
+	asked := stepOf(gateway.StepStatusAsked, "")
+	for _, test := range []struct {
+		name       string
+		idempotent bool
+		steps      []gateway.TraceStep
+		violations int
+	}{
+		{"connection closed", false, stepsOf(directAttempt(1), written, closed, timedOut, directAttempt(2)), 0},
+		{"connection open", true, stepsOf(directAttempt(1), written, timedOut, directAttempt(2)), 1},
+		{"never written", false, stepsOf(directAttempt(1), stepOf(gateway.StepEnded, "not sent"), directAttempt(2)), 0},
+		{"answered", false, stepsOf(relayedAttempt(1), written, stepOf(gateway.StepEnded, "error response"),
+			directAttempt(2)), 0},
+		{"end told", false, stepsOf(relayedAttempt(1), written, closed, asked, stepOf(gateway.StepStatusTold, "unknown"),
+			timedOut, directAttempt(2)), 0},
+		{"relayed, end not told", false, stepsOf(relayedAttempt(1), written, closed, asked,
+			stepOf(gateway.StepStatusUnknown, ""), timedOut, directAttempt(2)), 1},
+		{"idempotent, not asked for long enough", true, stepsOf(relayedAttempt(1), written, closed, asked,
+			stepOf(gateway.StepStatusUnknown, ""), timedOut, relayedAttempt(2)), 1},
+		{"no end", false, stepsOf(directAttempt(1), directAttempt(2)), 1},
+		{"after the peer's close", true, stepsOf(stepOf(gateway.StepClosedByPeer, ""), directAttempt(1)), 1},
+	} {
+		j := newRuleChecker()
+		j.checkAttemptOrder(&gateway.RequestTrace{Trace: "r", Idempotent: test.idempotent, Steps: test.steps})
+		if j.v.Rules[ruleSteps] != test.violations {
+			t.Errorf("%s: %d violations, want %d: %v", test.name, j.v.Rules[ruleSteps], test.violations, j.v.Examples)
+		}
+	}
+}
+
+// An idempotent request goes on without the far instance's word after the stated time.
+func TestAttemptOrderAfterUnansweredStatus(t *testing.T) {
+	steps := stepsOf(relayedAttempt(1), stepOf(gateway.StepWritten, ""), stepOf(gateway.StepConnClosed, ""),
+		stepOf(gateway.StepStatusAsked, ""), stepOf(gateway.StepStatusUnknown, ""),
+		stepOf(gateway.StepEnded, "timed out"), relayedAttempt(2))
+	steps[6].At = steps[3].At.Add(unansweredStatusWait)
+	for _, isIdempotent := range []bool{true, false} {
+		j := newRuleChecker()
+		j.checkAttemptOrder(&gateway.RequestTrace{Trace: "r", Idempotent: isIdempotent, Steps: steps})
+		if wasFound := j.v.Rules[ruleSteps] > 0; wasFound == isIdempotent {
+			t.Errorf("idempotent %v: %v", isIdempotent, j.v.Examples)
+		}
+	}
+}
+
+// A late answer breaks the rule but for the time in which its instance waited for a processor.
+func TestAnswerTimeCheck(t *testing.T) {
+	for _, test := range []struct {
+		lateMs     int
+		violations int
+	}{{5, 0}, {30, 1}} {
+		j := newRuleChecker()
+		w := &environment{waits: schedwait.New()}
+		w.checkAnswerTime(j, &gateway.RequestTrace{Trace: "r", Instance: "g", Deadline: ruleTestStart,
+			Steps: []gateway.TraceStep{{Kind: gateway.StepAnswerWritten, At: millisecondsAfterStart(test.lateMs)}}})
+		if j.v.Rules[ruleSteps] != test.violations {
+			t.Errorf("%d ms late: %v", test.lateMs, j.v.Examples)
+		}
+	}
+}
+
+// Waits of threads that overlap count once, and only within the time.
+func TestUnionOfWaits(t *testing.T) {
+	wait := func(from, to int) schedwait.Wait {
+		return schedwait.Wait{From: millisecondsAfterStart(from), To: millisecondsAfterStart(to)}
+	}
+	waits := []schedwait.Wait{wait(20, 30), wait(-5, 3), wait(2, 6), wait(25, 28), wait(90, 200)}
+	got := unionOf(waits, ruleTestStart, millisecondsAfterStart(100))
+	if want := 26 * time.Millisecond; got != want {
+		t.Error(fmt.Sprint(got, " want ", want))
+	}
+}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/logging"
 	"mulleinmux/internal/openapi"
+	"mulleinmux/internal/schedwait"
 	"mulleinmux/internal/testserver"
 	"mulleinmux/routing"
 )
@@ -31,7 +33,11 @@
 	if opt.Log == nil {
 		opt.Log = io.Discard
 	}
-	w := &environment{options: opt, scenario: Scenarios()[i], ledger: &testserver.Ledger{}}
+	w := &environment{options: opt, scenario: Scenarios()[i], ledger: &testserver.Ledger{}, traces: requestTraces{},
+		waits: schedwait.New()}
+	w.waits.Add(harnessProcess, os.Getpid())
+	w.waits.Start()
+	defer w.waits.Stop()
 	w.compile = routing.Options{Classes: classes(), MaxUnits: maxUnits}
 	if w.scenario.cluster != nil {
 		return w.runCluster(ctx)
@@ -200,6 +206,7 @@
 		Classes:      classes(),
 		Licensees:    knownLicensees(),
 		Observe:      w.observe,
+		Trace:        w.observeTrace,
 		DrainTimeout: drainTimeout,
 	}
 }
@@ -240,6 +247,13 @@
 	w.mu.Unlock()
 }
 
+// observeTrace takes the trace of a request from an instance.
+func (w *environment) observeTrace(trace gateway.RequestTrace) {
+	w.mu.Lock()
+	w.traces.add(trace)
+	w.mu.Unlock()
+}
+
 // reportProgress reports how far a scenario has come, once a second.
 func (w *environment) reportProgress(ctx context.Context) {
 	tick := time.NewTicker(time.Second)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/schedwait"
 	"mulleinmux/internal/testserver"
 	"mulleinmux/routing"
 )
@@ -58,9 +59,11 @@
 	configs   []*gateway.Config
 	addrs     []string
 	compile   routing.Options
+	waits     *schedwait.Monitor
 
 	mu          sync.Mutex
 	records     []gateway.RequestRecord
+	traces      requestTraces
 	changeCount int
 	notes       []string // what a scenario found wrong
 }
--- a/internal/scenario/verdict.go
+++ b/internal/scenario/verdict.go
@@ -30,6 +30,7 @@
 	Unanswered    int                `json:"unanswered"`
 	Figures       map[string]float64 `json:"figures"`
 	Examples      []string           `json:"examples,omitempty"` // of violations
+	Evidence      []string           `json:"evidence,omitempty"` // of requests that broke a rule: see explain
 	Operations    []OperationFigures `json:"operations"`
 }
 
@@ -57,7 +58,8 @@
 
 // ruleChecker checks the rules of a run and counts their violations in its verdict.
 type ruleChecker struct {
-	v *Verdict
+	v        *Verdict
+	suspects []string // traces of requests that broke a rule, each once
 }
 
 // violation counts a violation of a rule, and keeps the first as examples.
@@ -68,10 +70,18 @@
 	}
 }
 
+// violationOf counts a violation of a rule by one request, which is explained if it is among the first.
+func (j *ruleChecker) violationOf(trace, rule, format string, args ...any) {
+	j.violation(rule, format, args...)
+	if len(j.suspects) < maxExplained && !slices.Contains(j.suspects, trace) {
+		j.suspects = append(j.suspects, trace)
+	}
+}
+
 // checkRules holds the account of the sites and of the clients against the instances' own.
 func (w *environment) checkRules(clientAttempts []testserver.Attempt, began time.Time) *Verdict {
 	v := w.newVerdict()
-	j := &ruleChecker{v}
+	j := &ruleChecker{v: v}
 	arrivals, byTrace := w.arrivals()
 	records := map[string]gateway.RequestRecord{}
 	for _, r := range w.records {
@@ -88,6 +98,11 @@
 	w.checkCounters(j)
 	w.reportNotes(j)
 	j.addFigures(clientAttempts, len(arrivals), time.Since(began))
+	w.mu.Lock()
+	traces := w.traces
+	w.mu.Unlock()
+	w.checkTraces(j, traces)
+	w.explain(j, clientAttempts, byTrace, traces)
 	v.judge()
 	return v
 }
@@ -100,7 +115,7 @@
 		Figures:  map[string]float64{},
 		Rules: map[string]int{
 			ruleAnswers: 0, ruleEffects: 0, ruleDraining: 0, ruleWarmup: 0, ruleHardLimits: 0,
-			ruleUnits: 0, ruleOperations: 0, ruleVersions: 0, ruleScenario: 0,
+			ruleUnits: 0, ruleOperations: 0, ruleVersions: 0, ruleSteps: 0, ruleScenario: 0,
 		},
 	}
 	for _, rule := range rules {
@@ -162,13 +177,13 @@
 		case t.AnswerCount == 0 && excused(t):
 		case t.AnswerCount == 0:
 			j.v.Unanswered++
-			j.violation(ruleAnswers, "%s (%s) had no answer", t.Trace, t.Operation)
+			j.violationOf(t.Trace, ruleAnswers, "%s (%s) had no answer", t.Trace, t.Operation)
 		case t.AnswerCount > 1:
 			j.violation(ruleAnswers, "%s (%s) had more than one answer", t.Trace, t.Operation)
 		case t.Mismatch != "":
 			j.violation(ruleAnswers, "%s: %s", t.Trace, t.Mismatch)
 		case t.Ended.Sub(t.At) > clientDeadline+lateSlack:
-			j.violation(ruleAnswers, "%s was answered after %v", t.Trace, t.Ended.Sub(t.At))
+			j.violationOf(t.Trace, ruleAnswers, "%s was answered after %v", t.Trace, t.Ended.Sub(t.At))
 		}
 		if t.Status == 400 || t.Status == 404 || t.Status == 405 || t.Status == 403 {
 			j.violation(ruleOperations, "%s (%s) was turned down with %d", t.Trace, t.Operation, t.Status)
@@ -208,7 +223,7 @@
 	for i := 1; i < len(attempts); i++ {
 		before, a := &attempts[i-1], &attempts[i]
 		if a.At.Add(inFlightSlack).Before(before.Ended) {
-			j.violation(ruleEffects, "%s had two attempts out for %v", trace, before.Ended.Sub(a.At))
+			j.violationOf(trace, ruleEffects, "%s had two attempts out for %v", trace, before.Ended.Sub(a.At))
 		}
 	}
 }
@@ -399,7 +414,7 @@
 	for _, o := range v.Operations {
 		fmt.Fprintf(&b, "%-20s %8d %8d %10d %10d\n", o.Operation, o.Sent, o.Attempts, o.Declared, o.Counted)
 	}
-	for _, e := range v.Examples {
+	for _, e := range slices.Concat(v.Examples, v.Evidence) {
 		fmt.Fprintf(&b, "\n%s", e)
 	}
 	_, err := io.WriteString(w, b.String()+"\n")
--- a/internal/scenario/words.go
+++ b/internal/scenario/words.go
@@ -11,12 +11,14 @@
 	ruleOperations    = "operations"      // sites see the operation that was charged
 	ruleVersions      = "versions"        // a request keeps one version, and none is older than one in force before
 	ruleScenario      = "scenario"        // what the scenario itself checks
+	ruleSteps         = "steps"           // an instance's own steps: attempts one after the other, answers in time
 	ruleAgreement     = "one_mind"        // in the end all instances run one version
 	ruleConfigChanges = "changes"         // operators' changes are linearizable
 )
 
 // Figures of a verdict whose names differ from the code's terms. Those with a number get it at their ends.
 const (
+	figureTraceSteps             = "trace_steps"
 	figureSiteLostMs             = "hall_lost_ms_"
 	figureSiteBackMs             = "hall_back_ms_"
 	figureLeaderLossMs           = "kill_to_change_ms_"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"mulleinmux/internal/schedwait"
 	"mulleinmux/internal/testserver"
 )
 
@@ -36,7 +37,7 @@
 	acceptsClients atomic.Bool // clients may connect
 	isEnding       atomic.Bool // the first signal was sent
 	processes      []*process
-	stalls         *stallMonitor
+	stalls         *schedwait.Monitor
 	problems       []string // of processes
 	outages        []interval
 }
@@ -48,7 +49,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &run{plan: plan, dir: dir, stalls: newStallMonitor()}
+	r := &run{plan: plan, dir: dir, stalls: schedwait.New()}
 	if r.discovery, err = testserver.NewDiscovery(); err != nil {
 		return nil, err
 	}
@@ -107,7 +108,7 @@
 	if !r.awaitReady(first) {
 		return nil, fmt.Errorf("the first process does not become ready: %s", first.log())
 	}
-	r.stalls.start()
+	r.stalls.Start()
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	defer stopClients()
 	r.acceptsClients.Store(true)
@@ -119,7 +120,7 @@
 	stopClients()
 	clients.Wait()
 	r.closeServers()
-	return r.judge(r.stalls.stop()), ctx.Err()
+	return r.judge(r.stalls.Stop()), ctx.Err()
 }
 
 // closeServers ends the attempts that are in flight.
@@ -151,7 +152,7 @@
 		return nil, err
 	}
 	r.processes = append(r.processes, p)
-	r.stalls.add(cmd.Process.Pid)
+	r.stalls.Add(fmt.Sprint("process ", p.number), cmd.Process.Pid)
 	return p, nil
 }
 
