edgeproxy: no attempt begins for a client whose close nobody has noticed yet

What callers saw: a client that closed its connection while the node was held up could have its request forwarded afterwards.

Cause: right before an attempt's first byte the node asked what the goroutine that watches the connection had seen; after a hold-up the sending goroutine may run first.

Change: the socket's state is asked each time.

--- a/internal/edgeproxy/client_watch.go
+++ b/internal/edgeproxy/client_watch.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"time"
+
+	"mulleinmux/internal/graceful"
 )
 
 // maxReadAhead limits the bytes that are read of later requests while one is active.
@@ -119,11 +121,6 @@
 	return c.later.take(p)
 }
 
-// isClientGone tells whether the client of the active request has disconnected, where the watch has ended before
-// that.
-func (c *clientConn) isClientGone() bool {
-	c.limiter.mu.Lock()
-	isWatchEnded := c.later.isWatchEnded
-	c.limiter.mu.Unlock()
-	return isWatchEnded && isPeerGone(c.Conn)
-}
+// isClientGone tells whether the client of the active request has disconnected. It asks the socket: the watch may have
+// ended before, or its goroutine may run later than the one that asks.
+func (c *clientConn) isClientGone() bool { return graceful.IsPeerGone(c.Conn) }
--- a/internal/edgeproxy/request_table_test.go
+++ b/internal/edgeproxy/request_table_test.go
@@ -153,6 +153,41 @@
 	}
 }
 
+// The same in a process that gets no processor meanwhile: the goroutine that would notice the disconnect runs later than
+// the one that sends.
+func TestNothingIsSentAfterUnnoticedDisconnect(t *testing.T) {
+	t.Parallel()
+	ln, fillers := fullListener(t)
+	const burst = 12
+	cfg := testConfig(lateServers(addrOf(ln), 2*burst)...)
+	cfg.AdminListen = freeAddr(t)
+	l := &pausedListener{paused: make(chan struct{}), resume: make(chan struct{})}
+	n := runNodeOver(t, cfg, func(ln *net.TCPListener) net.Listener {
+		l.TCPListener = ln
+		return l
+	})
+	n.awaitLog(t, "ready")
+	metric := func(line string) func() bool { return hasMetric(t, cfg.AdminListen, line) }
+	clients := sendBurst(t, n.addr, burst)
+	stays := dial(t, n.addr)
+	stays.send(request("check", "stays"))
+	eventually(t, "all received", metric(fmt.Sprintf("app.current=%d", burst+1)))
+	close(l.paused)
+	for _, c := range clients {
+		c.Close()
+	}
+	ids := make(chan string, burst+1)
+	go answerAfterFillers(ln, fillers, ids)
+	if a := stays.read(); a.status != 200 {
+		t.Errorf("the one that stayed: %d", a.status)
+	}
+	close(l.resume)
+	eventually(t, "all seen to have left", metric("app.current=0"))
+	if id := <-ids; id != "stays" || len(ids) != 0 {
+		t.Errorf("%q was forwarded, and %d more", id, len(ids))
+	}
+}
+
 // requireNothingSent checks that on no connection for which the node waits at a full listener anything is sent.
 func requireNothingSent(t *testing.T, ln net.Listener, fillers int) {
 	t.Helper()
--- a/internal/graceful/socket.go
+++ b/internal/graceful/socket.go
@@ -35,3 +35,21 @@
 	})
 	return err == nil && hasData
 }
+
+// States of a TCP connection in Linux: reset, and closed by the peer (TCP_CLOSE, TCP_CLOSE_WAIT and TCP_LAST_ACK).
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+)
+
+// IsPeerGone reports whether the peer of a connection has closed or reset it, also behind data that was not read.
+func IsPeerGone(conn net.Conn) bool {
+	isGone := false
+	err := ControlSocket(conn, func(fd int) {
+		info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		state := info & 0xff // its first byte
+		isGone = err == nil && (state == tcpClose || state == tcpCloseWait || state == tcpLastAck)
+	})
+	return isGone || err != nil && err != ErrNoSocket
+}
