gateway: a request is given up earlier by as much as the instance is late at present

Cause: a request was given up at its deadline, however late timers fired; the answer was late by that once more, and the request had been read late, too.

Change: policy/lateness takes the longest lateness of timers and timeouts in the latest 2 to 4 s; twice that is kept back of a request's time, a quarter at most. A relayed attempt that ends with its request is not asked after.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,9 @@
 	report := r.response.report()
 	return in.handleRequestEvent(r, func(now time.Duration, out policy.Actions) {
 		r.current = nil
+		if end.result == policy.TimedOut && !r.isRelayed {
+			in.host.recordLateness(in.host.reading(a.deadline), now)
+		}
 		if r.tellsOfSite(end.result) {
 			in.sites.recordResult(now, a.server, end.result, end.sentAt)
 		}
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -178,7 +178,8 @@
 	return isReusable
 }
 
-// limitTime sets the deadline of the request by what is left of its timeout, and returns what the engine may use of it.
+// limitTime sets the deadline of the request by what is left of its timeout, less what this instance is late by at
+// present, and returns what the engine may use of it.
 // Its error rejects a request that has no time left: it came behind one that took long, or late in a drain.
 func (c *clientConn) limitTime(timeout time.Duration) (limited time.Duration, err error) {
 	now, slack := time.Now(), c.server.instance.config.Settings.ResponseSlack
@@ -189,6 +190,7 @@
 	if !isLeft {
 		return 0, errDraining
 	}
+	limited -= c.server.instance.host.margin(limited)
 	c.request.deadline = now.Add(limited + slack)
 	return limited, nil
 }
--- a/internal/gateway/engine_host.go
+++ b/internal/gateway/engine_host.go
@@ -6,10 +6,12 @@
 	"math"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mulleinmux/internal/logging"
 	"mulleinmux/policy"
+	"mulleinmux/policy/lateness"
 )
 
 // engineEvent brings one event to the engine, which asks for what follows through out. It runs under the mutex.
@@ -29,6 +31,9 @@
 	timers      timerQueue
 	nextTimer   *time.Timer // fires at nextTimerAt
 	nextTimerAt time.Duration
+	lateness    lateness.Estimator // of what is due at a time
+
+	lateBy atomic.Int64 // the estimate of lateness, in ns
 }
 
 // noTimer is the reading at which no timer fires.
@@ -106,6 +111,9 @@
 // fireTimers brings the engine the timers that are due.
 func (h *engineHost) fireTimers() {
 	h.handleEvent(func(now time.Duration, out policy.Actions) {
+		if len(h.timers) > 0 && h.timers[0].at <= now {
+			h.recordLateness(h.timers[0].at, now)
+		}
 		for len(h.timers) > 0 && h.timers[0].at <= now {
 			token := h.timers[0].token
 			n := len(h.timers) - 1
@@ -120,6 +128,16 @@
 	})
 }
 
+// recordLateness records that what was due at a time comes now. Called under the mutex.
+func (h *engineHost) recordLateness(due, now time.Duration) {
+	h.lateBy.Store(int64(h.lateness.Record(due, now)))
+}
+
+// margin decides by how much earlier than its timeout a request is given up, so that its answer is not late.
+func (h *engineHost) margin(timeout time.Duration) time.Duration {
+	return lateness.Margin(time.Duration(h.lateBy.Load()), timeout)
+}
+
 // scheduleTimer has fireTimers called at the earliest timer. Called under the mutex.
 func (h *engineHost) scheduleTimer(now time.Duration) {
 	if len(h.timers) > 0 && h.timers[0].at < h.nextTimerAt {
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -64,14 +64,14 @@
 
 // statusDeadline decides whether the remote instance is asked what became of a relayed attempt, and until when. If the
 // connection broke, it is: the request may have been answered, or may never run. If the attempt timed out, it is where
-// a further attempt may follow: this one must have ended before.
+// there is time for a further attempt: this one must have ended before.
 func (r *pendingRequest) statusDeadline(
 	now time.Time, a attempt, result policy.Result,
 ) (deadline time.Time, isWanted bool) {
 	switch {
 	case result == policy.ConnectionReset:
 		return a.deadline, true
-	case result == policy.TimedOut && now.Before(r.deadline):
+	case result == policy.TimedOut && r.deadline.Sub(now) > statusPollInterval:
 		return attemptDeadline(now, statusTimeout, r.deadline), true
 	}
 	return time.Time{}, false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -152,7 +152,10 @@
 	case <-timeout.C:
 	case <-in.ctx.Done():
 	}
-	return in.handleRequestEvent(r, in.abandonEvent(r)) // the engine gave no answer in time
+	return in.handleRequestEvent(r, func(now time.Duration, out policy.Actions) { // the engine gave no answer in time
+		in.host.recordLateness(in.host.reading(r.deadline), now)
+		in.abandonEvent(r)(now, out)
+	})
 }
 
 // abandonEvent fails a request whose answer nobody waits for any more, and ends its attempt in flight.
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -16,6 +16,7 @@
 // alone.
 var layerOf = map[string]int{
 	"policy":                        1,
+	"policy/lateness":               1,
 	"policy/overload":               1,
 	"policy/quota":                  1,
 	"routing":                       1,
