gateway: the client is asked for right before an attempt's first byte, after the dial

What callers saw: a client that left, or another site's instance that gave a relayed request up, while the gateway dialled a server: the request was sent once the connection had come up.

Cause: the client was asked for before the attempt, which dials first; of a relayed request only the watch's goroutine knew, which may run later.

Change: the socket is asked right before the first byte.

--- a/internal/edgeproxy/request_table_test.go
+++ b/internal/edgeproxy/request_table_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -281,29 +280,12 @@
 // with the test.
 func fullListener(t *testing.T) (ln net.Listener, fillers int) {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	l, err := testserver.NewFullListener()
 	if err != nil {
 		t.Fatal(err)
 	}
-	file := os.NewFile(uintptr(fd), "listener")
-	defer file.Close()
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 40); err != nil {
-		t.Fatal(err)
-	}
-	if ln, err = net.FileListener(file); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	for ; ; fillers++ {
-		c, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
-		if err != nil {
-			return ln, fillers
-		}
-		t.Cleanup(func() { c.Close() })
-	}
+	t.Cleanup(func() { l.Close() })
+	return l.TCPListener, l.FillerCount()
 }
 
 // A request on which the engine does not decide gets its answer from the host.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,8 +111,10 @@
 	in.host.handleEvent(func(time.Duration, policy.Actions) { in.answer(r, failed, 0) })
 }
 
-// sendWatched sends an attempt, and ends it if another site's instance gives its request up.
+// sendWatched sends an attempt unless the client has left by the time its connection has come up, and ends it if another
+// site's instance gives its request up.
 func (in *Instance) sendWatched(r *pendingRequest, a attempt, source requestSource) policy.Result {
+	r.current.isClientGone = source.hasDisconnected
 	if !r.cameByRelay {
 		return in.send(r, a)
 	}
@@ -132,6 +134,9 @@
 	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
 		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
 	r.recorder.attemptExchanged(r.attempts, a, &r.response, result)
+	if r.current.wasClientGone {
+		in.fail(r)
+	}
 	if !r.isRelayed {
 		return result
 	}
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"mulleinmux/internal/graceful"
@@ -36,7 +35,6 @@
 type clientConn struct {
 	server      *clientServer
 	nc          net.Conn
-	raw         syscall.RawConn
 	reader      *httpwire.Reader
 	request     pendingRequest
 	input       requestInput
@@ -249,17 +247,11 @@
 	return c.closeWatch.stop
 }
 
-// hasDisconnected reports whether the client has closed its connection. Of another site's instance watchClose tells.
+// hasDisconnected reports whether the client, or the other site's instance, has closed its connection. It asks the socket:
+// a goroutine that watches the connection may run later than the one that asks.
 func (c *clientConn) hasDisconnected() bool {
-	if c.isRelay || c.reader.Buffered() > 0 {
-		return false
+	if c.isRelay {
+		return c.closeWatch.hasClosed()
 	}
-	isClosed := false
-	var buffer [1]byte
-	err := c.raw.Read(func(fd uintptr) bool {
-		n, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isClosed = n == 0 && err == nil || err == syscall.ECONNRESET
-		return true
-	})
-	return isClosed || err != nil
+	return graceful.IsPeerGone(c.nc)
 }
--- a/internal/gateway/client_server.go
+++ b/internal/gateway/client_server.go
@@ -87,11 +87,7 @@
 		case err != nil:
 			return fmt.Errorf("listen: %w", err)
 		}
-		c, err := newClientConn(s, conn, isRelay)
-		if err != nil {
-			conn.Close()
-			continue
-		}
+		c := newClientConn(s, conn, isRelay)
 		if !s.conns.add(c) {
 			c.rejectConnection()
 			continue
@@ -107,7 +103,7 @@
 }
 
 // newClientConn returns a connection that was accepted, which does not count as one of the server's yet.
-func newClientConn(server *clientServer, conn net.Conn, isRelay bool) (*clientConn, error) {
+func newClientConn(server *clientServer, conn net.Conn, isRelay bool) *clientConn {
 	c := &clientConn{server: server, nc: conn, isRelay: isRelay}
 	c.life = connLife{conn: conn, acceptedAt: time.Now()}
 	c.input.conn = conn
@@ -117,9 +113,7 @@
 	c.output.conn = conn
 	c.reader = httpwire.NewReader(&c.input)
 	c.request.wake = make(chan struct{}, 1)
-	var err error
-	c.raw, err = raw(conn)
-	return c, err
+	return c
 }
 
 // rejectConnection closes a connection beyond the limit. A client is answered; another site's instance, which would
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,13 +14,19 @@
 	"mulleinmux/policy"
 )
 
-// attemptControl lets other goroutines end an exchange early. Its mutex guards all fields.
+// attemptControl lets other goroutines end an exchange early. Its mutex guards all fields but the last two, which are the
+// exchange's own.
 type attemptControl struct {
 	mu         sync.Mutex
 	conn       *serverConn        // that carries the exchange; nil: none yet, or no longer
 	cancelDial context.CancelFunc // of the dial in progress; nil: none
 	deadline   time.Time
 	isAborted  bool
+
+	// isClientGone reports whether the client has closed its connection, right before the first byte; nil: not asked. It
+	// is set before the exchange.
+	isClientGone  func() bool
+	wasClientGone bool // it had, and nothing was written
 }
 
 // abort ends the exchange at once.
@@ -103,6 +109,12 @@
 		return policy.Cancelled
 	}
 	c.buffer = appendRequest(c.buffer[:0])
+	if control.isClientGone != nil && control.isClientGone() {
+		control.wasClientGone = true
+		control.finish()
+		p.Discard(pooled)
+		return policy.NotSent
+	}
 	if _, err = c.nc.Write(c.buffer); err != nil {
 		// A server begins a request when its last byte has come, and that was not written.
 		control.finish()
--- a/internal/gateway/relay_conn.go
+++ b/internal/gateway/relay_conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+
+	"mulleinmux/internal/graceful"
 )
 
 // relayTransport is the socket below a TLS connection of another site's instance. It tells the two ends of such a
@@ -130,6 +132,17 @@
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// hasClosed reports whether the other instance has closed the connection, whether or not the watch's goroutine has run
+// since. Once the stream has ended the watch has nothing more to wait for. Called by the goroutine of start and stop.
+func (w *closeWatch) hasClosed() (isClosed bool) {
+	if !graceful.IsPeerGone(w.conn.transport) {
+		return false
+	}
+	w.stop()
+	w.pollAhead(func() { isClosed = true })
+	return isClosed
+}
+
 // stop ends the watch. onClose is not called any more when it returns.
 func (w *closeWatch) stop() {
 	if w.done == nil {
--- a/internal/gateway/relay_harness_test.go
+++ b/internal/gateway/relay_harness_test.go
@@ -122,6 +122,17 @@
 	t *testing.T,
 	h *testSites,
 	change func(near, far *RelayConfig),
+) (near, far *testInstance, w *linkForwarder) {
+	t.Helper()
+	return twoSitesWith(t, h, change, func(*Config) {})
+}
+
+// twoSitesWith is twoSites with a change of the far instance's configuration.
+func twoSitesWith(
+	t *testing.T,
+	h *testSites,
+	change func(near, far *RelayConfig),
+	changeFar func(*Config),
 ) (near, far *testInstance, w *linkForwarder) {
 	t.Helper()
 	auth, err := raftnode.NewAuthority("test")
@@ -152,7 +163,10 @@
 		change(a, b)
 	}
 	h.startServer("site-b", "s1")
-	far = startInstance(t, h, 1, func(c *Config) { c.Relay = b })
+	far = startInstance(t, h, 1, func(c *Config) {
+		c.Relay = b
+		changeFar(c)
+	})
 	near = startInstance(t, h, 1, func(c *Config) { c.Relay = a })
 	return near, far, w
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -102,7 +102,8 @@
 
 // requestSource is the connection that a request came on.
 type requestSource interface {
-	// hasDisconnected reports whether the client has closed its connection.
+	// hasDisconnected reports whether the client, or the other site's instance that has relayed the request, has closed
+	// its connection, whatever watchClose has seen.
 	hasDisconnected() bool
 
 	// watchClose calls onClose once if another site's instance, which has relayed the request, has closed its connection,
