cluster: a version that was never confirmed is logged as unconfirmed since the start

What operators saw: an instance that started without a quorum answered 503 and logged no "version not confirmed".

Cause: the age of a confirmation that never was is 0, and the line is for ages above 2 s.

Evidence: read in the code; TestUnconfirmedSinceStart holds what counts (the old program had no such rule).

Change: without a confirmation the time since the start counts.

Measured: TestUnconfirmedSinceStart and TestStaleLog pass.

--- a/internal/cluster/verdict_test.go
+++ b/internal/cluster/verdict_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// A version that was never confirmed counts as unconfirmed since the start.
+func TestUnconfirmedSinceStart(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(1000, 0)
+	now := start.Add(time.Minute)
+	for _, test := range []struct {
+		name      string
+		age       time.Duration
+		isServing bool
+		want      time.Duration
+	}{
+		{"never confirmed", 0, false, time.Minute},
+		{"just confirmed", 0, true, 0},
+		{"confirmed", time.Second, true, time.Second},
+		{"stale, rejects", 3 * time.Second, false, 3 * time.Second},
+	} {
+		log := newStaleLog(start)
+		if got := log.unconfirmedFor(test.age, test.isServing, now); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // Which version has to be put in force.
 func TestNeedsInstall(t *testing.T) {
 	t.Parallel()
--- a/internal/cluster/versions.go
+++ b/internal/cluster/versions.go
@@ -36,7 +36,7 @@
 }
 
 func newVersionInstaller(m *Member) *versionInstaller {
-	return &versionInstaller{member: m, staleLog: staleLog{loggedAt: time.Now()}}
+	return &versionInstaller{member: m, staleLog: newStaleLog(time.Now())}
 }
 
 // run puts each agreed version in force at the instance and passes confirmations on, until ctx ends.
@@ -62,6 +62,7 @@
 			}
 		case now := <-staleCheck.C:
 			age, isServing := m.instance.Confirmation(now)
+			age = v.staleLog.unconfirmedFor(age, isServing, now)
 			if v.staleLog.isDue(age, now) {
 				m.logger.Warn("version not confirmed", slog.Uint64(logging.KeyVersion, m.instance.Version()),
 					slog.Duration("age", age.Round(staleAgePrecision)), slog.Bool("serving", isServing))
@@ -72,7 +73,19 @@
 
 // staleLog decides when a member logs that its version is not confirmed.
 type staleLog struct {
-	loggedAt time.Time // last; the start at first
+	startedAt time.Time
+	loggedAt  time.Time // last; the start at first
+}
+
+func newStaleLog(start time.Time) staleLog { return staleLog{startedAt: start, loggedAt: start} }
+
+// unconfirmedFor returns for how long the version has not been confirmed: the age of its confirmation, or the time since
+// the start if it has none, which the instance tells as an age of 0 at which it does not serve.
+func (l *staleLog) unconfirmedFor(age time.Duration, isServing bool, now time.Time) time.Duration {
+	if age == 0 && !isServing {
+		return now.Sub(l.startedAt)
+	}
+	return age
 }
 
 // isDue reports whether a confirmation of an age is logged now, and records it: from staleAge on, every
