gateway: what became of a relayed attempt is asked for long enough, and no longer than its request

What callers saw: a look-up whose link broke could run twice at once; an answer could wait for a question whose answer nobody needed.

Cause: after a broken link the far instance was asked until the attempt's own deadline, which could be over, and an idempotent request then went on; and what gave the request its answer did not end the question.

TestIdempotentRequestAwaitsStatusAfterBrokenLink (next attempt after 106 ms) and TestAnswerDoesNotAwaitStatus (answer after 1.02 s) fail without the change.

Change: 300 ms at least, within the request's deadline; the question is part of its attempt, and ends with it.

Measured: the package passes with -race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,8 +144,8 @@
 	if !isWanted {
 		return result
 	}
-	query := relayedStatusQuery{servers: in.servers, id: r.attemptRelayID(), begunAt: begunAt, server: a.server,
-		deadline: deadline}
+	query := relayedStatusQuery{servers: in.servers, control: r.current, id: r.attemptRelayID(), begunAt: begunAt,
+		server: a.server, deadline: deadline}
 	r.recorder.add(TraceStep{Kind: StepStatusAsked, Attempt: r.attempts, Server: a.server})
 	status, hasEnded := query.await(in.ctx)
 	r.recorder.statusResolved(r.attempts, a.server, status.status, hasEnded)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,6 +22,7 @@
 	cancelDial context.CancelFunc // of the dial in progress; nil: none
 	deadline   time.Time
 	isAborted  bool
+	aborted    chan struct{} // closed by abort; nil: nobody waits for that
 
 	// isClientGone reports whether the client has closed its connection, right before the first byte; nil: not asked. It
 	// is set before the exchange.
@@ -33,6 +34,9 @@
 func (k *attemptControl) abort() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.isAborted && k.aborted != nil {
+		close(k.aborted)
+	}
 	k.isAborted = true
 	if k.conn != nil {
 		k.conn.nc.SetDeadline(pastDeadline)
@@ -42,6 +46,19 @@
 	}
 }
 
+// awaitAbort returns a channel that is closed once the exchange is aborted.
+func (k *attemptControl) awaitAbort() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.aborted == nil {
+		k.aborted = make(chan struct{})
+		if k.isAborted {
+			close(k.aborted)
+		}
+	}
+	return k.aborted
+}
+
 // start gives the exchange its connection, and the connection the deadline. It returns false if the exchange was
 // aborted.
 func (k *attemptControl) start(c *serverConn, until time.Time) bool {
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -63,16 +63,20 @@
 }
 
 // statusDeadline decides whether the remote instance is asked what became of a relayed attempt, and until when. If the
-// connection broke, it is: the request may have been answered, or may never run. If the attempt timed out, it is where
+// connection broke, it is, for statusTimeout or to the attempt's own deadline if that is later: the request may have been
+// answered, or may never run, and an idempotent one goes on when this is over. If the attempt timed out, it is where
 // there is time for a further attempt: this one must have ended before.
 func (r *pendingRequest) statusDeadline(
 	now time.Time, a attempt, result policy.Result,
 ) (deadline time.Time, isWanted bool) {
+	shortest := attemptDeadline(now, statusTimeout, r.deadline)
 	switch {
-	case result == policy.ConnectionReset:
+	case result == policy.ConnectionReset && a.deadline.After(shortest):
 		return a.deadline, true
+	case result == policy.ConnectionReset:
+		return shortest, true
 	case result == policy.TimedOut && r.deadline.Sub(now) > statusPollInterval:
-		return attemptDeadline(now, statusTimeout, r.deadline), true
+		return shortest, true
 	}
 	return time.Time{}, false
 }
@@ -80,14 +84,16 @@
 // relayedStatusQuery asks a remote instance, over another connection, what became of a relayed attempt.
 type relayedStatusQuery struct {
 	servers  *serverPool
-	id       string    // of the relayed attempt
-	begunAt  time.Time // the relayed attempt
-	server   string    // the remote instance
+	control  *attemptControl // of the relayed attempt: what ends that ends the query
+	id       string          // of the relayed attempt
+	begunAt  time.Time       // the relayed attempt
+	server   string          // the remote instance
 	deadline time.Time
 }
 
-// await asks until the attempt has ended or the query's deadline is over.
+// await asks until the attempt has ended, the query's deadline is over or the request has its answer.
 func (q *relayedStatusQuery) await(ctx context.Context) (status relayedStatus, hasEnded bool) {
+	aborted := q.control.awaitAbort()
 	for time.Now().Before(q.deadline) {
 		if status, hasEnded = q.send(ctx); hasEnded {
 			return status, true
@@ -95,6 +101,9 @@
 		pause := time.NewTimer(statusPollInterval)
 		select {
 		case <-pause.C:
+		case <-aborted:
+			pause.Stop()
+			return relayedStatus{status: multisite.ExecutionUnknown}, false
 		case <-ctx.Done():
 			pause.Stop()
 			return relayedStatus{status: multisite.ExecutionUnknown}, false
@@ -108,7 +117,7 @@
 func (q *relayedStatusQuery) send(ctx context.Context) (result relayedStatus, hasEnded bool) {
 	deadline := attemptDeadline(time.Now(), statusTimeout, q.deadline)
 	var rep response
-	sent := q.servers.exchange(ctx, &attemptControl{}, q.server, deadline, false, &rep, func(b []byte) []byte {
+	sent := q.servers.exchange(ctx, q.control, q.server, deadline, false, &rep, func(b []byte) []byte {
 		b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
 		return append(httpwire.AppendField(b, relayIDField, q.id), "\r\n"...)
 	})
