gateway: a dial with its handshake ends at the deadline it is for

What callers saw: an attempt at an instance of the other site that was held up took up to 1.25 s of the request's time, whatever timeout it had.

Cause: a dial had its own time alone, unless the attempt's was under 250 ms.

Evidence: TestHandshakeEndsAtDeadline: 1.00 s instead of 0.2 without the change. Found as TestAnswerDoesNotAwaitStatus took 1 s.

Change: the context of a dial has the deadline.

Measured: the package passes with -race.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -116,7 +116,7 @@
 	appendRequest func([]byte) []byte,
 ) policy.Result {
 	*rep = response{head: rep.head}
-	pooled, err := p.acquireUntil(ctx, control, server, deadline)
+	pooled, err := p.acquire(ctx, control, server, deadline)
 	if err != nil {
 		return failedConnect(err, control, deadline)
 	}
@@ -156,18 +156,6 @@
 	return result
 }
 
-// acquireUntil is acquire with a dial that ends at the deadline, if that is sooner than the dialer's timeout.
-func (p *serverPool) acquireUntil(
-	ctx context.Context, control *attemptControl, server string, deadline time.Time,
-) (*pooledConn, error) {
-	if time.Until(deadline) < p.dialer.Timeout {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline)
-		defer cancel()
-	}
-	return p.acquire(ctx, control, server)
-}
-
 // failedConnect decides the result of an attempt that got no connection. Want of descriptors is no fault of the
 // server's.
 func failedConnect(err error, control *attemptControl, deadline time.Time) policy.Result {
--- a/internal/gateway/relay_restart_test.go
+++ b/internal/gateway/relay_restart_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"mulleinmux/policy"
 )
 
 // restartFar has another instance of site-b, which knows nothing of what the first was sent, take the first one's place
@@ -126,3 +128,20 @@
 	defer t.mu.Unlock()
 	return t.trace.Steps[len(t.trace.Steps)-1].Kind
 }
+
+// An attempt whose connection needs a handshake with an instance that is held up ends at its deadline.
+func TestHandshakeEndsAtDeadline(t *testing.T) {
+	h := newTestSites(t)
+	held := &heldListener{at: heldBeforeRead}
+	near, _, _ := twoSites(t, h, holdFarReads(held))
+	release := held.hold()
+	defer release()
+	const timeout = 200 * time.Millisecond
+	began := time.Now()
+	var rep response
+	result := near.servers.exchange(t.Context(), &attemptControl{}, "site-b"+remoteServerMark+"2", began.Add(timeout), false,
+		&rep, func(b []byte) []byte { return append(b, getRequest("GET /visits/new")...) })
+	if took := time.Since(began); took > 2*timeout || result != policy.NotSent {
+		t.Errorf("%v after %v", result, took)
+	}
+}
--- a/internal/gateway/server_pool.go
+++ b/internal/gateway/server_pool.go
@@ -74,14 +74,16 @@
 	return conn, nil
 }
 
-// acquire returns a connection to a server: the idle one used last, if it is still good, or a new one, whose dial ends
-// when control is aborted.
-func (p *serverPool) acquire(ctx context.Context, control *attemptControl, server string) (*pooledConn, error) {
+// acquire returns a connection to a server: the idle one used last, if it is still good, or a new one. Its dial, with the
+// handshake at an instance of another site, ends at the deadline or when control is aborted.
+func (p *serverPool) acquire(
+	ctx context.Context, control *attemptControl, server string, deadline time.Time,
+) (*pooledConn, error) {
 	conn, reservation, err := p.AcquireIdle(server)
 	if conn != nil || err != nil {
 		return conn, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	control.setDialCancel(cancel)
 	defer control.setDialCancel(nil)
