scenario: relay-chaos disturbs links, instances and sites while requests are relayed, by the seed

Cause: no scenario had links cut, slow, silent one way or reset while instances at either end were drained, killed or stopped; the soak's gateway is one instance.

The time in which an instance is stopped counts for none of its answers; an idempotent request may have a second attempt where its trace shows that the far instance was asked and did not say that the first has ended (counted as overlaps_allowed). Neither holds in other scenarios. Clients do not use an idle connection that its instance has closed, as HTTP clients do: one that closes later counts as before.

--- a/internal/scenario/cluster_process.go
+++ b/internal/scenario/cluster_process.go
@@ -27,9 +27,10 @@
 	process               *process // of the latest start
 	startCount            int
 
-	downMu sync.Mutex
-	down   []interval // when it could not be expected to answer
-	killed []time.Time
+	downMu  sync.Mutex
+	down    []interval // when it could not be expected to answer
+	killed  []time.Time
+	stopped []interval // by SIGSTOP
 }
 
 // name is the instance's name, in its logs and traces.
@@ -259,3 +260,14 @@
 
 // interval is a span of time; a zero to means that it has not ended.
 type interval struct{ from, to time.Time }
+
+// within returns how much of the span lies between two times; at most 0: nothing.
+func (i interval) within(from, to time.Time) time.Duration {
+	if i.from.After(from) {
+		from = i.from
+	}
+	if i.to.Before(to) {
+		to = i.to
+	}
+	return to.Sub(from)
+}
--- a/internal/scenario/cluster_verdict.go
+++ b/internal/scenario/cluster_verdict.go
@@ -28,6 +28,14 @@
 	for _, m := range c.instances() {
 		byAddr[m.listen] = m
 	}
+	traces := c.readTraces(j)
+	if w.scenario.stopsInstances {
+		w.stoppedBetween = c.stoppedBetween
+		j.stoppedFor = func(t testserver.Attempt) time.Duration {
+			return byAddr[t.Instance].stoppedBetween(t.At, t.Ended)
+		}
+		j.mayOverlap = traces.mayOverlap
+	}
 	excused := 0
 	j.checkAnswers(clientAttempts, func(t testserver.Attempt) bool {
 		wasDown := byAddr[t.Instance].wasDown(t.At, t.Ended)
@@ -47,7 +55,6 @@
 	v.Figures[figureUnansweredWhileDown] = float64(excused)
 	c.addFaultFigures(v)
 	c.checkFaults(j, clientAttempts, arrivals, byTrace, history)
-	traces := c.readTraces(j)
 	w.checkTraces(j, traces)
 	w.explain(j, clientAttempts, byTrace, traces)
 	v.judge()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -47,6 +47,9 @@
 	followerCount int // instances beside the members that are told the configuration
 	// Two instances at each of two sites; each reaches its own site alone, the other over the link.
 	hasTwoSites bool
+	// Instances are stopped (SIGSTOP) for a while: that time counts for none of their answers, and an idempotent request
+	// may have a second attempt where the first one's instance does not answer.
+	stopsInstances bool
 }
 
 // environment is a scenario under way.
@@ -60,6 +63,8 @@
 	addrs     []string
 	compile   routing.Options
 	waits     *schedwait.Monitor
+	// stoppedBetween returns for how long an instance was stopped between two times; nil: none was.
+	stoppedBetween func(instance string, from, to time.Time) time.Duration
 
 	mu          sync.Mutex
 	records     []gateway.RequestRecord
--- a/internal/scenario/scenario_table.go
+++ b/internal/scenario/scenario_table.go
@@ -155,6 +155,17 @@
 		hasTwoSites: true,
 		faults:      siteFaults,
 	},
+	{
+		Name: "relay-chaos",
+		About: "the same; links are cut, slow, silent one way or reset, instances are drained, killed or " +
+			"stopped, sites are lost and come back, by the seed",
+		mix:            persistentClients,
+		price:          sameUnits,
+		cluster:        relayChaos,
+		hasTwoSites:    true,
+		stopsInstances: true,
+		faults:         siteFaults,
+	},
 	{
 		Name:        "both-cut",
 		About:       "the same, and all ways between the sites stay cut: each is alone",
--- a/internal/scenario/words.go
+++ b/internal/scenario/words.go
@@ -19,6 +19,7 @@
 // Figures of a verdict whose names differ from the code's terms. Those with a number get it at their ends.
 const (
 	figureTraceSteps             = "trace_steps"
+	figureOverlapsAllowed        = "overlaps_allowed" // of idempotent requests whose far instance did not answer
 	figureSiteLostMs             = "hall_lost_ms_"
 	figureSiteBackMs             = "hall_back_ms_"
 	figureLeaderLossMs           = "kill_to_change_ms_"
--- a/internal/testserver/clientconn.go
+++ b/internal/testserver/clientconn.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mulleinmux/internal/graceful"
 )
 
 const (
@@ -110,14 +112,14 @@
 }
 
 // takeIdle returns the connection to an address that was idle for the shortest time, or
-// nil, and closes those on its way that were idle for too long.
+// nil, and closes those on its way that were idle for too long or that the instance has closed, as HTTP clients do.
 func (clients *Clients) takeIdle(addr string) *clientConn {
 	clients.mu.Lock()
 	defer clients.mu.Unlock()
 	for n := len(clients.idle[addr]); n > 0; n-- {
 		conn := clients.idle[addr][n-1]
 		clients.idle[addr] = clients.idle[addr][:n-1]
-		if time.Since(conn.idleSince) <= maxIdleTime {
+		if time.Since(conn.idleSince) <= maxIdleTime && !graceful.IsPeerGone(conn.Conn) {
 			return conn
 		}
 		conn.Close()
