soak: the edge node's series take the other side of a handover, and follow its steps

Change: two series in which the tool takes the other side: a successor whose hello and end come while the old process is stopped, and a predecessor that dies once it has handed the gossip socket over (the node must gossip). Signals of a handover follow a step in the log by 0 to 5 ms. One batch of pipelined requests in eight is answered by no server. A request sent together with one that crossed a close has crossed the same close: a trace of a crowded run showed one that was turned away unread, with three behind it. A process that is late is told of with its threads' states; one that is not gone 50 ms after SIGKILL was held by the kernel, and its run is disturbed.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -61,6 +61,7 @@
 func (r *run) judge(stall time.Duration) *Verdict {
 	r.records.mu.Lock()
 	defer r.records.mu.Unlock()
+	stall = max(stall, r.longestKill())
 	v := &Verdict{Target: r.plan.Target, Seed: r.plan.Seed, Series: string(r.plan.Series), Stall: stall,
 		Disturbed: stall >= stallThreshold, Broken: map[string]int{}, Plan: r.plan.String()}
 	attempts := map[string][]*attempt{}
@@ -84,6 +85,16 @@
 	return v
 }
 
+// longestKill is the longest time between a process's SIGKILL for being late and its end, in which the kernel alone held it.
+func (r *run) longestKill() (longest time.Duration) {
+	for _, p := range r.processes {
+		if p.wasKilled {
+			longest = max(longest, p.exitedAt.Sub(p.lateAt))
+		}
+	}
+	return longest
+}
+
 // processEnds is when no request needs an answer any more.
 type processEnds struct {
 	killed   []time.Time // processes that served were killed
@@ -107,7 +118,7 @@
 		if p.toldToEnd.IsZero() {
 			continue
 		}
-		if r.plan.Series == seriesRestarts && !isLast {
+		if r.plan.isRestart() && !isLast {
 			ends.gaps = append(ends.gaps, interval{p.servesUntil(), r.processes[i+1].readyAt})
 		}
 		if until := p.servesUntil(); p.hasLogged("draining") && until.After(ends.served) {
@@ -130,8 +141,12 @@
 	})
 }
 
-// mayCross reports whether a request that was not forwarded need not be answered: it was sent as connections closed.
+// mayCross reports whether a request that was not forwarded need not be answered: it was sent as connections closed. One
+// that was sent together with the one ahead of it crosses the same close.
 func (e *processEnds) mayCross(request *request) bool {
+	if ahead := request.ahead; ahead != nil && ahead.end == endClosed && ahead.endedAt.Equal(request.endedAt) {
+		return e.mayCross(ahead)
+	}
 	isUnused := request.isFirst || request.idleFor >= minCrowdedIdle
 	if request.end == endTurnedAway || e.hasCrowd && isUnused {
 		return true
@@ -233,8 +248,10 @@
 	defer p.mu.Unlock()
 	switch {
 	case p.wasKilled:
-		v.violation(ruleProcess, "process %d had not ended %v after it was told to", p.number,
-			p.exitedAt.Sub(p.toldToEnd).Round(time.Millisecond))
+		v.violation(ruleProcess, "process %d was told to end at %s, had not ended %v later, was killed and gone after "+
+			"%v more; its threads: %s; its log ends with %.120s", p.number, p.toldToEnd.Format(timeFormat),
+			p.lateAt.Sub(p.toldToEnd).Round(time.Millisecond), p.exitedAt.Sub(p.lateAt).Round(time.Millisecond),
+			p.lateThreads, p.lastLogLine())
 	case p.killedAt.IsZero() && p.exitStatus != 0:
 		v.violation(ruleProcess, "process %d ended with %d", p.number, p.exitStatus)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -128,3 +128,19 @@
 	_, err := NewPlan(target, 1, duration)
 	return err
 }
+
+// A killed process that the kernel holds on to disturbs its run.
+func TestSlowKillDisturbs(t *testing.T) {
+	for _, test := range []struct {
+		goneAfterMs int
+		isDisturbed bool
+	}{{10, false}, {600, true}} {
+		r := recordedRun(func(_ *request, r *run) {
+			p := r.processes[0]
+			p.wasKilled, p.lateAt, p.exitedAt = true, at(2700), at(2700+test.goneAfterMs)
+		})
+		if v := r.judge(0); v.Disturbed != test.isDisturbed || v.Broken[ruleProcess] == 0 {
+			t.Errorf("gone after %d ms: disturbed %v, broken %v", test.goneAfterMs, v.Disturbed, v.Broken)
+		}
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -22,6 +22,7 @@
 	maxPause      = 20 * time.Millisecond  // between an answer and the next request
 	maxRest       = 900 * time.Millisecond // of a client that rests
 	maxPieceGap   = 30 * time.Millisecond
+	hangingEvery  = 8 // one batch of pipelined requests in so many is answered by no server
 )
 
 // client sends requests until its context ends.
@@ -94,8 +95,12 @@
 func (c *client) exchange(conn *connection, batch int) (isOpen bool) {
 	var open []*request
 	var text strings.Builder
+	hangs := batch > 1 && c.random.IntN(hangingEvery) == 0
 	for range batch {
 		r := c.nextRequest(conn)
+		if hangs {
+			r.id += hangingSuffix
+		}
 		if len(open) > 0 {
 			r.ahead = open[len(open)-1]
 		}
@@ -192,8 +197,9 @@
 func (c *client) endAll(open []*request, end requestEnd, err error) {
 	c.run.records.mu.Lock()
 	defer c.run.records.mu.Unlock()
+	now := time.Now()
 	for _, r := range open {
-		r.end, r.endedAt, r.err = end, time.Now(), err
+		r.end, r.endedAt, r.err = end, now, err
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,14 +34,27 @@
 	seriesSuccessorDies  series = "upgrade-sigkill"     // the successor is killed at a moment around the handover
 	seriesSuccessorEnds  series = "upgrade-cancelled"   // the successor is told to end before the old process is
 	seriesOldDies        series = "upgrade-old-sigkill" // the old process is killed while a successor waits
+	seriesLateHello      series = "late-hello"          // a successor's hello and its end come while the old one is stopped
+	seriesLostGo         series = "lost-go"             // a predecessor dies once it has handed its gossip socket over
 )
 
 var (
 	gatewaySeries = []series{seriesTerm, seriesTermTwice, seriesHangupTerm, seriesTermHangup, seriesRestarts}
 	edgeSeries    = append([]series{seriesUpgrade, seriesUpgradeTwice, seriesUpgradeBoth, seriesSuccessorStops,
-		seriesSuccessorDies, seriesSuccessorEnds, seriesOldDies}, gatewaySeries...)
+		seriesSuccessorDies, seriesSuccessorEnds, seriesOldDies, seriesLateHello, seriesLostGo}, gatewaySeries...)
 )
 
+// step is a step of a handover, as its process logs it.
+type step string
+
+const (
+	stepNone        step = ""             // the signals follow each other at once
+	stepHandingOver step = "handing over" // the old process begins to hand over
+	stepReady       step = "ready"        // the successor has taken over
+)
+
+var handoverSteps = []step{stepNone, stepHandingOver, stepReady}
+
 // clientKind is how a client uses its connections.
 type clientKind string
 
@@ -66,6 +79,7 @@
 	minDeadline       = 600 * time.Millisecond // of the classes
 	maxDeadline       = 2 * time.Second
 	maxSignalGap      = 700 * time.Millisecond // between signals of a series
+	maxStepGap        = 5 * time.Millisecond   // from a step of a handover to the next signal
 	maxStop           = 1500 * time.Millisecond
 	minStop           = 20 * time.Millisecond
 )
@@ -78,6 +92,8 @@
 	Series   series
 	Deadline time.Duration // of every class
 	Gap      time.Duration // between the signals of a series
+	Step     step          // of a handover, which the next signal follows
+	StepGap  time.Duration // from the step to the signal
 	Stop     time.Duration // for which a process is stopped
 	Servers  []serverPlan
 	Crowd    int  // silent connections, which fill the descriptors
@@ -114,6 +130,8 @@
 		Target: target, Seed: seed, Duration: duration, Series: all[random.IntN(len(all))],
 		Deadline: between(minDeadline, maxDeadline),
 		Gap:      between(0, maxSignalGap),
+		Step:     handoverSteps[random.IntN(len(handoverSteps))],
+		StepGap:  between(0, maxStepGap),
 		Stop:     between(minStop, maxStop),
 	}
 	for range serverCount {
@@ -133,6 +151,12 @@
 	return p, nil
 }
 
+// hasPeer reports whether the node gossips with a peer, which is the tool.
+func (p *Plan) hasPeer() bool { return p.Series == seriesLostGo }
+
+// isRestart reports whether a process is started once the one before it has ended.
+func (p *Plan) isRestart() bool { return p.Series == seriesRestarts || p.Series == seriesLostGo }
+
 // isUpgrade reports whether a successor waits to take over.
 func (p *Plan) isUpgrade() bool {
 	switch p.Series {
@@ -154,6 +178,7 @@
 // String returns the plan in a line.
 func (p *Plan) String() string {
 	round := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
-	return fmt.Sprintf("%s seed %d: %s, gap %v, stop %v, deadline %v, crowd %d, inherits %v, servers %+v",
-		p.Target, p.Seed, p.Series, round(p.Gap), round(p.Stop), round(p.Deadline), p.Crowd, p.Inherits, p.Servers)
+	return fmt.Sprintf("%s seed %d: %s, gap %v, step %q and %v, stop %v, deadline %v, crowd %d, inherits %v, servers %+v",
+		p.Target, p.Seed, p.Series, round(p.Gap), p.Step, p.StepGap, round(p.Stop), round(p.Deadline), p.Crowd, p.Inherits,
+		p.Servers)
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,13 +20,15 @@
 	logPath string
 	exited  chan struct{} // closed when it has ended
 
-	mu         sync.Mutex // guards all below
-	readyAt    time.Time  // zero: it was not awaited
-	toldToEnd  time.Time  // the first SIGTERM; zero: none
-	killedAt   time.Time  // by the plan, not for being late
-	wasKilled  bool       // for being late
-	exitStatus int
-	exitedAt   time.Time
+	mu          sync.Mutex // guards all below
+	readyAt     time.Time  // zero: it was not awaited
+	toldToEnd   time.Time  // the first SIGTERM; zero: none
+	killedAt    time.Time  // by the plan, not for being late
+	wasKilled   bool       // for being late
+	lateAt      time.Time  // when it was, set if wasKilled
+	lateThreads string     // what its threads did then
+	exitStatus  int
+	exitedAt    time.Time
 }
 
 // startProcess starts a command whose log goes to a file.
@@ -87,6 +89,18 @@
 	return false
 }
 
+// awaitStep waits until a line with a message was logged, for processTimeout at most, and goes on at once then.
+func (p *process) awaitStep(message string) {
+	for end := time.Now().Add(processTimeout); time.Now().Before(end) && !p.hasExited(); time.Sleep(stepPollInterval) {
+		if p.hasLogged(message) {
+			return
+		}
+	}
+}
+
+// stepPollInterval is the time between two looks at a log for a step.
+const stepPollInterval = 200 * time.Microsecond
+
 // signal sends a signal, and notes the first SIGTERM.
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
@@ -110,12 +124,38 @@
 	case <-timer.C:
 	}
 	p.mu.Lock()
-	p.wasKilled = true
+	p.wasKilled, p.lateAt, p.lateThreads = true, time.Now(), threadStates(p.cmd.Process.Pid)
 	p.mu.Unlock()
 	p.cmd.Process.Kill()
 	<-p.exited
 }
 
+// threadStates returns the kernel's states of a process's threads, with what each waits for: "D" is a wait that no signal
+// ends, as for a disk.
+func threadStates(pid int) string {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return err.Error()
+	}
+	var states []string
+	for _, file := range files {
+		text, _ := os.ReadFile(file)
+		_, behindName, _ := strings.Cut(string(text), ") ")
+		state, _, _ := strings.Cut(behindName, " ")
+		waitsFor, _ := os.ReadFile(strings.TrimSuffix(file, "stat") + "wchan")
+		states = append(states, state+" "+string(waitsFor))
+	}
+	return strings.Join(states, ", ")
+}
+
+// lastLogLine is the last line of the log.
+func (p *process) lastLogLine() (last string) {
+	for line := range strings.Lines(p.log()) {
+		last = strings.TrimSpace(line)
+	}
+	return last
+}
+
 // errorLines are the lines of the log that tell of an error or a panic.
 func (p *process) errorLines() (lines []string) {
 	for line := range strings.Lines(p.log()) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,7 @@
 	records   records
 	discovery *testserver.Discovery
 	servers   []*appServer
+	peer      *gossipPeer // nil: the node has none
 
 	acceptsClients atomic.Bool // clients may connect
 	isEnding       atomic.Bool // the first signal was sent
@@ -68,7 +69,13 @@
 	if r.socket != nil {
 		defer r.socket.Close()
 	}
-	if r.target, err = newTarget(plan, program, dir, r.address, r.discovery.Addr()); err != nil {
+	if plan.hasPeer() {
+		if r.peer, err = newGossipPeer(); err != nil {
+			return nil, err
+		}
+		defer r.peer.close()
+	}
+	if r.target, err = newTarget(plan, program, dir, r.address, r.discovery.Addr(), r.peer); err != nil {
 		return nil, err
 	}
 	defer r.killAll()
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"syscall"
 	"time"
 )
@@ -31,6 +32,10 @@
 		last, err = r.playRestarts(ctx, first)
 	case seriesUpgrade:
 		last, err = r.upgrade(ctx, first)
+	case seriesLateHello:
+		err = r.playLateHello(ctx, first)
+	case seriesLostGo:
+		last, err = r.playLostGo(ctx, first)
 	case seriesUpgradeTwice:
 		if last, err = r.upgrade(ctx, first); err == nil {
 			last, err = r.upgrade(ctx, last)
@@ -97,23 +102,28 @@
 	if err != nil {
 		return nil, err
 	}
-	const around = 20 // the part of a gap in which a handover takes place
 	switch r.plan.Series {
 	case seriesUpgradeBoth:
 		r.tell(old)
-		sleep(ctx, r.plan.Gap/around)
+		r.awaitStep(ctx, old, next)
 		r.tellLast(next)
 		return next, nil
 	case seriesSuccessorEnds:
 		r.tell(next)
-		sleep(ctx, r.plan.Gap/around)
+		sleep(ctx, r.plan.StepGap)
 		r.tellLast(old)
 		return old, nil
 	case seriesSuccessorStops:
-		next.signal(syscall.SIGSTOP)
-		sleep(ctx, r.plan.Gap/around)
 		began := time.Now()
+		if r.plan.Step == stepNone {
+			next.signal(syscall.SIGSTOP)
+		}
+		sleep(ctx, r.plan.StepGap)
 		r.tell(old)
+		if r.plan.Step != stepNone {
+			r.awaitStep(ctx, old, next)
+			next.signal(syscall.SIGSTOP)
+		}
 		sleep(ctx, r.plan.Stop)
 		next.signal(syscall.SIGCONT)
 		r.awaitReady(next)
@@ -122,7 +132,7 @@
 		return next, nil
 	case seriesSuccessorDies:
 		r.tell(old)
-		sleep(ctx, r.plan.Gap/around)
+		r.awaitStep(ctx, old, next)
 		next.signal(syscall.SIGKILL)
 		<-next.exited
 		return r.replaceSuccessor(ctx, old, next)
@@ -136,6 +146,74 @@
 	return nil, fmt.Errorf("series %q is unknown", r.plan.Series)
 }
 
+// awaitStep waits for the plan's step of a handover, and a moment.
+func (r *run) awaitStep(ctx context.Context, old, next *process) {
+	switch r.plan.Step {
+	case stepHandingOver:
+		old.awaitStep(string(stepHandingOver))
+	case stepReady:
+		next.awaitStep(string(stepReady))
+	}
+	sleep(ctx, r.plan.StepGap)
+}
+
+// playLateHello has a successor that dies: its hello, its end and the signal to the old process come while that one is
+// stopped, so that all are in its sockets as it runs on. The old process keeps its clients.
+func (r *run) playLateHello(ctx context.Context, old *process) error {
+	successor, err := r.connectAsSuccessor()
+	if err != nil {
+		return err
+	}
+	defer successor.Close()
+	sleep(ctx, r.plan.Gap)
+	began := time.Now()
+	old.signal(syscall.SIGSTOP)
+	if _, err := successor.Write([]byte(handoverHello)); err != nil {
+		return fmt.Errorf("as a successor: %w", err)
+	}
+	successor.Close()
+	r.tellLast(old)
+	sleep(ctx, r.plan.StepGap)
+	old.signal(syscall.SIGCONT)
+	r.outages = append(r.outages, interval{began, time.Now()})
+	return nil
+}
+
+// playLostGo restarts a node whose predecessor, in its successor's eyes, dies once it has handed the gossip socket over.
+// The node starts from nothing, and gossips.
+func (r *run) playLostGo(ctx context.Context, first *process) (last *process, err error) {
+	r.tell(first)
+	r.awaitEnd(first) // clients wait in the backlog of the inherited socket
+	listener, err := net.ListenUnix("unixpacket", r.handoverSocket())
+	if err != nil {
+		return nil, err
+	}
+	handover := make(chan error, 1)
+	go func() { handover <- r.abandonedHandover(listener) }()
+	next, err := r.start()
+	if err != nil {
+		listener.Close()
+		<-handover
+		return nil, err
+	}
+	if err := <-handover; err != nil {
+		return nil, err
+	}
+	if !r.awaitReady(next) {
+		return next, nil
+	}
+	r.outages = append(r.outages, interval{first.servesUntil().Add(-crossTolerance), time.Now()})
+	r.peer.forget()
+	if !r.peer.hearsNode(gossipTimeout) {
+		r.problems = append(r.problems, fmt.Sprintf("process %d sends no gossip within %v", next.number, gossipTimeout))
+	}
+	sleep(ctx, afterHandover)
+	return next, nil
+}
+
+// gossipTimeout is far more than a node with clients is silent for.
+const gossipTimeout = 3 * time.Second
+
 // replaceSuccessor returns the process that serves after a successor was killed: the old one, which has taken back what
 // it had handed over, or a new one if the successor had taken over.
 func (r *run) replaceSuccessor(ctx context.Context, old, killed *process) (*process, error) {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 // traceHeader names a request, to servers as to the program.
 const traceHeader = "X-Trace-Id"
 
+// hangingSuffix ends the name of a request that no server answers.
+const hangingSuffix = "-hangs"
+
 // appServer is a server that behaves as its plan says, and records what it receives.
 type appServer struct {
 	index    int
@@ -76,6 +80,7 @@
 	a := &attempt{id: id, server: s.index, began: time.Now()}
 	s.records.addAttempt(a)
 	d := s.draw()
+	d.hangs = d.hangs || strings.HasSuffix(id, hangingSuffix)
 	if d.denied && !d.hangs {
 		s.records.endAttempt(a, true)
 		w.Header().Set("X-Never-Ran", "1")
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -27,22 +27,30 @@
 type edgeTarget struct {
 	program, dir, address string
 	config                string // its file
+	nodes                 int    // of the tier
 }
 
-// edgeSettings are the settings of a tier of one node.
-const edgeSettings = `{"instances":1,"lanes":[
+// edgeSettings are the settings of a tier of so many nodes.
+const edgeSettings = `{"instances":%[2]d,"familyInfo":{"inboxPerS":40},"lanes":[
 	{"name":"check","idempotency":"retryable","onTime":0.4,"deadline":%[1]v,"worth":1},
 	{"name":"book","idempotency":"dedup","keyScope":"all","memorySpan":30,"onTime":0.4,"deadline":%[1]v,"worth":2},
 	{"name":"pay","idempotency":"fragile","onTime":0.4,"deadline":%[1]v,"worth":2}],
 	"tariffs":[{"name":"wide","quotaRate":1e6,"peakUnits":1e6,"worthFactor":1}],
-	"policyLimits":{"cancel":true,"probes":true,"retryAfter":true,"mostTries":4,"maxRetryAfter":2,"connIdle":20,
+	"policyLimits":{"cancel":true,"peers":true,"probes":true,"retryAfter":true,"mostTries":4,"maxRetryAfter":2,"connIdle":20,
 	"connectTimeout":0.25},"rules":{"answerSlack":0.008},"tick":0.002}`
 
-func newEdgeTarget(p *Plan, program, dir, address string, discovery netip.AddrPort) (target, error) {
-	t := &edgeTarget{program: program, dir: dir, address: address, config: filepath.Join(dir, "config.json")}
-	settings := fmt.Sprintf(edgeSettings, p.Deadline.Seconds())
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x","limits":{"memory_mb":192,"sockets":%d},
-		"settings":%s}`, address, discovery, p.Seed, descriptorLimit, settings)
+func newEdgeTarget(
+	p *Plan, program, dir, address string, discovery netip.AddrPort, peer *gossipPeer,
+) (target, error) {
+	t := &edgeTarget{program: program, dir: dir, address: address, config: filepath.Join(dir, "config.json"), nodes: 1}
+	gossip := ""
+	if peer != nil {
+		t.nodes = 2
+		gossip = fmt.Sprintf(`"peer_listen":%q,"peers":[%[1]q,%q],"peers_all":%[2]q,`, peer.nodeAt, peer.address())
+	}
+	settings := fmt.Sprintf(edgeSettings, p.Deadline.Seconds(), t.nodes)
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"%x",%s"limits":{"memory_mb":192,"sockets":%d},
+		"settings":%s}`, address, discovery, p.Seed, gossip, descriptorLimit, settings)
 	return t, os.WriteFile(t.config, []byte(text), 0o600)
 }
 
@@ -58,7 +66,7 @@
 
 func (t *edgeTarget) requestText(r *request) string {
 	text := fmt.Sprintf("%s /%s/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: app.svc\r\nX-Qos: %s\r\n"+
-		"X-Contract: wide\r\nX-Metering: units=1,spread=1,first=0\r\n", r.method(), r.class, r.class)
+		"X-Contract: wide\r\nX-Metering: units=1,spread=%d,first=0\r\n", r.method(), r.class, r.class, t.nodes)
 	return text + commonFields(r)
 }
 
@@ -128,9 +136,11 @@
 }
 
 // newTarget configures a plan's program.
-func newTarget(p *Plan, program, dir, address string, discovery netip.AddrPort) (target, error) {
+func newTarget(
+	p *Plan, program, dir, address string, discovery netip.AddrPort, peer *gossipPeer,
+) (target, error) {
 	if p.Target == TargetEdgeProxy {
-		return newEdgeTarget(p, program, dir, address, discovery)
+		return newEdgeTarget(p, program, dir, address, discovery, peer)
 	}
 	return newGatewayTarget(p, program, dir, address, discovery)
 }
