--- a/policy/lateness/lateness.go
+++ b/policy/lateness/lateness.go
@@ -1,6 +1,6 @@
 // Package lateness estimates by how much a process acts later than it means to, on a machine that has less processor
-// time to give than is asked for. A request that would be answered at its deadline is then given up earlier, so that its
-// answer comes in time. All times are readings of one monotonic clock; the package does no I/O and is not safe for
+// time to give than is asked for. A request that would be answered at its deadline is then given up earlier, so that
+// its answer comes in time. All times are readings of one monotonic clock; the package does no I/O and is not safe for
 // concurrent use.
 package lateness
 
--- a/policy/lateness/lateness_test.go
+++ b/policy/lateness/lateness_test.go
@@ -21,7 +21,8 @@
 		{"in time", []record{{0, 0}, {10 * ms, 10 * ms}}, 0},
 		{"the longest", []record{{0, 40 * ms}, {50 * ms, 60 * ms}}, 40 * ms},
 		{"of the window before", []record{{0, 40 * ms}, {40*ms + window, 41*ms + window}}, 40 * ms},
-		{"two windows ago", []record{{0, 40 * ms}, {41*ms + window, 41*ms + window}, {42*ms + 2*window, 42*ms + 2*window}}, 0},
+		{"two windows ago", []record{{0, 40 * ms}, {41*ms + window, 41*ms + window},
+			{42*ms + 2*window, 42*ms + 2*window}}, 0},
 		{"long ago", []record{{0, 40 * ms}, {time.Hour, time.Hour + ms}}, ms},
 	} {
 		t.Run(test.name, func(t *testing.T) {
