gateway: one question for the client before an attempt, and an unused connection is kept

Read once more: the client was asked for twice, before the dial and right before the first byte; the second serves both. A connection on which nothing was written for a client that had left was closed; it is kept. The question about a relayed attempt asked for the client too, and made a connection for each poll once it had gone. No function is made for each attempt.

Measured: internal/gateway passes with -race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,8 +29,8 @@
 }
 
 // runAttempt carries out one attempt and brings its result to the engine. It asks in this order whether the attempt may
-// be sent: whether the relay has capacity, whether the site still owns the request's key, and whether the client is
-// still there.
+// be sent: whether the relay has capacity, whether the site still owns the request's key, and, right before the first
+// byte, whether the client is still there.
 func (in *Instance) runAttempt(r *pendingRequest, a attempt, source requestSource) requestStep {
 	end := attemptEnd{sentAt: in.host.now()}
 	r.response.wasWritten, r.response.connectedAt = false, time.Time{}
@@ -46,13 +46,9 @@
 	if r.hasKeyOwner {
 		end.usedKey = in.confirmKeyOwner(r, a)
 	}
-	switch {
-	case r.hasKeyOwner && !end.usedKey:
+	if r.hasKeyOwner && !end.usedKey {
 		end.result = policy.NotSent
-	case source.hasDisconnected():
-		end.result = policy.NotSent
-		in.fail(r)
-	default:
+	} else {
 		end.result = in.sendWatched(r, a, source)
 	}
 	return in.completeAttempt(r, a, end)
@@ -114,7 +110,7 @@
 // sendWatched sends an attempt unless the client has left by the time its connection has come up, and ends it if another
 // site's instance gives its request up.
 func (in *Instance) sendWatched(r *pendingRequest, a attempt, source requestSource) policy.Result {
-	r.current.isClientGone = source.hasDisconnected
+	r.current.source = source
 	if !r.cameByRelay {
 		return in.send(r, a)
 	}
@@ -137,6 +133,7 @@
 	if r.current.wasClientGone {
 		in.fail(r)
 	}
+	r.current.source = nil // a question of what became of the attempt harms nobody
 	if !r.isRelayed {
 		return result
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,10 +24,8 @@
 	isAborted  bool
 	aborted    chan struct{} // closed by abort; nil: nobody waits for that
 
-	// isClientGone reports whether the client has closed its connection, right before the first byte; nil: not asked. It
-	// is set before the exchange.
-	isClientGone  func() bool
-	wasClientGone bool // it had, and nothing was written
+	source        requestSource // asked right before the first byte whether the client is there; nil: it is not
+	wasClientGone bool          // it was not, and nothing was written
 }
 
 // abort ends the exchange at once.
@@ -126,10 +124,9 @@
 		return policy.Cancelled
 	}
 	c.buffer = appendRequest(c.buffer[:0])
-	if control.isClientGone != nil && control.isClientGone() {
+	if control.source != nil && control.source.hasDisconnected() {
 		control.wasClientGone = true
-		control.finish()
-		p.Discard(pooled)
+		p.releaseUnused(pooled, control)
 		return policy.NotSent
 	}
 	if _, err = c.nc.Write(c.buffer); err != nil {
--- a/internal/gateway/server_pool.go
+++ b/internal/gateway/server_pool.go
@@ -96,6 +96,15 @@
 	p.Release(conn)
 }
 
+// releaseUnused returns a connection on which nothing was written to the pool, unless the exchange was aborted.
+func (p *serverPool) releaseUnused(conn *pooledConn, control *attemptControl) {
+	if control.finish() {
+		p.release(conn)
+	} else {
+		p.Discard(conn)
+	}
+}
+
 // pruneIdle closes what has been idle for too long, until ctx ends, then all that is idle.
 func (p *serverPool) pruneIdle(ctx context.Context) {
 	p.RunPruning(ctx)
