--- a/internal/scenario/cluster_process.go
+++ b/internal/scenario/cluster_process.go
@@ -136,7 +136,9 @@
 	if err := m.cmd.Start(); err != nil {
 		return err
 	}
-	c.environment.waits.Add(m.name(), m.cmd.Process.Pid)
+	if c.environment.waits != nil {
+		c.environment.waits.Add(m.name(), m.cmd.Process.Pid)
+	}
 	p := &process{done: make(chan struct{})}
 	m.process = p
 	cmd := m.cmd
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -62,7 +62,7 @@
 	configs   []*gateway.Config
 	addrs     []string
 	compile   routing.Options
-	waits     *schedwait.Monitor
+	waits     *schedwait.Monitor // nil: none is measured
 	// stoppedBetween returns for how long an instance was stopped between two times; nil: none was.
 	stoppedBetween func(instance string, from, to time.Time) time.Duration
 
