scenario: a client that gives up while its instance is stopped breaks no rule of relay-chaos

The time of a stop counted for late answers alone.

TestGaveUpWhileStopped and internal/scenario pass with -race.

--- a/internal/scenario/request_traces_test.go
+++ b/internal/scenario/request_traces_test.go
@@ -7,6 +7,7 @@
 
 	"mulleinmux/internal/gateway"
 	"mulleinmux/internal/schedwait"
+	"mulleinmux/internal/testserver"
 )
 
 // stepsOf returns steps that are 1 ms apart, from ruleTestStart on.
@@ -104,3 +105,22 @@
 		t.Error(fmt.Sprint(got, " want ", want))
 	}
 }
+
+// A client that gives up while its instance is stopped breaks no rule; one that waited for longer than the stop explains
+// does, and so does one whose connection was lost.
+func TestGaveUpWhileStopped(t *testing.T) {
+	const waited = clientDeadline + time.Second
+	for _, test := range []struct {
+		stopped time.Duration
+		isLost  bool
+		want    bool
+	}{{1200 * time.Millisecond, false, true}, {500 * time.Millisecond, false, false}, {0, false, false},
+		{1200 * time.Millisecond, true, false}} {
+		j := newRuleChecker()
+		j.stoppedFor = func(testserver.Attempt) time.Duration { return test.stopped }
+		attempt := testserver.Attempt{At: ruleTestStart, Ended: ruleTestStart.Add(waited), ConnectionLost: test.isLost}
+		if got := j.gaveUpWhileStopped(attempt); got != test.want {
+			t.Errorf("stopped for %v, lost %v: %v", test.stopped, test.isLost, got)
+		}
+	}
+}
