scenario: the logs of instances are read by one function

Read once more: the access logs and the logs of traces were read by the same loop twice. Behaviour is the same.

--- a/internal/scenario/cluster_charges.go
+++ b/internal/scenario/cluster_charges.go
@@ -1,11 +1,8 @@
 package scenario
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"math"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -66,23 +63,16 @@
 func (c *clusterRun) readAccessLogs(j *ruleChecker) map[string]gateway.RequestRecord {
 	records := map[string]gateway.RequestRecord{}
 	for _, m := range c.instances() {
-		f, err := os.Open(filepath.Join(c.dir, fmt.Sprintf("access-%d.jsonl", m.id)))
-		if err != nil {
-			j.violation(ruleScenario, "%v", err)
-			continue
-		}
-		lines := bufio.NewScanner(f)
-		for lines.Scan() {
-			var r gateway.RequestRecord
-			if json.Unmarshal(lines.Bytes(), &r) != nil || r.Trace == "" {
-				continue // the half of a line, of an instance that was killed
+		path := filepath.Join(c.dir, fmt.Sprintf("access-%d.jsonl", m.id))
+		eachLogLine(j, path, func(r gateway.RequestRecord) {
+			if r.Trace == "" {
+				return // the count of lines that were dropped
 			}
 			if _, isRepeated := records[r.Trace]; isRepeated {
 				j.violation(ruleAnswers, "%s was answered twice by the instances", r.Trace)
 			}
 			records[r.Trace] = r
-		}
-		f.Close()
+		})
 	}
 	return records
 }
--- a/internal/scenario/request_traces.go
+++ b/internal/scenario/request_traces.go
@@ -40,23 +40,32 @@
 	time.Sleep(traceLogFlushTime)
 	traces := requestTraces{}
 	for _, m := range c.instances() {
-		f, err := os.Open(filepath.Join(c.dir, m.traceLogName()))
-		if err != nil {
-			j.violation(ruleScenario, "%v", err)
-			continue
-		}
-		lines := bufio.NewScanner(f)
-		for lines.Scan() {
-			var trace gateway.RequestTrace
-			if json.Unmarshal(lines.Bytes(), &trace) == nil && trace.Trace != "" { // else half a line, of a kill
+		eachLogLine(j, filepath.Join(c.dir, m.traceLogName()), func(trace gateway.RequestTrace) {
+			if trace.Trace != "" {
 				traces.add(trace)
 			}
-		}
-		f.Close()
+		})
 	}
 	return traces
 }
 
+// eachLogLine calls take with each line of an instance's log that can be read: half of one is of an instance that was
+// killed.
+func eachLogLine[T any](j *ruleChecker, path string, take func(T)) {
+	f, err := os.Open(path)
+	if err != nil {
+		j.violation(ruleScenario, "%v", err)
+		return
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		var line T
+		if json.Unmarshal(lines.Bytes(), &line) == nil {
+			take(line)
+		}
+	}
+}
+
 // checkTraces checks, on the instances' own traces, that the attempts of each request came in order and that its answer
 // was written in time. No load on the machine changes the order of an instance's steps; for the time of an answer the
 // instance's waits for a processor are allowed.
