--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"mulleinmux/internal/graceful"
@@ -23,8 +24,12 @@
 	Err    error
 }
 
+// crossingTime is how soon after a request was written its kept connection must have ended for the end to have crossed
+// the request.
+const crossingTime = 5 * time.Millisecond
+
 // Client sends requests to one address. It keeps its connections, sends one request at a time on each, and opens more
-// when all are busy. A request that met the close of a kept connection is sent once more on a new one, unless
+// when all are busy. A request that crossed the end of a kept connection is sent once more on a new one, unless
 // NoResend is set.
 type Client struct {
 	Addr     string
@@ -47,14 +52,16 @@
 		if err != nil {
 			return Answer{Err: err}
 		}
+		writtenAt := time.Now()
 		answer := conn.exchange(method, text, deadline)
 		if answer.Err == nil {
 			c.keep(conn, answer.Header)
 			return answer
 		}
 		conn.Close()
-		closed := errors.Is(answer.Err, io.EOF) || errors.Is(answer.Err, io.ErrUnexpectedEOF)
-		if !isKept || !closed || c.NoResend {
+		closed := errors.Is(answer.Err, io.EOF) || errors.Is(answer.Err, io.ErrUnexpectedEOF) ||
+			errors.Is(answer.Err, syscall.ECONNRESET) || errors.Is(answer.Err, syscall.EPIPE)
+		if !isKept || !closed || c.NoResend || time.Since(writtenAt) > crossingTime {
 			return answer
 		}
 	}
--- a/review/standin/hall.go
+++ b/review/standin/hall.go
@@ -10,7 +10,7 @@
 	"mulleinmux/internal/testserver"
 )
 
-// Run is an effect that a request had at a hall.
+// Effect is an effect that a request had at a hall.
 type Effect struct {
 	Hall, Server, Key, Trace string
 	At                       time.Time
@@ -67,6 +67,9 @@
 	}
 }
 
+// Servers returns the servers of both halls.
+func (h *Halls) Servers() []*AppServer { return h.servers }
+
 // handle is the work of a booking server: 50 ms for a look-up, 80 ms for a booking.
 func (h *Halls) handle(hall string, call Call) Reply {
 	body := fmt.Sprintf(`{"for":%q,"server":%q}`, call.Trace, call.Server)
