review: case 4, a relayed booking gets the answer to another with its trace id

A relayed request is recorded under the client's X-Trace-Id and the number of its attempt alone. After a dropped link the instance asks for the status of that id and gets the retained answer to another client's request with the same id.

--- a/review/standin/hall.go
+++ b/review/standin/hall.go
@@ -72,7 +72,7 @@
 
 // handle is the work of a booking server: 50 ms for a look-up, 80 ms for a booking.
 func (h *Halls) handle(hall string, call Call) Reply {
-	body := fmt.Sprintf(`{"for":%q,"server":%q}`, call.Trace, call.Server)
+	body := fmt.Sprintf(`{"for":%q,"key":%q,"server":%q}`, call.Trace, call.Key, call.Server)
 	if call.Key == "" {
 		return Reply{After: 50 * time.Millisecond, Status: 200, Body: body}
 	}
