--- a/review/1/skippedepoch/main.go
+++ b/review/1/skippedepoch/main.go
@@ -182,7 +182,9 @@
 			method, text = "POST", standin.VisitBook(licenseeName(n%licensees), trace, "key-"+trace, 2*time.Second)
 		}
 		running.Go(func() {
+			g.record.Add("client: %s %s sent", method, trace)
 			answer := client.Send(method, text, time.Now().Add(2*time.Second))
+			g.record.Add("client: %s %s has %d", method, trace, answer.Status)
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.others++
--- a/review/4/sharedid/main.go
+++ b/review/3/sharedid/main.go
@@ -1,7 +1,8 @@
 //go:build review
 
-// Command sharedid plays case 4: two sites with a link. The link between two instances drops in the middle of a booking,
-// while a bad client sends a booking of its own with the id of that open request through another instance.
+// Command sharedid plays case 3: two sites with a link, and beside the usual client a bad one, which sends a booking of its
+// own with the id of the usual client's open request through another instance. The link between two instances drops in the
+// middle of the usual client's booking.
 package main
 
 import (
@@ -29,7 +30,7 @@
 	program := flag.String("gateway", "", "the gateway's program")
 	dir := flag.String("dir", "", "a temporary folder")
 	recordPath := flag.String("record", "record.txt", "the record")
-	hasTrouble := flag.Bool("trouble", true, "drop the link and send the bad client's requests")
+	hasTrouble := flag.Bool("trouble", true, "drop the link")
 	flag.Parse()
 	record, err := standin.NewRecord(*recordPath)
 	if err != nil {
@@ -82,7 +83,7 @@
 	if err := cluster.Start(); err != nil {
 		return 0, err
 	}
-	record.Say("members 1 and 3 at hall-a and member 2 at hall-b serve; trouble: %v", hasTrouble)
+	record.Say("members 1 and 3 at hall-a and member 2 at hall-b serve; the link drops: %v", hasTrouble)
 	time.Sleep(settleTime)
 	usual := &standin.Client{Addr: cluster.Clients[0], NoResend: true}
 	bad := &standin.Client{Addr: cluster.Clients[2], NoResend: true}
@@ -96,7 +97,9 @@
 		for n := range 6 { // other clients' bookings, so that connections over the link stand idle
 			warming.Go(func() {
 				name := fmt.Sprintf("other-%d-%d", round, n)
-				usual.Send("POST", standin.VisitBook(licenseeName(2), name, name, tryTime), time.Now().Add(tryTime))
+				text := standin.VisitBook(licenseeName(2), name, name, tryTime)
+				answer := usual.Send("POST", text, time.Now().Add(tryTime))
+				record.Add("other client: %s has %d", name, answer.Status)
 			})
 		}
 		warming.Wait()
@@ -104,19 +107,21 @@
 			link.Cut()
 		}
 		var running sync.WaitGroup
+		running.Go(func() {
+			time.Sleep(badAfter)
+			record.Add("bad client: %s with key bad-%s sent to member 3", trace, key)
+			text := standin.VisitBook(licenseeName(1), trace, "bad-"+key, tryTime)
+			answer := bad.Send("POST", text, time.Now().Add(tryTime))
+			record.Add("bad client: %s with key bad-%s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
+		})
 		if hasTrouble {
-			running.Go(func() {
-				time.Sleep(badAfter)
-				text := standin.VisitBook(licenseeName(1), trace, "bad-"+key, tryTime)
-				answer := bad.Send("POST", text, time.Now().Add(tryTime))
-				record.Add("bad client: %s with key bad-%s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
-			})
 			running.Go(func() {
 				time.Sleep(dropAfter)
 				link.Restore()
 				record.Add("the link's connections are reset")
 			})
 		}
+		record.Add("client: %s with key %s sent to member 1", trace, key)
 		answer := usual.Send("POST", standin.VisitBook(licenseeName(0), trace, key, tryTime), time.Now().Add(tryTime))
 		record.Add("client: %s with key %s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
 		switch {
--- a/review/standin/hall.go
+++ b/review/standin/hall.go
@@ -74,6 +74,7 @@
 func (h *Halls) handle(hall string, call Call) Reply {
 	body := fmt.Sprintf(`{"for":%q,"key":%q,"server":%q}`, call.Trace, call.Key, call.Server)
 	if call.Key == "" {
+		h.Record.Add("%s runs the look-up %s", call.Server, call.Trace)
 		return Reply{After: 50 * time.Millisecond, Status: 200, Body: body}
 	}
 	now := time.Now()
