--- a/review/standin/appserver.go
+++ b/review/standin/appserver.go
@@ -41,7 +41,7 @@
 	ID     string
 	handle func(Call) Reply
 
-	listener *LateListener
+	listener net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	count    int
@@ -49,7 +49,7 @@
 
 // NewAppServer starts an app server on a free port.
 func NewAppServer(id string, handle func(Call) Reply) (*AppServer, error) {
-	ln, err := NewLateListener()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -61,12 +61,6 @@
 // Addr returns the address on which the server listens.
 func (s *AppServer) Addr() string { return s.listener.Addr().String() }
 
-// DelayConnections has new connections come up about 1 s late from now on, until AdmitConnections.
-func (s *AppServer) DelayConnections() { s.listener.Fill() }
-
-// AdmitConnections ends what DelayConnections began.
-func (s *AppServer) AdmitConnections() { s.listener.Empty() }
-
 // Close ends the server and its connections.
 func (s *AppServer) Close() {
 	s.listener.Close()
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -18,8 +18,6 @@
 	Zones    [3]string // of the members
 	Follower string    // name; empty: none
 	Extra    [3]string // TOML that follows a member's file
-	Limits   string    // further lines of [limits]
-	Deadline string    // of the class visit-book; empty: that of deploy/fleet.toml
 
 	Clients      [3]string // addresses for clients
 	Raft         [3]string
@@ -139,10 +137,6 @@
 		`register = "127.0.0.1:8500"`, c.hallText("hall-a", closedHall),
 		`register = "127.0.0.1:8501"`, c.hallText("hall-b", closedHall),
 	).Replace(string(text))
-	if c.Deadline != "" {
-		const book = "aim = \"750ms\"\ndeadline = \"2s\""
-		edited = strings.Replace(edited, book, fmt.Sprintf("aim = \"750ms\"\ndeadline = %q", c.Deadline), 1)
-	}
 	for _, name := range c.Licensees {
 		edited += fmt.Sprintf("\n[[licensee]]\nname = %q\nplan = \"kubwa\"\n", name)
 	}
@@ -185,7 +179,6 @@
 
 const fileText = `
 [limits]
-%s
 drain_for = "500ms"
 max_attempts = 5
 max_retry_after = "2s"
@@ -201,7 +194,7 @@
 
 func (c *Cluster) memberText(i int) string {
 	text := fmt.Sprintf("name = \"gate-%d\"\nlisten = %q\nzone = %q\ninstance = %d\npeer_listen = %q\npeers = [%s]\n",
-		i+1, c.Clients[i], c.Zones[i], i, c.gossip[i], c.peers()) + fmt.Sprintf(fileText, c.Limits)
+		i+1, c.Clients[i], c.Zones[i], i, c.gossip[i], c.peers()) + fileText
 	text += fmt.Sprintf("\n[cluster]\nname = \"dodoma\"\nnumber = %d\ndata = \"member-%d.db\"\ncerts = \"certs\"\n"+
 		"tick = \"50ms\"\nstale_after = \"30s\"\nstream = %q\nkeys = \"home\"\nwhen_stale = \"serve\"\n",
 		i+1, i+1, c.Stream[i])
@@ -213,7 +206,7 @@
 
 func (c *Cluster) followerText() string {
 	text := fmt.Sprintf("name = %q\nlisten = %q\nzone = \"hall-a\"\ninstance = 3\npeer_listen = %q\npeers = [%s]\n",
-		c.Follower, c.FollowerAddr, c.gossip[3], c.peers()) + fmt.Sprintf(fileText, c.Limits)
+		c.Follower, c.FollowerAddr, c.gossip[3], c.peers()) + fileText
 	text += fmt.Sprintf("\n[follow]\ncluster = \"dodoma\"\nname = %q\ndata = \"follower.db\"\ncerts = \"certs\"\n"+
 		"stale_after = \"30s\"\nwhen_stale = \"serve\"\nkeys = \"home\"\n", c.Follower)
 	for i := range 3 {
--- a/review/standin/hall.go
+++ b/review/standin/hall.go
@@ -67,9 +67,6 @@
 	}
 }
 
-// Servers returns the servers of both halls.
-func (h *Halls) Servers() []*AppServer { return h.servers }
-
 // handle is the work of a booking server: 50 ms for a look-up, 80 ms for a booking.
 func (h *Halls) handle(hall string, call Call) Reply {
 	body := fmt.Sprintf(`{"for":%q,"key":%q,"server":%q}`, call.Trace, call.Key, call.Server)
