review: case 3 stays within two drops of the link

Change: review/3 has two drops with four open bookings each, whose keys hall-b owns; ports are taken below those of outgoing connections.

--- a/review/3/sharedid/main.go
+++ b/review/3/sharedid/main.go
@@ -8,19 +8,23 @@
 import (
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"strings"
 	"sync"
 	"time"
 
+	"mulleinmux/internal/splitmix"
 	"mulleinmux/review/standin"
 )
 
 const (
-	rounds     = 30
-	licensees  = 4
+	drops      = 2 // of the link
+	pairs      = 4 // open bookings at each drop, each with a bad client's booking
+	licensees  = 12
 	settleTime = 5 * time.Second
-	roundTime  = 1500 * time.Millisecond
+	spacing    = 5 * time.Millisecond // between the usual clients' bookings
+	roundTime  = 4 * time.Second
 	badAfter   = 60 * time.Millisecond  // the bad client's request, after the usual client's
 	dropAfter  = 350 * time.Millisecond // the link is silent for so long, then its connections are reset
 	tryTime    = 2 * time.Second
@@ -89,56 +93,68 @@
 	bad := &standin.Client{Addr: cluster.Clients[2], NoResend: true}
 	defer usual.Close()
 	defer bad.Close()
+	var mu sync.Mutex
 	foreign, served, other, never := 0, 0, 0, 0
-	for round := range rounds {
+	for round := range drops {
 		start := time.Now()
-		trace, key := fmt.Sprintf("visit-%d", round), fmt.Sprintf("key-%d", round)
 		var warming sync.WaitGroup
-		for n := range 6 { // other clients' bookings, so that connections over the link stand idle
+		for n := range 18 { // other clients' bookings, so that connections over the link stand idle
 			warming.Go(func() {
+				time.Sleep(time.Duration(n/6) * 400 * time.Millisecond)
 				name := fmt.Sprintf("other-%d-%d", round, n)
-				text := standin.VisitBook(licenseeName(2), name, name, tryTime)
+				text := standin.VisitBook(licenseeName(n%licensees), name, name, tryTime)
 				answer := usual.Send("POST", text, time.Now().Add(tryTime))
 				record.Add("other client: %s has %d", name, answer.Status)
 			})
 		}
 		warming.Wait()
+		time.Sleep(time.Until(start.Add(1500 * time.Millisecond)))
 		if hasTrouble {
 			link.Cut()
+			record.Add("the link is silent")
 		}
 		var running sync.WaitGroup
-		running.Go(func() {
-			time.Sleep(badAfter)
-			record.Add("bad client: %s with key bad-%s sent to member 3", trace, key)
-			text := standin.VisitBook(licenseeName(1), trace, "bad-"+key, tryTime)
-			answer := bad.Send("POST", text, time.Now().Add(tryTime))
-			record.Add("bad client: %s with key bad-%s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
-		})
-		if hasTrouble {
+		for n := range pairs {
+			trace := fmt.Sprintf("visit-%d-%d", round, n)
+			key := keyOfHallB(licenseeName(n), fmt.Sprintf("key-%d-%d", round, n))
+			badKey := keyOfHallB(licenseeName(n+1), "bad-"+key)
 			running.Go(func() {
-				time.Sleep(dropAfter)
-				link.Restore()
-				record.Add("the link's connections are reset")
+				time.Sleep(time.Duration(n)*spacing + badAfter)
+				record.Add("bad client: %s with key %s sent to member 3", trace, badKey)
+				text := standin.VisitBook(licenseeName(n+1), trace, badKey, tryTime)
+				answer := bad.Send("POST", text, time.Now().Add(tryTime))
+				record.Add("bad client: %s with key %s has %d %s", trace, badKey, answer.Status, strings.TrimSpace(answer.Body))
+			})
+			running.Go(func() {
+				time.Sleep(time.Duration(n) * spacing)
+				record.Add("client: %s with key %s sent to member 1", trace, key)
+				text := standin.VisitBook(licenseeName(n), trace, key, tryTime)
+				answer := usual.Send("POST", text, time.Now().Add(tryTime))
+				record.Add("client: %s with key %s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case answer.Status == 201 && strings.Contains(answer.Body, fmt.Sprintf(`"key":%q`, key)):
+					served++
+				case answer.Status == 201:
+					foreign++
+					if len(halls.EffectsByKey()[key]) == 0 {
+						never++
+					}
+				default:
+					other++
+				}
 			})
 		}
-		record.Add("client: %s with key %s sent to member 1", trace, key)
-		answer := usual.Send("POST", standin.VisitBook(licenseeName(0), trace, key, tryTime), time.Now().Add(tryTime))
-		record.Add("client: %s with key %s has %d %s", trace, key, answer.Status, strings.TrimSpace(answer.Body))
-		switch {
-		case answer.Status == 201 && strings.Contains(answer.Body, fmt.Sprintf(`"key":%q`, key)):
-			served++
-		case answer.Status == 201:
-			foreign++
-			if len(halls.EffectsByKey()[key]) == 0 {
-				never++
-			}
-		default:
-			other++
+		if hasTrouble {
+			time.Sleep(dropAfter)
+			link.Restore()
+			record.Add("the link's connections are reset")
 		}
 		running.Wait()
 		time.Sleep(time.Until(start.Add(roundTime)))
 	}
-	record.Say("%d bookings: served %d, rejected or failed %d", rounds, served, other)
+	record.Say("%d bookings: served %d, rejected or failed %d", drops*pairs, served, other)
 	record.Say("served with the answer to the bad client's booking: %d, of these never run: %d", foreign, never)
 	switch {
 	case foreign > 0:
@@ -151,4 +167,22 @@
 	return standin.Held, nil
 }
 
+// keyOfHallB returns a key that begins with a name and, with both halls open, is owned by hall-b: as package multisite
+// computes owners, the hall with the larger hash of its name and the key.
+func keyOfHallB(licensee, name string) string {
+	weight := func(hall string, key uint64) uint64 {
+		hash := fnv.New64a()
+		hash.Write([]byte(hall))
+		return splitmix.Mix(hash.Sum64() ^ key)
+	}
+	for n := 0; ; n++ {
+		text := fmt.Sprintf("%s-%d", name, n)
+		hash := fnv.New64a()
+		hash.Write([]byte(licensee + "\x00" + text))
+		if key := hash.Sum64(); weight("hall-b", key) > weight("hall-a", key) {
+			return text
+		}
+	}
+}
+
 func licenseeName(n int) string { return fmt.Sprintf("provider-%d", n) }
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -77,14 +78,20 @@
 	<-p.exited
 }
 
+// Ports of FreeAddr: below those that the system gives to outgoing connections.
+const (
+	firstPort = 15000
+	portCount = 16000
+)
+
 // FreeAddr returns a loopback address with a port that is free now, for TCP and UDP.
 func FreeAddr() (string, error) {
 	for range 100 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", err
+			continue
 		}
-		addr := ln.Addr().String()
 		conn, err := net.ListenPacket("udp", addr)
 		ln.Close()
 		if err == nil {
