multisite: wait for instances that were added and removed within an ownership epoch

Cause: InstallEpoch ignored a further call with the number of the epoch in force, so that its instances stayed those of the first call; and a host may see only the last of several changes of members.

Change: other instances of the same epoch count as a new epoch with the same owners, and several changes in one step as unknown ones. The Raft node tells by which log entry the members in force were made and what they replaced.

Tests: TestRemovedInstanceIsWaitedFor fails without the comparison of instances, TestSkippedInstancesEndByTimeAlone without the guard for skipped changes; TestMemberPlacementRecognizesSkippedChanges.

--- a/internal/cluster/key_messages.go
+++ b/internal/cluster/key_messages.go
@@ -27,7 +27,7 @@
 		return 0
 	}
 	ownership := keyOwnershipOf(state, membership.Members)
-	isDirectSuccessor := m.placement.record(state)
+	isDirectSuccessor := m.placement.record(state, &membership)
 	m.instance.InstallKeyOwners(ownership.epoch, isDirectSuccessor, gateway.AgreedVoters{
 		Index:   membership.AppliedIndex,
 		Voters:  membership.Voters,
--- a/internal/cluster/placement_succession.go
+++ b/internal/cluster/placement_succession.go
@@ -3,23 +3,31 @@
 import (
 	"mulleinmux/clusterconfig"
 	"mulleinmux/configstream"
+	"mulleinmux/internal/raftnode"
 )
 
-// memberPlacement is the placement of keys that a member has installed last. By it the member recognizes whether it has
-// skipped any: it installs the newest state alone, and several entries may be applied in one step.
+// memberPlacement is the placement of keys and the membership that a member has installed last. By them it recognizes
+// whether it has skipped any: it installs the newest state alone, and several entries may be applied in one step.
 type memberPlacement struct {
 	isInstalled      bool
 	placementVersion uint64
+	membershipIndex  uint64 // see [raftnode.Membership]
 }
 
-// record records the state that is being installed. It reports whether its placement directly succeeds the one installed
-// before, so that at most one change lies between.
-func (p *memberPlacement) record(state *clusterconfig.State) (isDirectSuccessor bool) {
+// record records the state and the membership that are being installed. It reports whether they directly succeed the
+// ones installed before, so that at most one change of each lies between.
+func (p *memberPlacement) record(state *clusterconfig.State, membership *raftnode.Membership) (isDirectSuccessor bool) {
 	versionBefore, isKnown := state.PlacementBefore()
-	isSame := state.PlacementVersion() == p.placementVersion
-	isNext := isKnown && versionBefore == p.placementVersion
-	isDirectSuccessor = p.isInstalled && (isSame || isNext)
-	*p = memberPlacement{isInstalled: true, placementVersion: state.PlacementVersion()}
+	isSamePlacement := state.PlacementVersion() == p.placementVersion
+	isNextPlacement := isKnown && versionBefore == p.placementVersion
+	isSameMembership := membership.ChangeIndex == p.membershipIndex
+	isNextMembership := membership.IndexBefore != 0 && membership.IndexBefore == p.membershipIndex
+	isDirectSuccessor = p.isInstalled && (isSamePlacement || isNextPlacement) && (isSameMembership || isNextMembership)
+	*p = memberPlacement{
+		isInstalled:      true,
+		placementVersion: state.PlacementVersion(),
+		membershipIndex:  membership.ChangeIndex,
+	}
 	return isDirectSuccessor
 }
 
--- a/internal/cluster/placement_succession_test.go
+++ b/internal/cluster/placement_succession_test.go
@@ -8,6 +8,7 @@
 
 	"mulleinmux/clusterconfig"
 	"mulleinmux/configstream"
+	"mulleinmux/internal/raftnode"
 )
 
 // newStateWithSite returns a state at version 1, which has put a site, and a function that puts or closes the site.
@@ -48,9 +49,10 @@
 func TestMemberPlacementRecognizesSkippedChanges(t *testing.T) {
 	state, putSite := newStateWithSite(t)
 	var placement memberPlacement
+	membership := raftnode.Membership{ChangeIndex: 1}
 	expect := func(step string, want bool) {
 		t.Helper()
-		if got := placement.record(state); got != want {
+		if got := placement.record(state, &membership); got != want {
 			t.Errorf("%s: is direct successor: got %v, want %v", step, got, want)
 		}
 	}
@@ -66,6 +68,13 @@
 	putSite(false)
 	expect("two changes of a site in one step", false)
 
+	membership = raftnode.Membership{ChangeIndex: 9, IndexBefore: 1}
+	expect("one change of the members", true)
+	membership = raftnode.Membership{ChangeIndex: 12, IndexBefore: 11}
+	expect("two changes of the members in one step", false)
+	membership = raftnode.Membership{ChangeIndex: 15}
+	expect("members restored from a snapshot", false)
+
 	putSite(true)
 	snapshot, err := state.Snapshot()
 	if err != nil {
--- a/internal/raftnode/core_start.go
+++ b/internal/raftnode/core_start.go
@@ -36,7 +36,7 @@
 		cfg:               cfg,
 		log:               durableLog{storage: storage, memory: raft.NewMemoryStorage()},
 		state:             clusterconfig.New(cfg.Validate),
-		membership:        membership{&pb.ConfState{}},
+		membership:        membership{confState: &pb.ConfState{}},
 		reads:             newPendingReads(),
 		proposals:         proposalWaiters{},
 		membershipChanges: membershipWaiters{},
--- a/internal/raftnode/membership.go
+++ b/internal/raftnode/membership.go
@@ -9,6 +9,8 @@
 // membership is the cluster's membership as of the last applied entry that changes it.
 type membership struct {
 	confState *pb.ConfState
+	index     uint64 // of the entry, or of the snapshot that the membership was restored from
+	before    uint64 // index of the membership that directly preceded it; 0 if this process has not applied the entry
 }
 
 // ids returns the ids of all members in ascending order: voters and learners and, in a joint configuration, also the
--- a/internal/raftnode/node_read.go
+++ b/internal/raftnode/node_read.go
@@ -104,6 +104,9 @@
 	Members      []uint64 // voters and learners
 	Voters       []uint64
 	IsJoint      bool // a joint configuration: a change of the voters is in progress
+
+	ChangeIndex uint64 // index of the last change of the membership, or of the snapshot that it was restored from
+	IndexBefore uint64 // ChangeIndex of the membership that directly preceded it; 0 if unknown
 }
 
 // AppliedStateAndMembership returns the result of [Node.AppliedState] and the membership as of the same index.
@@ -118,6 +121,8 @@
 			Members:      n.core.membership.ids(),
 			Voters:       slices.Clone(voters),
 			IsJoint:      n.core.membership.isJoint(),
+			ChangeIndex:  n.core.membership.index,
+			IndexBefore:  n.core.membership.before,
 		}
 	})
 	return state, membership, err
--- a/internal/raftnode/ready.go
+++ b/internal/raftnode/ready.go
@@ -107,7 +107,11 @@
 		return fmt.Errorf("entry %d: decode membership change: %w", entry.GetIndex(), err)
 	}
 	wasMember := c.membership.contains(c.cfg.ID)
-	c.membership = membership{c.rawNode.ApplyConfChange(&change)}
+	c.membership = membership{
+		confState: c.rawNode.ApplyConfChange(&change),
+		index:     entry.GetIndex(),
+		before:    c.membership.index,
+	}
 	c.snapshots.membershipChanged = true
 	if wasMember && !c.membership.contains(c.cfg.ID) {
 		return ErrRemoved
--- a/internal/raftnode/snapshot.go
+++ b/internal/raftnode/snapshot.go
@@ -48,7 +48,7 @@
 	metadata := snapshot.GetMetadata()
 	c.appliedIndex = metadata.GetIndex()
 	c.snapshots.lastIndex = metadata.GetIndex()
-	c.membership = membership{metadata.GetConfState()}
+	c.membership = membership{confState: metadata.GetConfState(), index: metadata.GetIndex()}
 	c.fence.restore(metadata.GetIndex())
 	return nil
 }
--- a/multisite/doc.go
+++ b/multisite/doc.go
@@ -32,7 +32,8 @@
 // lie between two that it installs one after the other. An instance may skip any number of epochs (it applies several
 // entries in one step, is cut off or stopped, restores a snapshot, or is sent the newest version alone), and what it
 // installs next may look like what it had before. The host therefore has to show that an epoch directly succeeds the one
-// before (see [KeyTable.InstallEpoch]); an epoch of which that is not shown follows unknown ones.
+// before (see [KeyTable.InstallEpoch]); an epoch of which that is not shown follows unknown ones. The instances of an
+// epoch change while it is in force; each such change counts as a new epoch with the same owners.
 //
 // The rule depends on no ID or number that a client chooses: keys that collide share an entry of the ledger, which only
 // rejects more. Numbers of epochs and incarnations come from the agreement and from the instances' own storage.
--- a/multisite/epoch_change.go
+++ b/multisite/epoch_change.go
@@ -17,16 +17,18 @@
 	return p.epoch != nil && p.epoch.owner(key) == site
 }
 
-// InstallEpoch puts an agreed epoch in force. An epoch that is older than the one in force is ignored.
+// InstallEpoch puts an agreed epoch in force, or changes the instances of the epoch in force. An epoch that is older
+// than the one in force is ignored.
 //
-// isDirectSuccessor reports that no other change of sites was agreed on between the last call and this one. If it is false, which is always safe, epochs may have been in force at other instances that this instance never
+// isDirectSuccessor reports that no other change of sites or instances was agreed on between the last call and this
+// one. If it is false, which is always safe, epochs may have been in force at other instances that this instance never
 // received. The argument has no effect on the first epoch of a process, before which all epochs are unknown.
 func (k *KeyTable) InstallEpoch(now time.Duration, epoch OwnershipEpoch, isDirectSuccessor bool) {
 	isFirst := k.epoch == nil
 	switch {
 	case !isFirst && epoch.Number < k.epoch.Number:
 		return
-	case !isFirst && isDirectSuccessor && epoch.Number == k.epoch.Number:
+	case !isFirst && isDirectSuccessor && epoch.isSameAs(k.epoch):
 		return
 	}
 	k.dropEndedEpochs(now)
--- a/multisite/epoch_change_test.go
+++ b/multisite/epoch_change_test.go
@@ -32,6 +32,13 @@
 	expectFence(t, k, testRouteTime)
 }
 
+// A change of the instances alone counts as an epoch as well, and so may hide another one.
+func TestSkippedInstancesEndByTimeAlone(t *testing.T) {
+	k, epoch := newTestKeyTable(t, 1, 1)
+	k.InstallEpoch(testRouteTime, epoch, false)
+	expectFence(t, k, testRouteTime)
+}
+
 // Guards against a key that runs twice because an instance receives its first epoch long after its start, just after
 // the owners have changed.
 func TestEpochsBeforeTheFirstEndWhenItIsInstalled(t *testing.T) {
@@ -63,3 +70,20 @@
 	}
 	expectFence(t, k, testRouteTime)
 }
+
+// Guards against a key that runs twice because the instance that sent it was added and removed before the owners
+// changed: it is listed neither in the new epoch nor in the old one as it was first and last.
+func TestRemovedInstanceIsWaitedFor(t *testing.T) {
+	k, epoch := newTestKeyTable(t, 1, 1)
+	for _, instances := range [][]uint64{{1, 2}, {1}} {
+		epoch.Instances = instances
+		k.InstallEpoch(testRouteTime, epoch, true)
+	}
+	k.ConfirmEpoch(testRouteTime)
+	owner := k.Route(testRouteTime, testKey).Site
+	if owner == "" {
+		t.Error("a change of the instances alone keeps the key from its owner")
+	}
+	k.InstallEpoch(testRouteTime, nextTestEpoch(epoch, owner, false), true)
+	expectFence(t, k, testRouteTime)
+}
--- a/multisite/key_simulation_agreement_test.go
+++ b/multisite/key_simulation_agreement_test.go
@@ -12,14 +12,15 @@
 	testAnyMember   = testAnyFollower + 1
 )
 
-// agreedState is a state of the agreed configuration, as of a log entry. Entries change the sites, the keys' TTL or
-// anything else, and several are applied in one step.
+// agreedState is a state of the agreed configuration, as of a log entry. Entries change the sites, the members, the
+// keys' TTL or anything else, and several are applied in one step.
 type agreedState struct {
-	version   uint64 // of the configuration; counts the entries that are not changes of members
-	placement uint64 // version of the last change of sites
-	sites     []Site
-	members   []uint64
-	keyTTL    time.Duration
+	version    uint64 // of the configuration; counts the entries that are not changes of members
+	placement  uint64 // version of the last change of sites
+	membership int    // index of the state with the last change of members
+	sites      []Site
+	members    []uint64
+	keyTTL     time.Duration
 }
 
 func (s *keySimulation) latest() int { return len(s.agreed) - 1 }
@@ -96,7 +97,7 @@
 	i := &simulatedInstance{id: s.lastMember, stored: -1, skew: time.Duration(s.rng.Int64N(int64(2 * time.Hour)))}
 	s.instances = append(s.instances, i)
 	s.agree(func(next *agreedState) {
-		next.members = append(slices.Clone(next.members), i.id)
+		next.members, next.membership = append(slices.Clone(next.members), i.id), len(s.agreed)
 	})
 	s.start(i)
 }
@@ -113,6 +114,40 @@
 	s.start(i)
 }
 
+// agreeOnMembers adds a member, removes one, or adds one and removes it again soon.
+func (s *keySimulation) agreeOnMembers() {
+	members := s.agreed[s.latest()].members
+	switch x := s.rng.Float64(); {
+	case x < 0.3 && len(members) < 6:
+		s.addMember()
+	case x < 0.7 && len(members) > 3:
+		s.removeMember(members[s.rng.IntN(len(members))])
+	case len(members) < 6:
+		s.addMember()
+		id := s.lastMember
+		s.after(s.randomDuration(time.Millisecond, 5*time.Second), func() { s.removeMember(id) })
+	}
+}
+
+// removeMember agrees on the removal of a member. The member may be cut off just before, and not learn of it. Sites may
+// change just after it, when the member still has its lease.
+func (s *keySimulation) removeMember(id uint64) {
+	members := s.agreed[s.latest()].members
+	if !slices.Contains(members, id) || len(members) <= 3 || s.haveFaultsEnded() {
+		return
+	}
+	if s.rng.Float64() < 0.6 {
+		s.partition(s.instances[slices.IndexFunc(s.instances, func(i *simulatedInstance) bool { return i.id == id })])
+	}
+	if s.rng.Float64() < 0.6 {
+		s.after(s.randomDuration(0, testLeaseTTL), s.agreeOnChanges)
+	}
+	s.agree(func(next *agreedState) {
+		next.members = slices.DeleteFunc(slices.Clone(members), func(m uint64) bool { return m == id })
+		next.membership = len(s.agreed)
+	})
+}
+
 // receiveAgreed makes a process install the newest agreed state alone and confirm it, repeatedly.
 func (s *keySimulation) receiveAgreed(i *simulatedInstance, incarnation uint64) {
 	if !i.isRunning(incarnation) {
@@ -135,7 +170,7 @@
 
 // isNewest reports whether the state that an instance has installed is at least as new as the given one.
 func (s *keySimulation) isNewest(i *simulatedInstance, index int) bool {
-	return i.installed >= index
+	return !i.isRemoved && i.installed >= index
 }
 
 // install installs an agreed state, whatever lies between the one installed before and this one.
@@ -144,6 +179,10 @@
 		return
 	}
 	state := &s.agreed[index]
+	if !i.isFollower && !slices.Contains(state.members, i.id) && i.isMemberBefore(s, index) {
+		i.isRemoved, i.isDown = true, true // its process ends
+		return
+	}
 	epoch := OwnershipEpoch{Number: state.placement, Sites: state.sites}
 	if i.isFollower {
 		epoch.Instances = []uint64{testAnyFollower, testAnyMember}
@@ -158,6 +197,11 @@
 	i.installed, i.stored = index, index
 }
 
+// isMemberBefore reports whether the instance was a member in any state before the given one.
+func (i *simulatedInstance) isMemberBefore(s *keySimulation, index int) bool {
+	return slices.ContainsFunc(s.agreed[:index], func(a agreedState) bool { return slices.Contains(a.members, i.id) })
+}
+
 func (s *keySimulation) hasFollowers() bool {
 	return slices.ContainsFunc(s.instances, func(i *simulatedInstance) bool { return i.isFollower })
 }
@@ -172,11 +216,14 @@
 	if i.isFollower {
 		return after.placement == before.placement || after.placement == before.version+1
 	}
-	placements := 0
+	placements, memberships := 0, 0
 	for n := i.installed + 1; n <= index; n++ {
 		if s.agreed[n].placement != s.agreed[n-1].placement {
 			placements++
 		}
+		if s.agreed[n].membership != s.agreed[n-1].membership {
+			memberships++
+		}
 	}
-	return placements <= 1
+	return placements <= 1 && memberships <= 1
 }
--- a/multisite/key_simulation_test.go
+++ b/multisite/key_simulation_test.go
@@ -38,6 +38,7 @@
 	stored        int           // index of the agreed state that a follower has in its file; -1 if none
 	isPartitioned bool          // cut off from the agreement and from the other instances
 	isDown        bool          // its process has been killed
+	isRemoved     bool          // it has learnt that it is not a member any more
 	pausedUntil   time.Duration // time until which its process is stopped
 	skew          time.Duration // offset of its clock
 }
@@ -105,7 +106,11 @@
 }
 
 func (s *keySimulation) anyInstance() *simulatedInstance {
-	return s.instances[s.rng.IntN(len(s.instances))]
+	for {
+		if i := s.instances[s.rng.IntN(len(s.instances))]; !i.isRemoved {
+			return i
+		}
+	}
 }
 
 func (s *keySimulation) clock(i *simulatedInstance) time.Duration { return s.now + i.skew }
@@ -262,6 +267,8 @@
 	case x < 0.85 && !i.isDown:
 		i.isDown = true
 		s.restartAfter(i, s.randomDuration(50*time.Millisecond, 3*time.Second))
+	case x < 0.92:
+		s.agreeOnMembers()
 	}
 	s.after(s.randomDuration(100*time.Millisecond, s.maxFaultInterval), s.injectFaults)
 }
@@ -289,7 +296,7 @@
 
 func (s *keySimulation) restartAfter(i *simulatedInstance, delay time.Duration) {
 	s.after(delay, func() {
-		if i.isDown {
+		if i.isDown && !i.isRemoved {
 			s.start(i)
 		}
 	})
@@ -300,7 +307,7 @@
 	s.faultsEndedAt = s.now
 	for _, i := range s.instances {
 		i.isPartitioned, i.pausedUntil = false, 0
-		if i.isDown {
+		if i.isDown && !i.isRemoved {
 			s.start(i)
 		}
 	}
--- a/multisite/ownership.go
+++ b/multisite/ownership.go
@@ -17,9 +17,9 @@
 
 // OwnershipEpoch is an agreed assignment of keys to sites.
 type OwnershipEpoch struct {
-	Number    uint64   // higher for later epochs
+	Number    uint64   // higher for later epochs, not necessarily by 1
 	Sites     []Site   // in any order
-	Instances []uint64 // IDs of the instances that may route by it
+	Instances []uint64 // IDs of the instances that may route by it, in any order; may change within an epoch
 }
 
 func (e *OwnershipEpoch) clone() *OwnershipEpoch {
@@ -30,6 +30,11 @@
 	}
 }
 
+// isSameAs reports whether two epochs have the same number and instances.
+func (e *OwnershipEpoch) isSameAs(other *OwnershipEpoch) bool {
+	return e.Number == other.Number && slices.Equal(e.Instances, other.Instances)
+}
+
 // owner returns the open site with the highest weight for a key among those that accept it, or among all open sites if
 // none does. It returns an empty name if no site is open. A recovering site accepts a part of its keys, and a larger
 // part includes a smaller one. The other keys belong to the site with the next lower weight. The arithmetic is exact,
