multisite: a replaced control service's epochs replace those of the old one

Seen in the code, not by callers: a control service that was restored numbers its versions from a lower one. A follower that had run the old service ignored the new owners, whose number was lower, and yet counted them as confirmed, so that it went on to route by the old ones.

Change: an epoch is ordered by the number of its control service first.

Tests: TestReplacedServiceNumbersItsEpochsAnew fails without the order.

--- a/internal/cluster/follower.go
+++ b/internal/cluster/follower.go
@@ -143,6 +143,7 @@
 	}
 	if f.instanceConfig.Keys != nil {
 		ownership := keyOwnershipOf(state, []uint64{anyFollower, anyMember})
+		ownership.epoch.Service = version.Epoch.Number
 		isDirectSuccessor := f.placement.record(version)
 		f.instance.InstallKeyOwners(ownership.epoch, isDirectSuccessor, gateway.AgreedVoters{})
 	}
--- a/internal/cluster/placement_succession.go
+++ b/internal/cluster/placement_succession.go
@@ -38,14 +38,15 @@
 }
 
 // record records the version that is being installed. It reports whether its placement directly succeeds that of the
-// version installed before: the two are the same, or the first version after the installed one has made it.
+// version installed before: the two are the same, or the first version after the installed one has made it. Versions of
+// different control services can't be compared.
 func (p *followerPlacement) record(version *configstream.Version) (isDirectSuccessor bool) {
 	before := p.installed
 	if before != nil && version.Compare(before.Ref) != configstream.OrderNewer {
 		return false // package multisite ignores it as well
 	}
 	p.installed = version
-	if before == nil {
+	if before == nil || before.Epoch != version.Epoch {
 		return false
 	}
 	isSame := version.PlacementVersion == before.PlacementVersion
--- a/internal/cluster/placement_succession_test.go
+++ b/internal/cluster/placement_succession_test.go
@@ -87,29 +87,32 @@
 }
 
 // Guards against a follower that books a visit twice after its stream was silent while a site was closed and opened
-// (review/1).
+// (review/1), or after the control service was replaced.
 func TestFollowerPlacementRecognizesSkippedVersions(t *testing.T) {
 	var placement followerPlacement
-	version := func(number, placementVersion uint64) *configstream.Version {
+	version := func(service, number, placementVersion uint64) *configstream.Version {
 		state, err := clusterconfig.NewFrozenState(number, placementVersion, clusterconfig.New(nil).Hash(), nil,
 			iradix.New[json.RawMessage]())
 		if err != nil {
 			t.Fatal(err)
 		}
-		return configstream.NewVersion(state, nil)
+		v := configstream.NewVersion(state, nil)
+		v.Epoch.Number = service
+		return v
 	}
 	for _, step := range []struct {
 		text    string
 		version *configstream.Version
 		want    bool
 	}{
-		{"first version", version(5, 3), false},
-		{"later version of the same placement", version(7, 3), true},
-		{"the next version is a placement", version(8, 8), true},
-		{"the next version was a placement, others were skipped", version(12, 9), true},
-		{"a version between may have been a placement", version(14, 14), false},
-		{"an older version", version(13, 9), false},
-		{"the next version after the older one was ignored", version(15, 15), true},
+		{"first version", version(0, 5, 3), false},
+		{"later version of the same placement", version(0, 7, 3), true},
+		{"the next version is a placement", version(0, 8, 8), true},
+		{"the next version was a placement, others were skipped", version(0, 12, 9), true},
+		{"a version between may have been a placement", version(0, 14, 14), false},
+		{"an older version", version(0, 13, 9), false},
+		{"the next version after the older one was ignored", version(0, 15, 15), true},
+		{"another service", version(1, 16, 15), false},
 	} {
 		if got := placement.record(step.version); got != step.want {
 			t.Errorf("%s: is direct successor: got %v, want %v", step.text, got, step.want)
--- a/multisite/epoch_change.go
+++ b/multisite/epoch_change.go
@@ -26,7 +26,7 @@
 func (k *KeyTable) InstallEpoch(now time.Duration, epoch OwnershipEpoch, isDirectSuccessor bool) {
 	isFirst := k.epoch == nil
 	switch {
-	case !isFirst && epoch.Number < k.epoch.Number:
+	case !isFirst && epoch.isOlderThan(k.epoch):
 		return
 	case !isFirst && isDirectSuccessor && epoch.isSameAs(k.epoch):
 		return
--- a/multisite/epoch_change_test.go
+++ b/multisite/epoch_change_test.go
@@ -87,3 +87,23 @@
 	k.InstallEpoch(testRouteTime, nextTestEpoch(epoch, owner, false), true)
 	expectFence(t, k, testRouteTime)
 }
+
+// Guards against a key that runs twice, and against outdated owners that stay in force, after a control service was
+// replaced by one that numbers its epochs from the start.
+func TestReplacedServiceNumbersItsEpochsAnew(t *testing.T) {
+	k, epoch := newTestKeyTable(t, 1, 1)
+	k.ConfirmEpoch(testRouteTime)
+	closed := k.Route(testRouteTime, testKey).Site
+	next := nextTestEpoch(epoch, closed, false)
+	next.Service, next.Number = 1, 0
+	k.InstallEpoch(testRouteTime, next, false)
+	if d := k.Route(testRouteTime, testKey); d.Site != "" {
+		t.Errorf("key whose site the new service has closed: got %+v, want no site", d)
+	}
+	expectFence(t, k, testRouteTime)
+	epoch.Number = 100
+	k.InstallEpoch(testRouteTime, epoch, true)
+	if k.epoch.Service != 1 {
+		t.Error("an epoch of the replaced service was installed")
+	}
+}
--- a/multisite/key_simulation_agreement_test.go
+++ b/multisite/key_simulation_agreement_test.go
@@ -15,7 +15,8 @@
 // agreedState is a state of the agreed configuration, as of a log entry. Entries change the sites, the members, the
 // keys' TTL or anything else, and several are applied in one step.
 type agreedState struct {
-	version    uint64 // of the configuration; counts the entries that are not changes of members
+	service    uint64 // control service that has agreed on it
+	version    uint64 // of the configuration; counts the service's entries that are not changes of members
 	placement  uint64 // version of the last change of sites
 	membership int    // index of the state with the last change of members
 	sites      []Site
@@ -148,6 +149,21 @@
 	})
 }
 
+// replaceService ends all members and starts them again as those of a control service that numbers its versions anew.
+func (s *keySimulation) replaceService() {
+	s.agree(func(next *agreedState) {
+		next.service++
+		next.version, next.placement = 1, 1
+		next.sites = []Site{s.randomSite("a"), s.randomSite("b")}
+	})
+	for _, i := range s.instances {
+		if !i.isFollower && !i.isRemoved {
+			i.isDown = true
+			s.restartAfter(i, s.randomDuration(10*time.Millisecond, 300*time.Millisecond))
+		}
+	}
+}
+
 // receiveAgreed makes a process install the newest agreed state alone and confirm it, repeatedly.
 func (s *keySimulation) receiveAgreed(i *simulatedInstance, incarnation uint64) {
 	if !i.isRunning(incarnation) {
@@ -183,7 +199,7 @@
 		i.isRemoved, i.isDown = true, true // its process ends
 		return
 	}
-	epoch := OwnershipEpoch{Number: state.placement, Sites: state.sites}
+	epoch := OwnershipEpoch{Service: state.service, Number: state.placement, Sites: state.sites}
 	if i.isFollower {
 		epoch.Instances = []uint64{testAnyFollower, testAnyMember}
 	} else {
@@ -214,7 +230,8 @@
 	}
 	before, after := &s.agreed[i.installed], &s.agreed[index]
 	if i.isFollower {
-		return after.placement == before.placement || after.placement == before.version+1
+		isNext := after.placement == before.placement || after.placement == before.version+1
+		return before.service == after.service && isNext
 	}
 	placements, memberships := 0, 0
 	for n := i.installed + 1; n <= index; n++ {
--- a/multisite/key_simulation_test.go
+++ b/multisite/key_simulation_test.go
@@ -269,6 +269,8 @@
 		s.restartAfter(i, s.randomDuration(50*time.Millisecond, 3*time.Second))
 	case x < 0.92:
 		s.agreeOnMembers()
+	case x < 0.94:
+		s.replaceService()
 	}
 	s.after(s.randomDuration(100*time.Millisecond, s.maxFaultInterval), s.injectFaults)
 }
--- a/multisite/ownership.go
+++ b/multisite/ownership.go
@@ -17,22 +17,30 @@
 
 // OwnershipEpoch is an agreed assignment of keys to sites.
 type OwnershipEpoch struct {
-	Number    uint64   // higher for later epochs, not necessarily by 1
+	// Service numbers the control service that has agreed on the epoch. A service that replaces another one has a higher
+	// number and may number its epochs from a lower one again.
+	Service   uint64
+	Number    uint64   // higher for later epochs of a service, not necessarily by 1
 	Sites     []Site   // in any order
 	Instances []uint64 // IDs of the instances that may route by it, in any order; may change within an epoch
 }
 
 func (e *OwnershipEpoch) clone() *OwnershipEpoch {
 	return &OwnershipEpoch{
+		Service:   e.Service,
 		Number:    e.Number,
 		Sites:     slices.Clone(e.Sites),
 		Instances: slices.Clone(e.Instances),
 	}
 }
 
+func (e *OwnershipEpoch) isOlderThan(other *OwnershipEpoch) bool {
+	return e.Service < other.Service || e.Service == other.Service && e.Number < other.Number
+}
+
 // isSameAs reports whether two epochs have the same number and instances.
 func (e *OwnershipEpoch) isSameAs(other *OwnershipEpoch) bool {
-	return e.Number == other.Number && slices.Equal(e.Instances, other.Instances)
+	return e.Service == other.Service && e.Number == other.Number && slices.Equal(e.Instances, other.Instances)
 }
 
 // owner returns the open site with the highest weight for a key among those that accept it, or among all open sites if
