gateway: relayed attempts have numbers that the relaying instance issues

Cause: the remote instance recorded a relayed request under the client's trace ID and the number of its attempt, and answered the status query with whichever request had that ID first.

Change: an attempt is identified by the relaying member, as its certificate names it, and by a number that its process issues (128 random bits and a count). The old build takes the number for an opaque text. Old relaying instances still send trace IDs; at a new remote instance those of two instances no longer meet.

In the simulation of forwarded requests two instances issue the same numbers. relay.txt is unchanged: the test replaces numbers by trace ID and attempt.

--- a/cmd/gateway/fixture_relay_test.go
+++ b/cmd/gateway/fixture_relay_test.go
@@ -94,13 +94,19 @@
 	return ""
 }
 
+// relayNumber is the form of the numbers that an instance issues for its relayed attempts.
+var relayNumber = regexp.MustCompile(`^[A-Z2-7]{26}\.\d+$`)
+
 // remoteSite is a fake instance of another site. It records the first message of each relayed request and of each
-// status query, and sends scripted responses.
+// status query, and sends scripted responses. In recorded messages and in keys it replaces the number of an attempt,
+// which differs from run to run, by the request's trace ID and the count of attempts with it.
 type remoteSite struct {
-	responses map[string]string // by [messageKey]; the connection is closed if there is none
+	responses map[string]string // by [remoteSite.key]; the connection is closed if there is none
 
 	mu       sync.Mutex
-	messages map[string]string
+	messages map[string]string // by [remoteSite.key]
+	names    map[string]string // replacements of attempts' numbers
+	attempts map[string]int    // attempts by trace ID
 }
 
 // serve accepts connections on a listener until it is closed.
@@ -122,13 +128,7 @@
 		if err != nil {
 			return
 		}
-		key := messageKey(head)
-		s.mu.Lock()
-		if _, ok := s.messages[key]; !ok {
-			s.messages[key] = head + "\n" + string(body)
-		}
-		s.mu.Unlock()
-		answer, ok := s.responses[key]
+		answer, ok := s.responses[s.record(head, body)]
 		if !ok {
 			return
 		}
@@ -138,18 +138,36 @@
 	}
 }
 
-// messageKey returns the key of a message: "ask" for a status query, else "request", and its relay id.
-func messageKey(head string) string {
-	kind := "request "
+// record records a message unless one with the same key was recorded before, and returns its key.
+func (s *remoteSite) record(head string, body []byte) (key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key = s.key(head)
+	if _, ok := s.messages[key]; !ok {
+		number := headerValue(head, relayIDField)
+		s.messages[key] = strings.Replace(head, number, s.names[number], 1) + "\n" + string(body)
+	}
+	return key
+}
+
+// key returns the key of a message: "ask" for a status query, else "request", and the name of its attempt. The caller
+// holds the mutex.
+func (s *remoteSite) key(head string) string {
+	number := headerValue(head, relayIDField)
 	if strings.HasPrefix(head, "GET /link/") {
-		kind = "ask "
+		return "ask " + s.names[number]
+	}
+	if _, isKnown := s.names[number]; !isKnown && relayNumber.MatchString(number) {
+		trace := headerValue(head, "X-Trace-Id")
+		s.attempts[trace]++
+		s.names[number] = trace + "." + strconv.Itoa(s.attempts[trace])
 	}
-	return kind + headerValue(head, relayIDField)
+	return "request " + s.names[number]
 }
 
 // Relayed requests, their responses and status queries between two sites have the same form, in both directions, as
-// those recorded from the program before its first renaming, built from commit 49080d0 (./cmd/mulleingate). The test
-// acts as the other site.
+// those recorded from the program before its first renaming, built from commit 49080d0 (./cmd/mulleingate), but for the
+// numbers of attempts, which that program made from the clients' trace IDs. The test acts as the other site.
 //
 // Recorded with: MULLEINMUX_RECORD=1 MULLEINMUX_PROGRAM=/path/to/mulleingate go test ./cmd/gateway -run FixtureRelay
 func TestFixtureRelay(t *testing.T) {
@@ -193,11 +211,12 @@
 func (r *relayRecorder) startRemoteSite() *remoteSite {
 	r.t.Helper()
 	const ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Served-By: s1\r\nContent-Length: 3\r\n\r\nok\n"
-	site := &remoteSite{messages: map[string]string{}, responses: map[string]string{
-		"request plain.1":  ok,
-		"request change.1": ok,
-		"ask broken.1":     strings.Replace(ok, "X-Served-By: s1", "X-Mulleinmux-Fate: ran", 1),
-	}}
+	site := &remoteSite{messages: map[string]string{}, names: map[string]string{}, attempts: map[string]int{},
+		responses: map[string]string{
+			"request plain.1":  ok,
+			"request change.1": ok,
+			"ask broken.1":     strings.Replace(ok, "X-Served-By: s1", "X-Mulleinmux-Fate: ran", 1),
+		}}
 	ln, err := tls.Listen("tcp", "127.0.0.1:0", r.memberTLS())
 	if err != nil {
 		r.t.Fatal(err)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,13 @@
 	end := attemptEnd{sentAt: in.host.now()}
 	r.response.wasWritten, r.response.connectedAt = false, time.Time{}
 	r.isRelayed = isRemoteServer(a.server)
-	r.recorder.add(TraceStep{Kind: StepBegun, Attempt: r.attempts, Server: a.server, Relayed: r.isRelayed})
+	r.relayNumber = ""
+	if r.isRelayed {
+		r.relayNumber = in.relay.numbers.next()
+	}
+	r.recorder.add(TraceStep{
+		Kind: StepBegun, Attempt: r.attempts, Server: a.server, Relayed: r.isRelayed, RelayID: r.relayNumber,
+	})
 	if r.isRelayed {
 		if !in.relay.acquire(r) {
 			end.result = policy.RejectedByServer // the relay has no capacity now
@@ -142,7 +148,7 @@
 	if !needsQuery {
 		return result
 	}
-	query := relayedStatusQuery{servers: in.servers, control: r.current, id: r.attemptRelayID(), startedAt: begunAt,
+	query := relayedStatusQuery{servers: in.servers, control: r.current, number: r.relayNumber, startedAt: begunAt,
 		server: a.server, deadline: deadline}
 	r.recorder.add(TraceStep{Kind: StepStatusQueried, Attempt: r.attempts, Server: a.server})
 	status, hasEnded := query.await(in.ctx)
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -12,6 +12,7 @@
 	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/httpwire"
 	"mulleinmux/internal/logging"
+	"mulleinmux/multisite"
 )
 
 const (
@@ -42,8 +43,9 @@
 	closeWatch  closeWatch // set if isRelay
 	receivedAt  time.Time  // when the head of the current request was received
 	lifecycle   connLifecycle
-	isRelay     bool   // the peer is another site's instance
-	lastRelayID string // of the last relayed request received; set if isRelay
+	isRelay     bool                         // the peer is another site's instance
+	peerMember  uint64                       // its member ID, by its certificate; set if isRelay
+	lastRelayID multisite.ForwardedRequestID // of the last relayed request received; set if isRelay
 }
 
 // requestInput reads the requests of a connection. Only the connection's goroutine uses it.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"fmt"
 	"log/slog"
@@ -67,6 +68,7 @@
 type relay struct {
 	config         *RelayConfig
 	listeningSince time.Time // set before the first connection is accepted
+	numbers        relayNumbers
 
 	mu        sync.Mutex // guards the fields below
 	forwarded *multisite.ForwardedRequests
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &relay{config: config, forwarded: forwarded, budget: budget}, nil
+	return &relay{config: config, numbers: relayNumbers{process: rand.Text()}, forwarded: forwarded, budget: budget}, nil
 }
 
 // listen returns the listener for connections from other sites' instances.
@@ -186,7 +188,7 @@
 	defer cancel()
 	err := conn.HandshakeContext(ctx)
 	if err == nil {
-		_, err = c.server.instance.relay.config.Verify(conn.ConnectionState())
+		c.peerMember, err = c.server.instance.relay.config.Verify(conn.ConnectionState())
 	}
 	if err != nil {
 		c.server.instance.logger.Warn("relay connection rejected",
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"mulleinmux/internal/httpwire"
@@ -48,9 +47,6 @@
 	r.budget.Release(request.licensee)
 }
 
-// attemptRelayID returns the relay ID of the attempt under way.
-func (r *pendingRequest) attemptRelayID() string { return r.traceID + "." + strconv.Itoa(r.attempts) }
-
 // relayedStatus is the execution status of a relayed request, as the remote instance reports it.
 type relayedStatus struct {
 	status   multisite.ExecutionStatus
@@ -86,7 +82,7 @@
 type relayedStatusQuery struct {
 	servers   *serverPool
 	control   *attemptControl // of the relayed attempt; its abort also ends the query
-	id        string          // relay ID of the attempt
+	number    string          // of the attempt, as issued by relayNumbers
 	startedAt time.Time       // when the attempt started
 	server    string          // the remote instance
 	deadline  time.Time
@@ -120,7 +116,7 @@
 	var resp response
 	exchangeResult := q.servers.exchange(ctx, q.control, q.server, deadline, false, &resp, func(b []byte) []byte {
 		b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
-		return append(httpwire.AppendField(b, relayIDField, q.id), "\r\n"...)
+		return append(httpwire.AppendField(b, relayIDField, q.number), "\r\n"...)
 	})
 	if exchangeResult != policy.OK {
 		return relayedStatus{}, false
@@ -156,7 +152,7 @@
 // serveExecutionStatus answers another site's query for the status of a relayed request.
 func (c *clientConn) serveExecutionStatus() (isReusable bool) {
 	relay := c.server.instance.relay
-	id, err := relayID(&c.request.requestHead)
+	id, err := c.relayID()
 	if err != nil {
 		return c.rejectBadRequest(err)
 	}
@@ -193,27 +189,27 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// relayID returns the relay ID of a relayed request or of a status query. Exactly one is required.
-func relayID(head *httpwire.Head) (string, error) {
-	id, count := head.Values(relayIDField)
-	if count != 1 || id == "" {
-		return "", &badRequest{status: http.StatusBadRequest,
+// relayID returns the ID of the relayed request, or of the request whose status is queried. Exactly one is required.
+func (c *clientConn) relayID() (id multisite.ForwardedRequestID, err error) {
+	number, count := c.request.requestHead.Values(relayIDField)
+	if count != 1 || number == "" {
+		return id, &badRequest{status: http.StatusBadRequest,
 			text: relayIDField + ": exactly one non-empty value is required"}
 	}
-	return id, nil
+	return multisite.ForwardedRequestID{Instance: c.peerMember, Number: number}, nil
 }
 
 // acceptRelayed records a relayed request that may run here. Its error rejects one that may not.
 func (c *clientConn) acceptRelayed() error {
 	relay, r := c.server.instance.relay, &c.request
-	id, err := relayID(&r.requestHead)
+	id, err := c.relayID()
 	if err != nil {
 		return err
 	}
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
 	// Requests on a connection are sequential, so the other instance has read the answer to the previous one.
-	if c.lastRelayID != "" && c.lastRelayID != id {
+	if c.lastRelayID.Number != "" && c.lastRelayID != id {
 		relay.forwarded.Acknowledge(c.lastRelayID)
 	}
 	c.lastRelayID = id
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulleinmux/internal/httpwire"
+	"mulleinmux/multisite"
 	"mulleinmux/policy"
 	"mulleinmux/routing"
 )
@@ -26,9 +27,10 @@
 	key             uint64
 	mayHaveRun      bool // an attempt may have run
 
-	isFromRelay bool   // another site's instance relayed the request to this one
-	relayID     string // set if isFromRelay
-	isRelayed   bool   // the current attempt is sent to another site's instance
+	isFromRelay bool                         // another site's instance relayed the request to this one
+	relayID     multisite.ForwardedRequestID // set if isFromRelay
+	isRelayed   bool                         // the current attempt is sent to another site's instance
+	relayNumber string                       // of the current attempt, as issued by relayNumbers; set if isRelayed
 
 	// Guarded by the instance's mutex:
 	isAnswered   bool // answer is set and final
--- a/internal/gateway/request_trace.go
+++ b/internal/gateway/request_trace.go
@@ -12,7 +12,7 @@
 
 // RequestTrace records the steps of a request at one instance, with their times. Instances on one machine share a
 // clock, so that the traces of a relayed request at its two instances can be compared: TraceID is the same in both, and
-// RelayID identifies the attempt of the relaying instance.
+// RelayID is that of the relaying instance's step StepBegun.
 type RequestTrace struct {
 	Instance     string      `json:"instance"`
 	TraceID      string      `json:"trace"` // X-Trace-Id
@@ -30,8 +30,9 @@
 	Kind    StepKind  `json:"step"`
 	Attempt int       `json:"attempt,omitempty"` // from 1; 0: the step belongs to no attempt
 	Server  string    `json:"server,omitempty"`
-	Relayed bool      `json:"relayed,omitempty"` // the server is an instance of another site
-	Detail  string    `json:"detail,omitempty"`  // see StepKind
+	Relayed bool      `json:"relayed,omitempty"`  // the server is an instance of another site
+	RelayID string    `json:"relay_id,omitempty"` // of StepBegun of a relayed attempt
+	Detail  string    `json:"detail,omitempty"`   // see StepKind
 }
 
 // StepKind is the kind of a step.
@@ -68,7 +69,7 @@
 		return nil
 	}
 	t := &traceRecorder{trace: RequestTrace{
-		Instance: in.config.Name, TraceID: r.traceID, RelayID: r.relayID, Operation: r.operation.ID,
+		Instance: in.config.Name, TraceID: r.traceID, RelayID: r.relayID.Number, Operation: r.operation.ID,
 		Idempotent: r.isIdempotent(), Deadline: r.deadline,
 	}}
 	if !r.isFromRelay {
--- a/internal/gateway/request_write.go
+++ b/internal/gateway/request_write.go
@@ -33,7 +33,7 @@
 	b = appendSeconds(b, time.Until(deadline))
 	if r.isRelayed {
 		b = append(b, "\r\n"+relayIDField+": "...)
-		b = append(b, r.attemptRelayID()...)
+		b = append(b, r.relayNumber...)
 	}
 	b = append(b, "\r\n"+versionField+": "...)
 	if from, n := h.Values(versionField); r.isFromRelay && n == 1 {
--- a/multisite/doc.go
+++ b/multisite/doc.go
@@ -38,6 +38,9 @@
 // The rule depends on no ID or number that a client chooses: keys that collide share an entry of the ledger, which only
 // rejects more. Numbers of epochs and incarnations come from the agreement and from the instances' own storage.
 //
+// Between sites the outcome and the answer that are reported for an attempt are those of this attempt, whatever IDs
+// clients choose for their requests: see [ForwardedRequestID].
+//
 // The TTL that the rule needs is the longest of any key that is still repeated. An instance knows the TTLs of the
 // versions that it had in force itself and those that other instances announce.
 //
--- a/multisite/forwarded_requests.go
+++ b/multisite/forwarded_requests.go
@@ -9,6 +9,15 @@
 // minSweptExpirations is the number of expirations of acknowledged requests below which they are not swept.
 const minSweptExpirations = 1024
 
+// ForwardedRequestID identifies one attempt of one request that another instance has forwarded. Two attempts must never
+// have the same ID, whatever IDs clients choose for their requests: a status query would be answered with the outcome
+// and the answer of another client's request. Instance is therefore the peer as its certificate names it, and Number is
+// issued by that instance: no part of it comes from a client, and no later process of the instance issues it again.
+type ForwardedRequestID struct {
+	Instance uint64
+	Number   string
+}
+
 // ForwardedRequests records the requests that another site forwarded to this instance, so that it can report their
 // status after the link between the sites has failed. The other site queries the status by the request's ID, which
 // is new for each attempt. A query for a request that has not arrived voids the request: if a broken link delivers it
@@ -26,7 +35,7 @@
 type ForwardedRequests struct {
 	ttl         time.Duration
 	maxRequests int
-	byID        map[string]*forwardedRequest
+	byID        map[ForwardedRequestID]*forwardedRequest
 	expirations []requestExpiration // in the order in which they were added
 }
 
@@ -38,7 +47,7 @@
 
 type requestExpiration struct {
 	dueAt time.Time
-	id    string
+	id    ForwardedRequestID
 }
 
 // NewForwardedRequests returns an empty table of at most maxRequests requests, each recorded for ttl after its last
@@ -47,13 +56,13 @@
 	if ttl <= 0 || maxRequests <= 0 {
 		return nil, errors.New("multisite: ttl and maxRequests of forwarded requests must be above 0")
 	}
-	return &ForwardedRequests{ttl: ttl, maxRequests: maxRequests, byID: map[string]*forwardedRequest{}}, nil
+	return &ForwardedRequests{ttl: ttl, maxRequests: maxRequests, byID: map[ForwardedRequestID]*forwardedRequest{}}, nil
 }
 
 // Admit records a request that has arrived. If ok is false, the request must not be executed: either it was voided or
 // the table is full, and its status is NeverExecuted, or it has arrived before, and the status is that of the first
 // arrival.
-func (f *ForwardedRequests) Admit(now time.Time, id string) (status ExecutionStatus, ok bool) {
+func (f *ForwardedRequests) Admit(now time.Time, id ForwardedRequestID) (status ExecutionStatus, ok bool) {
 	f.expire(now)
 	if r := f.byID[id]; r != nil {
 		return r.status, false
@@ -66,7 +75,7 @@
 }
 
 // Complete records the final status of a request that Admit has admitted, and the answer to retain.
-func (f *ForwardedRequests) Complete(now time.Time, id string, status ExecutionStatus, answer any) {
+func (f *ForwardedRequests) Complete(now time.Time, id ForwardedRequestID, status ExecutionStatus, answer any) {
 	if r := f.byID[id]; r != nil && r.status == Executing {
 		r.status = status
 		r.retainedAnswer = answer
@@ -75,7 +84,7 @@
 }
 
 // ResolveStatus returns the status of a request and its retained answer. A request that has not arrived is voided.
-func (f *ForwardedRequests) ResolveStatus(now time.Time, id string) (status ExecutionStatus, answer any) {
+func (f *ForwardedRequests) ResolveStatus(now time.Time, id ForwardedRequestID) (status ExecutionStatus, answer any) {
 	f.expire(now)
 	if r := f.byID[id]; r != nil {
 		return r.status, r.retainedAnswer
@@ -90,7 +99,7 @@
 // Acknowledge drops a request whose answer the other site has received. The other site will not query its status and,
 // since it sends each request once, no copy of the request can arrive any more. The table's size therefore depends on
 // how many connections break, not on how many requests are forwarded.
-func (f *ForwardedRequests) Acknowledge(id string) {
+func (f *ForwardedRequests) Acknowledge(id ForwardedRequestID) {
 	if r := f.byID[id]; r == nil || r.status == Executing {
 		return
 	}
@@ -105,7 +114,7 @@
 
 func (f *ForwardedRequests) isFull() bool { return len(f.byID) >= f.maxRequests }
 
-func (f *ForwardedRequests) add(now time.Time, id string, status ExecutionStatus) {
+func (f *ForwardedRequests) add(now time.Time, id ForwardedRequestID, status ExecutionStatus) {
 	expiresAt := now.Add(f.ttl)
 	f.byID[id] = &forwardedRequest{status: status, expiresAt: expiresAt}
 	f.expirations = append(f.expirations, requestExpiration{expiresAt, id})
--- a/multisite/forwarded_requests_test.go
+++ b/multisite/forwarded_requests_test.go
@@ -27,8 +27,8 @@
 	rng       *rand.Rand
 	now       time.Time
 	forwarded *ForwardedRequests
-	requests  map[string]*linkRequest
-	ids       []string
+	requests  map[ForwardedRequestID]*linkRequest
+	ids       []ForwardedRequestID
 }
 
 func newLinkSimulation(t *testing.T, seed uint64) *linkSimulation {
@@ -43,7 +43,7 @@
 		rng:       rand.New(rand.NewPCG(seed, 9)),
 		now:       time.Unix(0, 0),
 		forwarded: f,
-		requests:  map[string]*linkRequest{},
+		requests:  map[ForwardedRequestID]*linkRequest{},
 	}
 }
 
@@ -54,10 +54,12 @@
 // step simulates a millisecond, in which a request may be sent and the latest requests advance.
 func (s *linkSimulation) step(number int) {
 	s.now = s.now.Add(time.Millisecond)
-	if s.rng.IntN(12) == 0 {
-		id := fmt.Sprint(number)
-		s.requests[id] = &linkRequest{arrivesAt: s.after(300)}
-		s.ids = append(s.ids, id)
+	if s.rng.IntN(12) == 0 { // two instances issue the same numbers
+		for instance := range uint64(1 + s.rng.IntN(2)) {
+			id := ForwardedRequestID{instance, fmt.Sprint(number)}
+			s.requests[id] = &linkRequest{arrivesAt: s.after(300)}
+			s.ids = append(s.ids, id)
+		}
 	}
 	for _, id := range s.ids[max(0, len(s.ids)-60):] {
 		s.advance(id, s.requests[id])
@@ -72,7 +74,7 @@
 }
 
 // advance makes a request arrive or complete, or the other site query its status.
-func (s *linkSimulation) advance(id string, r *linkRequest) {
+func (s *linkSimulation) advance(id ForwardedRequestID, r *linkRequest) {
 	switch {
 	case *r == (linkRequest{}):
 	case !r.arrivesAt.IsZero() && s.now.After(r.arrivesAt):
@@ -84,17 +86,17 @@
 		status, answer := s.forwarded.ResolveStatus(s.now, id)
 		r.reportedNeverExecuted = r.reportedNeverExecuted || status == NeverExecuted
 		if status == Executed && (answer != id || r.executionCount != 1) {
-			s.t.Fatalf("seed %d: request %s is reported as executed with answer %v, and was executed %d times",
+			s.t.Fatalf("seed %d: request %v is reported as executed with answer %v, and was executed %d times",
 				s.seed, id, answer, r.executionCount)
 		}
 	}
 	if r.executionCount > 1 || r.reportedNeverExecuted && r.executionCount > 0 {
-		s.t.Fatalf("seed %d: request %s was executed %d times; reported as never executed: %v",
+		s.t.Fatalf("seed %d: request %v was executed %d times; reported as never executed: %v",
 			s.seed, id, r.executionCount, r.reportedNeverExecuted)
 	}
 }
 
-func (s *linkSimulation) arrive(id string, r *linkRequest) {
+func (s *linkSimulation) arrive(id ForwardedRequestID, r *linkRequest) {
 	if s.rng.IntN(8) > 0 { // some requests arrive twice, as from a link that repeats them
 		r.arrivesAt = time.Time{}
 	}
@@ -103,12 +105,12 @@
 		r.executionCount++
 		r.endsAt = s.after(400)
 	} else if status == NeverExecuted && r.executionCount > 0 {
-		s.t.Fatalf("seed %d: request %s was executed, and its second copy is reported as never executed", s.seed, id)
+		s.t.Fatalf("seed %d: request %v was executed, and its second copy is reported as never executed", s.seed, id)
 	}
 }
 
 // acknowledge simulates that the other site has received an answer: it sends no more copies of the request.
-func (s *linkSimulation) acknowledge(id string) {
+func (s *linkSimulation) acknowledge(id ForwardedRequestID) {
 	r := s.requests[id]
 	if r.arrivesAt.IsZero() && r.endsAt.IsZero() && r.executionCount > 0 {
 		s.forwarded.Acknowledge(id)
@@ -140,7 +142,7 @@
 	now := time.Unix(0, 0)
 	for i := range 100_000 {
 		now = now.Add(time.Millisecond)
-		id := fmt.Sprint(i)
+		id := ForwardedRequestID{1, fmt.Sprint(i)}
 		if _, ok := f.Admit(now, id); !ok {
 			t.Fatalf("request %d was not admitted", i)
 		}
@@ -161,21 +163,21 @@
 func TestFullForwardedRequests(t *testing.T) {
 	f, _ := NewForwardedRequests(time.Second, 1)
 	now := time.Unix(0, 0)
-	if _, ok := f.Admit(now, "a"); !ok {
+	if _, ok := f.Admit(now, ForwardedRequestID{1, "a"}); !ok {
 		t.Fatal("the first request was not admitted")
 	}
-	if status, ok := f.Admit(now, "b"); ok || status != NeverExecuted {
+	if status, ok := f.Admit(now, ForwardedRequestID{1, "b"}); ok || status != NeverExecuted {
 		t.Fatalf("request beyond the limit: admitted, or with the wrong status %v", status)
 	}
-	if status, _ := f.ResolveStatus(now, "b"); status != ExecutionUnknown {
+	if status, _ := f.ResolveStatus(now, ForwardedRequestID{1, "b"}); status != ExecutionUnknown {
 		t.Errorf("status of a request that has not arrived: got %v, want unknown", status)
 	}
 	late := now.Add(time.Hour)
-	if status, _ := f.ResolveStatus(late, "a"); status != Executing {
+	if status, _ := f.ResolveStatus(late, ForwardedRequestID{1, "a"}); status != Executing {
 		t.Errorf("a request that executes for longer than its TTL was dropped: status %v", status)
 	}
-	f.Complete(late, "a", NeverExecuted, nil)
-	if status, _ := f.ResolveStatus(late.Add(time.Minute), "b"); status != NeverExecuted {
+	f.Complete(late, ForwardedRequestID{1, "a"}, NeverExecuted, nil)
+	if status, _ := f.ResolveStatus(late.Add(time.Minute), ForwardedRequestID{1, "b"}); status != NeverExecuted {
 		t.Errorf("status after the first request expired: got %v, want never", status)
 	}
 }
