gateway: SIGHUP does not end a member or a follower of a cluster

Cause: "gateway run" registered for the signal for a standalone instance alone, and there only once its description was read. An unhandled SIGHUP ends the process.

Change: all instances handle it from their start. One of a cluster logs "reload ignored": what it serves is agreed on.

--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"mulleinmux/internal/cluster"
@@ -54,13 +55,41 @@
 		f.Config.OnTrace = traces.Record
 	}
 	logger := logging.New(e.stderr)
+	// An unhandled SIGHUP would end the process with requests open.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	switch {
 	case f.Member != nil:
+		defer ignoreReloads(reload, logger)()
 		return c.runMember(e, f, logger)
 	case f.Follower != nil:
+		defer ignoreReloads(reload, logger)()
 		return c.runFollower(e, f, logger)
 	default:
-		return c.runStandalone(e, f, logger)
+		return c.runStandalone(e, f, reload, logger)
+	}
+}
+
+// ignoreReloads logs each signal to reload, until stop is called: the members of a cluster agree on the configuration,
+// so that an instance has no file to read again.
+func ignoreReloads(reload <-chan os.Signal, logger *slog.Logger) (stop func()) {
+	stopping := make(chan struct{})
+	var listener sync.WaitGroup
+	listener.Go(func() {
+		for {
+			select {
+			case <-reload:
+				logger.Warn("reload ignored",
+					slog.String("hint", "the configuration is agreed on: change it with gateway config apply"))
+			case <-stopping:
+				return
+			}
+		}
+	})
+	return func() {
+		close(stopping)
+		listener.Wait()
 	}
 }
 
@@ -74,16 +103,15 @@
 }
 
 // runStandalone runs an instance without a cluster. On SIGHUP it reads its description again.
-func (c *runCmd) runStandalone(e *environment, f *gatewayconfig.File, logger *slog.Logger) error {
+func (c *runCmd) runStandalone(
+	e *environment, f *gatewayconfig.File, reload <-chan os.Signal, logger *slog.Logger,
+) error {
 	cfg := &f.Config
 	description := resolvePath(c.Config, f.Description)
 	table, check, err := loadDescription(description, cfg)
 	if err != nil {
 		return usageError{err}
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	ready, ended := make(chan *gateway.Instance, 1), make(chan error, 1)
 	go func() {
 		setup := cfg.Setup(1, table, check)
