gateway: a drain waits for requests of a version with longer deadlines

Read in the code by the review, not seen by callers: a drain that begins just after a description with shorter deadlines was put in force went by these, and cut off requests that had kept the deadline of the version before.

Change: openDeadlines remembers until when requests of replaced versions may be open; the drain goes by the longest.

Test: TestDrainFinishesRequestsOfReplacedVersion; on the parent the client's connection ends without an answer.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"mulleinmux/policy"
 )
 
 // drainPollInterval is the interval at which a draining instance interrupts connections that have become idle.
@@ -74,7 +72,7 @@
 func (s *clientServer) interruptUntil(ended <-chan struct{}) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	finishDuration := maxFinishDuration(s.instance.Table().Classes, s.instance.config.Settings.ResponseSlack)
+	finishDuration := maxFinishDuration(s.instance.longestDeadline(), s.instance.config.Settings.ResponseSlack)
 	s.drainState.finishDeadline.Store(time.Now().Add(finishDuration - requestReadTimeout).UnixNano())
 	timeout := time.After(finishDuration)
 	for {
@@ -91,11 +89,7 @@
 }
 
 // maxFinishDuration returns how long a draining instance may take to finish the requests that it has accepted: one that
-// is being read may take requestReadTimeout and then its class's deadline, with the slack for its response.
-func maxFinishDuration(classes []policy.Class, responseSlack time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for _, class := range classes {
-		longest = max(longest, class.Deadline)
-	}
-	return longest + responseSlack + requestReadTimeout
+// is being read may take requestReadTimeout and then the longest deadline, with the slack for its response.
+func maxFinishDuration(longestDeadline, responseSlack time.Duration) time.Duration {
+	return longestDeadline + responseSlack + requestReadTimeout
 }
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -6,6 +6,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"mulleinmux/internal/openapi"
+	"mulleinmux/routing"
 )
 
 // A drain finishes accepted requests, answers those that still arrive during DrainTimeout, and ends.
@@ -46,6 +49,31 @@
 	}
 }
 
+// Guards against a drain that cuts off a request whose deadline is that of a version which was just replaced by one with
+// shorter deadlines.
+func TestDrainFinishesRequestsOfReplacedVersion(t *testing.T) {
+	h, g, c := startWithServer(t)
+	c.send(getRequest("GET /visits/1"))
+	a := h.nextRequest()
+	classes := testClasses()
+	for i := range classes {
+		classes[i].LatencyObjective, classes[i].Deadline = 10*time.Millisecond, 10*time.Millisecond
+	}
+	table, _, err := openapi.Compile("test.yaml", []byte(description), routing.Options{Classes: classes, MaxUnits: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Install(g.cfg.Setup(2, table, nil)); err != nil {
+		t.Fatal(err)
+	}
+	g.stop()
+	time.Sleep(g.cfg.DrainTimeout + 2*maxFinishDuration(10*time.Millisecond, g.cfg.Settings.ResponseSlack))
+	a.response <- responseText(200, "", "x")
+	if r := c.readResponse(); r.Status != 200 {
+		t.Errorf("request of the replaced version: got %+v, want status 200", r)
+	}
+}
+
 // acceptOnCloseListener accepts nothing until it is closed, and then the one connection that waits. A listener may
 // behave so if it is closed while a connection arrives.
 type acceptOnCloseListener struct {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -38,6 +38,7 @@
 
 	// Guarded by the mutex of host:
 	requests  requestTable
+	deadlines openDeadlines
 	sites     *siteCoordinator
 	endpoints siteEndpoints
 	watches   siteWatches
@@ -100,6 +101,7 @@
 			return
 		}
 		in.versions.current.Store(in.newVersion(s, old))
+		in.deadlines.replace(now, s.Table.Classes)
 		deadline, window := s.Table.KeyLifetimes()
 		in.sites.setKeyLifetimes(now, deadline, window)
 		in.watchSites(now, s.Sites, out)
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -112,10 +112,34 @@
 
 func TestMaxFinishDuration(t *testing.T) {
 	classes := []policy.Class{{Deadline: 2 * time.Second}, {Deadline: 5 * time.Second}, {Deadline: time.Second}}
-	if got, want := maxFinishDuration(classes, 8*time.Millisecond), 6508*time.Millisecond; got != want {
+	var deadlines openDeadlines
+	deadlines.replace(0, classes)
+	if got, want := maxFinishDuration(deadlines.longest(0), 8*time.Millisecond), 6508*time.Millisecond; got != want {
 		t.Errorf("with classes: got %v, want %v", got, want)
 	}
-	if got, want := maxFinishDuration(nil, 0), 1500*time.Millisecond; got != want {
+	if got, want := maxFinishDuration(0, 0), 1500*time.Millisecond; got != want {
 		t.Errorf("without classes: got %v, want %v", got, want)
 	}
 }
+
+// Requests that were matched before their version was replaced keep its longer deadlines, and no longer than that.
+func TestOpenDeadlinesOfReplacedVersions(t *testing.T) {
+	var d openDeadlines
+	d.replace(0, []policy.Class{{Deadline: 9 * time.Second}})
+	d.replace(time.Minute, []policy.Class{{Deadline: 4 * time.Second}})
+	d.replace(time.Minute+2*time.Second, []policy.Class{{Deadline: time.Second}})
+	for _, c := range []struct{ since, want time.Duration }{
+		{2 * time.Second, 7 * time.Second},
+		{5 * time.Second, 4 * time.Second},
+		{8 * time.Second, time.Second},
+		{time.Minute, time.Second},
+	} {
+		if got := d.longest(time.Minute + c.since); got != c.want {
+			t.Errorf("%v after the first replacement: got %v, want %v", c.since, got, c.want)
+		}
+	}
+	d.replace(2*time.Hour, nil)
+	if len(d.replaced) != 1 {
+		t.Errorf("replaced versions recorded: got %d, want only the last one", len(d.replaced))
+	}
+}
