gateway: repeats with a key arrive while the servers still drop them

Cause: the engine's margin for the time of a connect (Settings.ConnectTimeout) was 0 in the gateway, and KeyTable had none.

Change: the gateway gives its connect timeout to both (KeyConfig.MaxSendDelay).

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -131,6 +131,7 @@
 	c.MaxClientConns = orDefault(c.MaxClientConns, defaultMaxClientConns)
 	c.MaxServerConns = orDefault(c.MaxServerConns, defaultMaxServerConns)
 	c.ConnectTimeout = orDefault(c.ConnectTimeout, defaultConnectTimeout)
+	c.Settings.ConnectTimeout = c.ConnectTimeout
 	c.ServerIdleTimeout = orDefault(c.ServerIdleTimeout, defaultServerIdleTimeout)
 	c.DrainTimeout = orDefault(c.DrainTimeout, defaultDrainTimeout)
 	if c.Agreement != nil {
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -143,3 +143,20 @@
 		t.Errorf("replaced versions recorded: got %d, want only the last one", len(d.replaced))
 	}
 }
+
+// Guards against an attempt that is repeated so late that its server does not drop repeats any more when a connection
+// comes up: the engine has to know for how long that may take.
+func TestEngineKnowsConnectTimeout(t *testing.T) {
+	for _, c := range []struct{ configured, want time.Duration }{
+		{0, defaultConnectTimeout},
+		{1500 * time.Millisecond, 1500 * time.Millisecond},
+	} {
+		config := Config{Name: "g", ConnectTimeout: c.configured}
+		if err := config.check(); err != nil {
+			t.Fatal(err)
+		}
+		if got := config.Settings.ConnectTimeout; got != c.want {
+			t.Errorf("connect timeout of the engine with %v configured: got %v, want %v", c.configured, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/site_coordinator.go
+++ b/internal/gateway/site_coordinator.go
@@ -22,7 +22,9 @@
 func newSiteCoordinator(config *Config, now time.Duration) (c *siteCoordinator, err error) {
 	c = &siteCoordinator{}
 	if config.Keys != nil {
-		if c.keys, err = multisite.NewKeyTable(*config.Keys, now); err != nil {
+		keys := *config.Keys
+		keys.MaxSendDelay = config.ConnectTimeout
+		if c.keys, err = multisite.NewKeyTable(keys, now); err != nil {
 			return nil, err
 		}
 	}
--- a/multisite/key_lifetimes.go
+++ b/multisite/key_lifetimes.go
@@ -51,13 +51,14 @@
 	return ttl
 }
 
-// minDeduplicationWindow returns the time for which every site is certain to drop repeats of a key.
-func (k *KeyTable) minDeduplicationWindow() time.Duration {
+// repeatWindow returns the time from the first attempt with a key for which a further attempt may begin: it arrives
+// while every site is certain to drop repeats.
+func (k *KeyTable) repeatWindow() time.Duration {
 	window := k.cfg.DeduplicationWindow
 	for _, l := range k.previousLifetimes {
 		window = min(window, l.deduplicationWindow)
 	}
-	return window
+	return window - k.cfg.MaxSendDelay
 }
 
 // retention returns the time for which a key stays in the ledger: while its site drops repeats and, after that, for as
--- a/multisite/key_routing.go
+++ b/multisite/key_routing.go
@@ -37,7 +37,7 @@
 func (k *KeyTable) routeSentKey(now time.Duration, entry ledgerEntry) RoutingDecision {
 	site := k.ledger.siteNames[entry.site]
 	switch {
-	case now-entry.firstSentAt > k.minDeduplicationWindow():
+	case now-entry.firstSentAt > k.repeatWindow():
 		return RoutingDecision{Reason: reasonWindowPassed}
 	case !k.epoch.isOpen(site):
 		return RoutingDecision{
--- a/multisite/key_table.go
+++ b/multisite/key_table.go
@@ -17,6 +17,10 @@
 	KeyTTL              time.Duration
 	DeduplicationWindow time.Duration
 
+	// MaxSendDelay is the longest time from the call of [KeyTable.BeginAttempt] until the attempt arrives at its site,
+	// which must still drop repeats then.
+	MaxSendDelay time.Duration
+
 	MaxKeys int // maximum number of keys in the ledger
 }
 
@@ -88,7 +92,7 @@
 // while the key's owner does not change; after a change, all instances wait until no client can repeat the key. If a
 // site might stop dropping repeats of the key while its client still repeats it, the key must not be sent.
 func (k *KeyTable) beginUnrecordedAttempt(now time.Duration) bool {
-	if k.minDeduplicationWindow() < k.maxKeyTTL(now) {
+	if k.repeatWindow() < k.maxKeyTTL(now) {
 		return false
 	}
 	k.unrecordedKeysExpireAt = now + k.maxKeyTTL(now)
--- a/multisite/key_table_test.go
+++ b/multisite/key_table_test.go
@@ -158,8 +158,8 @@
 	now := time.Minute
 	expect := func(when string, keyTTL, window time.Duration) {
 		t.Helper()
-		if k.maxKeyTTL(now) != keyTTL || k.minDeduplicationWindow() != window {
-			t.Errorf("%s: wrong TTL %v or deduplication window %v", when, k.maxKeyTTL(now), k.minDeduplicationWindow())
+		if k.maxKeyTTL(now) != keyTTL || k.repeatWindow() != window {
+			t.Errorf("%s: wrong TTL %v or deduplication window %v", when, k.maxKeyTTL(now), k.repeatWindow())
 		}
 	}
 	expect("at the start", testKeyTTL, testDeduplicationWindow)
