--- a/review/7/standin/main.go
+++ b/review/7/case7leaderstop/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case7-leader-stop runs a cluster of three members. One member, not the leader, has died; then the leader gets
+// Command case7leaderstop runs a cluster of three members. One member, not the leader, has died; then the leader gets
 // a planned restart: SIGTERM, and SIGKILL the longest deadline and 0.7 s later. It checks that every request that was
 // forwarded to an app server has its final answer by then.
 package main
--- a/review/8/standin/main.go
+++ b/review/8/case8leftrelay/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case8-left-relay runs a cluster with instances at two halls that are joined by a link. Clients of one hall's
+// Command case8leftrelay runs a cluster with instances at two halls that are joined by a link. Clients of one hall's
 // instance give up bookings early and close their connections. It checks that no attempt begins more than 0.1 s after
 // the client has closed.
 package main
--- a/review/9/standin/main.go
+++ b/review/9/case9slowanswer/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case9-slow-answer runs one gateway before two halls whose app servers write their answers in small pieces. It
+// Command case9slowanswer runs one gateway before two halls whose app servers write their answers in small pieces. It
 // checks that the gateway does not cut off an answer that an app server still gives, in the client's time.
 package main
 
--- a/review/rig2/appserver.go
+++ b/review/rig2/appserver.go
@@ -235,3 +235,83 @@
 		}
 	}
 }
+
+// Way is a proxy in front of an address that can be cut: connections are silent then, and end when the way is back.
+type Way struct {
+	Addr string
+
+	mu    sync.Mutex
+	isCut bool
+	open  map[net.Conn]bool
+}
+
+// NewWay starts a way to an address.
+func NewWay(target string) (*Way, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &Way{Addr: listener.Addr().String(), open: map[net.Conn]bool{}}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				near.Close()
+				continue
+			}
+			w.mu.Lock()
+			w.open[near], w.open[far] = true, true
+			isCut := w.isCut
+			w.mu.Unlock()
+			if isCut {
+				continue // silent until the way is back, when it is closed
+			}
+			go w.carry(near, far)
+			go w.carry(far, near)
+		}
+	}()
+	return w, nil
+}
+
+// carry copies bytes until the source ends. While the way is cut it holds them.
+func (w *Way) carry(from, to net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		w.mu.Lock()
+		isCut := w.isCut
+		w.mu.Unlock()
+		if isCut {
+			return
+		}
+		if n > 0 {
+			to.Write(buffer[:n])
+		}
+		if err != nil {
+			to.Close()
+			return
+		}
+	}
+}
+
+// Cut makes the way silent: open connections stay open and carry nothing, and new ones stay silent too.
+func (w *Way) Cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isCut = true
+}
+
+// Heal ends the cut and closes the connections that were silent.
+func (w *Way) Heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isCut = false
+	for conn := range w.open {
+		conn.Close()
+	}
+	clear(w.open)
+}
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -58,9 +58,10 @@
 
 // Response is a whole answer.
 type Response struct {
-	Status int
-	Body   string
-	Close  bool
+	Status  int
+	Body    string
+	Close   bool
+	Version string // X-Mulleinmux-Version
 }
 
 // Receive reads the answer, until a time.
@@ -75,5 +76,5 @@
 	if err != nil {
 		return Response{}, err
 	}
-	return Response{response.StatusCode, string(body), response.Close}, nil
+	return Response{response.StatusCode, string(body), response.Close, response.Header.Get("X-Mulleinmux-Version")}, nil
 }
--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -5,15 +5,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"time"
+
+	"mulleinmux/internal/testserver"
 )
 
-// FreeTCP returns loopback addresses to which no socket is bound.
+// FreeTCP returns loopback addresses to which no socket is bound, below the ports of outgoing connections.
 func FreeTCP(count int) ([]string, error) { return free("tcp", count) }
 
 // FreeUDP is FreeTCP for UDP.
@@ -21,21 +22,11 @@
 
 func free(network string, count int) (addrs []string, err error) {
 	for len(addrs) < count {
-		if network == "udp" {
-			conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-			if err != nil {
-				return nil, err
-			}
-			defer conn.Close()
-			addrs = append(addrs, conn.LocalAddr().String())
-			continue
-		}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := testserver.FreeAddr(network)
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
-		addrs = append(addrs, listener.Addr().String())
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
@@ -112,6 +103,7 @@
 	Listen        string
 	Raft, Admin   string
 	Gossip, Link  string
+	Stream        string // for followers
 	Config        string
 	*Process      // nil before its start
 	logFileSerial int
@@ -119,32 +111,51 @@
 
 // Cluster is a cluster of members that are started as processes.
 type Cluster struct {
-	Folder  string
-	Members []*Member
+	Folder   string
+	Members  []*Member
+	Follower *Member // nil if there is none; its Number, Raft and Admin are not used
 }
 
 // NewCluster makes certificates, files and data of a cluster with a member for each zone, and starts it. If hasLink is
 // set, each member reaches its own zone alone, and the others by their members.
 func NewCluster(folder string, zones []string, hasLink bool) (*Cluster, error) {
+	return newCluster(folder, zones, hasLink, false)
+}
+
+// NewClusterWithFollower is NewCluster without a link and with the files of a follower, which StartFollower starts.
+func NewClusterWithFollower(folder string, zones []string) (*Cluster, error) {
+	return newCluster(folder, zones, false, true)
+}
+
+func newCluster(folder string, zones []string, hasLink, hasFollower bool) (*Cluster, error) {
 	c := &Cluster{Folder: folder}
-	tcp, err := FreeTCP(4 * len(zones))
+	tcp, err := FreeTCP(5*len(zones) + 1)
 	if err != nil {
 		return nil, err
 	}
-	udp, err := FreeUDP(len(zones))
+	udp, err := FreeUDP(len(zones) + 1)
 	if err != nil {
 		return nil, err
 	}
+	if hasFollower {
+		c.Follower = &Member{Zone: zones[0], Listen: tcp[5*len(zones)], Gossip: udp[len(zones)],
+			Config: filepath.Join(folder, "follower.toml")}
+	} else {
+		udp = udp[:len(zones)]
+	}
 	var numbers []string
 	for i, zone := range zones {
 		c.Members = append(c.Members, &Member{
-			Number: i + 1, Zone: zone, Listen: tcp[4*i], Raft: tcp[4*i+1], Admin: tcp[4*i+2], Link: tcp[4*i+3],
-			Gossip: udp[i], Config: filepath.Join(folder, fmt.Sprintf("member-%d.toml", i+1)),
+			Number: i + 1, Zone: zone, Listen: tcp[5*i], Raft: tcp[5*i+1], Admin: tcp[5*i+2], Link: tcp[5*i+3],
+			Stream: tcp[5*i+4], Gossip: udp[i], Config: filepath.Join(folder, fmt.Sprintf("member-%d.toml", i+1)),
 		})
 		numbers = append(numbers, fmt.Sprint(i+1))
 	}
 	err = c.gateway("certs", "--cluster", "dodoma", "--members", strings.Join(numbers, ","),
 		"--operators", "admin", "--dir", filepath.Join(folder, "certs"))
+	if err == nil && hasFollower {
+		err = c.gateway("certs", "--followers", "edge-1", "--dir", filepath.Join(folder, "certs"))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -164,6 +175,38 @@
 	return c, nil
 }
 
+// StartFollower starts the follower's process. streams are the addresses at which it reaches the members' streams.
+func (c *Cluster) StartFollower(streams []string) (err error) {
+	f := c.Follower
+	var gossip []string
+	for _, m := range c.Members {
+		gossip = append(gossip, m.Gossip)
+	}
+	gossip = append(gossip, f.Gossip)
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"edge-1\"\nlisten = %q\nzone = %q\naccess_log = \"\"\ninstance = %d\npeer_listen = %q\npeers = [\"%s\"]\n",
+		f.Listen, f.Zone, len(c.Members), f.Gossip, strings.Join(gossip, `", "`))
+	b.WriteString(Servers)
+	b.WriteString(`
+[follow]
+cluster = "dodoma"
+name = "edge-1"
+data = "edge-1.db"
+certs = "certs"
+stale_after = "30s"
+when_stale = "serve"
+keys = "home"
+`)
+	for i, m := range c.Members {
+		fmt.Fprintf(&b, "\n[[follow.member]]\nnumber = %d\nstream = %q\n", m.Number, streams[i])
+	}
+	if err := os.WriteFile(f.Config, []byte(b.String()), 0o600); err != nil {
+		return err
+	}
+	f.Process, err = Start("gateway", filepath.Join(c.Folder, "follower.log"), "run", "--config", f.Config)
+	return err
+}
+
 // StartMember starts a member's process.
 func (c *Cluster) StartMember(m *Member) (err error) {
 	m.logFileSerial++
@@ -186,10 +229,10 @@
 certs = "certs"
 tick = "50ms"
 stale_after = "30s"
-stream = ""
+stream = %q
 keys = "home"
 when_stale = "serve"
-`, m.Number, m.Number)
+`, m.Number, m.Number, c.streamOf(m))
 	for _, other := range c.Members {
 		fmt.Fprintf(&b, "\n[[cluster.member]]\nnumber = %d\nraft = %q\nadmin = %q\n", other.Number, other.Raft, other.Admin)
 	}
@@ -205,6 +248,14 @@
 	return b.String()
 }
 
+// streamOf returns the address of a member's stream, or "" in a cluster without followers.
+func (c *Cluster) streamOf(m *Member) string {
+	if c.Follower == nil {
+		return ""
+	}
+	return m.Stream
+}
+
 // gateway runs a command of the gateway to its end.
 func (c *Cluster) gateway(args ...string) error {
 	out, err := c.command(args...).CombinedOutput()
@@ -227,7 +278,10 @@
 }
 
 // Apply has the cluster agree on a configuration and waits until it is in force everywhere.
-func (c *Cluster) Apply(agreed string) error {
+func (c *Cluster) Apply(agreed string) error { return c.ApplyAndWait(agreed, "applied-everywhere") }
+
+// ApplyAndWait has the cluster agree on a configuration and waits for what the command's --wait names.
+func (c *Cluster) ApplyAndWait(agreed, wait string) error {
 	if err := CopyDescription(c.Folder); err != nil {
 		return err
 	}
@@ -238,7 +292,7 @@
 	}
 	var err error
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-		if err = c.gateway("config", "apply", file, "--why", "first", "--wait", "applied-everywhere"); err == nil {
+		if err = c.gateway("config", "apply", file, "--why", "case", "--wait", wait); err == nil {
 			return nil
 		}
 	}
