--- a/review/7/case7leaderstop/main.go
+++ b/review/7/case7leaderstop/main.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,14 +20,16 @@
 
 const (
 	serversPerHall = 5
-	clients        = 40
+	hanging        = 2 // of each hall: four of ten, "a quarter to a half"
+	clients        = 30
+	clientInterval = 250 * time.Millisecond          // 12 requests a second for each licensee: within its quota of 18
 	deadline       = 2 * time.Second                 // the longest of all classes
 	killAfter      = deadline + 760*time.Millisecond // after SIGTERM; the pages: no sooner than the longest deadline and 0.7 s
-	workMin        = 600 * time.Millisecond          // of a day's report, which has a deadline of 2 s
-	workSpread     = 500 * time.Millisecond
-	warmUp         = 5 * time.Second // of traffic before the member dies
-	deadFor        = 4 * time.Second // between the member's death and the leader's SIGTERM
-	licensees      = 20
+	hangAfter      = time.Second                     // after SIGTERM
+	meanWork       = 90 * time.Millisecond           // the pages: 65 to 120 ms
+	warmUp         = 5 * time.Second                 // of traffic before the member dies
+	deadFor        = 4 * time.Second                 // between the member's death and the leader's SIGTERM
+	licensees      = 10
 )
 
 func main() { rig2.Main(90*time.Second, run) }
@@ -44,6 +47,7 @@
 	counter := rig2.NewCounter()
 	var mu sync.Mutex
 	reached := map[string]bool{}
+	var hangs atomic.Bool
 	var halls []rig2.Hall
 	for _, name := range []string{"hall-a", "hall-b"} {
 		discovery, err := testserver.NewDiscovery()
@@ -58,7 +62,11 @@
 				mu.Lock()
 				reached[a.Trace] = true
 				mu.Unlock()
-				return rig2.Answer{After: workMin + rand.N(workSpread), Status: 200, Body: "report"}
+				if hangs.Load() && i < hanging {
+					return rig2.Answer{Silent: true}
+				}
+				work := time.Duration(rand.ExpFloat64() * float64(meanWork))
+				return rig2.Answer{After: min(work, 500*time.Millisecond), Status: 201, Body: "held"}
 			})
 			if err != nil {
 				return 0, err
@@ -119,6 +127,10 @@
 	termAt := time.Now()
 	close(stop) // no client opens a new connection from here on
 	target.Signal(syscall.SIGTERM)
+	time.AfterFunc(hangAfter, func() {
+		record.Add("four of ten app servers hang from now on")
+		hangs.Store(true)
+	})
 	go func() {
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
@@ -165,6 +177,7 @@
 // when the last has ended.
 func client(number int, addr string, stop <-chan struct{}, record *rig2.Record, add func(*exchange)) {
 	var conn *rig2.Conn
+	next := time.Now().Add(rand.N(clientInterval))
 	for {
 		if conn == nil {
 			select {
@@ -178,10 +191,12 @@
 				continue
 			}
 		}
+		time.Sleep(time.Until(next))
+		next = time.Now().Add(clientInterval)
 		e := &exchange{trace: rig2.NewID(), sentAt: time.Now()}
 		add(e)
 		record.Add("client %d sends %s", number, e.trace)
-		err := conn.Send(rig2.Request{Method: "GET", Target: "/v1/reports/monday.csv", Trace: e.trace, ExpiresIn: deadline,
+		err := conn.Send(rig2.Request{Method: "POST", Target: "/v1/holds", Trace: e.trace, ExpiresIn: deadline, Body: "{}",
 			Licensee: fmt.Sprintf("licensee-%d", number%licensees)})
 		var response rig2.Response
 		if err == nil {
@@ -199,8 +214,5 @@
 			conn.Close()
 			conn = nil
 		}
-		if response.Status != 200 {
-			time.Sleep(200 * time.Millisecond)
-		}
 	}
 }
--- a/review/8/case8leftrelay/main.go
+++ b/review/8/case8leftrelay/main.go
@@ -21,7 +21,7 @@
 	licensees      = 10
 	clients        = 30
 	clientInterval = 250 * time.Millisecond // 12 requests a second for each licensee: within its quota of 18
-	sendFor        = 40 * time.Second
+	sendFor        = 20 * time.Second
 	deadline       = 2 * time.Second
 	leaveEvery     = 3                      // one of so many clients' requests is given up
 	leaveAfter     = 200 * time.Millisecond // after it was sent
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -3,6 +3,8 @@
 package rig2
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -49,6 +51,28 @@
 	return p, nil
 }
 
+// Output runs a command to its end and returns what it wrote to standard output; an error has the rest. KillAll ends it
+// like the other processes.
+func Output(cmd *exec.Cmd) ([]byte, error) {
+	var out, problems bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &problems
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	processesMu.Lock()
+	if err := cmd.Start(); err != nil {
+		processesMu.Unlock()
+		return nil, err
+	}
+	p := &Process{cmd: cmd, Ended: make(chan struct{})}
+	processes = append(processes, p)
+	processesMu.Unlock()
+	err := cmd.Wait()
+	close(p.Ended)
+	if err != nil {
+		err = fmt.Errorf("%w: %s%s", err, out.String(), problems.String())
+	}
+	return out.Bytes(), err
+}
+
 // Signal sends a signal to the process unless it has ended.
 func (p *Process) Signal(signal syscall.Signal) {
 	select {
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -7,8 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -81,8 +83,12 @@
 		status, err := run(record, tmp)
 		done <- outcome{status, err}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	result := outcome{ExitCannotRun, fmt.Errorf("no result within %v", limit)}
 	select {
+	case s := <-signals:
+		result.err = fmt.Errorf("ended by %v", s)
 	case result = <-done:
 	case <-time.After(limit):
 	}
