--- a/cmd/edgeproxy/abuse_harness_test.go
+++ b/cmd/edgeproxy/abuse_harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,9 +16,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/testserver"
 )
 
@@ -144,6 +147,20 @@
 	return 0
 }
 
+// counters returns the metrics of the node as text.
+func (n *abusedNode) counters() string {
+	resp, err := http.Get("http://" + n.management + "/control/counters")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 // cpuSeconds returns the processor time that the process has used.
 func (n *abusedNode) cpuSeconds() float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.cmd.Process.Pid))
@@ -174,22 +191,14 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	s := &abuseServer{listener: listener, received: map[string]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go testserver.ServeRequests(conn, func(r *http.Request, _ []byte) bool {
-				if id := r.Header.Get("X-Trace-Id"); id != "" {
-					s.mu.Lock()
-					s.received[id]++
-					s.mu.Unlock()
-				}
-				return respond(conn, r)
-			})
+	go testserver.ServeListener(listener, func(conn net.Conn, r *http.Request) bool {
+		if id := r.Header.Get("X-Trace-Id"); id != "" {
+			s.mu.Lock()
+			s.received[id]++
+			s.mu.Unlock()
 		}
-	}()
+		return respond(conn, r)
+	})
 	return s
 }
 
@@ -240,14 +249,15 @@
 	number  atomic.Int64
 
 	mu       sync.Mutex
-	answered map[int]int // by status
+	answered map[int]int   // by status
+	longest  time.Duration // until an answer
 	late     []time.Duration
 	lost     []string
 }
 
 const (
 	maxOrdinaryConnections = 4                      // on which one request is sent, as long as they are closed unread
-	maxUnreadCloseTime     = 100 * time.Millisecond // after which a connection is not closed unread
+	maxUnreadCloseTime     = 100 * time.Millisecond // within which a connection is reset over an unread request
 )
 
 // ordinaryAnswer is the body of the servers' answers to ordinary clients.
@@ -294,8 +304,11 @@
 			sentAt = time.Now()
 			conn.SetDeadline(sentAt.Add(10 * time.Second))
 			io.WriteString(conn, abuseRequestWithin("check", id, "", "", c.wait))
-			response, err = testserver.ReadResponse(reader, "GET")
-			if err == nil || time.Since(sentAt) > maxUnreadCloseTime {
+			if _, err = reader.Peek(1); err == nil {
+				response, err = testserver.ReadResponse(reader, "GET")
+				break
+			}
+			if !mayResend(conn, err, time.Since(sentAt)) {
 				break
 			}
 			// At the limit of connections one may be closed unread: the request is sent again on another.
@@ -304,7 +317,8 @@
 		}
 		switch {
 		case err != nil:
-			c.recordLost(fmt.Sprintf("%s after %v: %v", id, time.Since(sentAt).Round(time.Millisecond), err))
+			c.recordLost(fmt.Sprintf("%s after %v: %v, reset %v",
+				id, time.Since(sentAt).Round(time.Millisecond), err, graceful.IsReset(conn)))
 			if conn != nil {
 				conn.Close()
 			}
@@ -321,6 +335,18 @@
 	}
 }
 
+// mayResend reports whether a request may be sent again that got no byte of an answer within a time: its connection was closed
+// before the request arrived, however late this process reads that, or was soon reset over the unread request. The kernel
+// tells them apart. It resets a connection that is closed over unread data, which the client reads as a reset. A
+// connection that is closed without unread data ends; it is also reset if data arrives after that, which the client's
+// read does not show, but its socket's state does.
+func mayResend(conn net.Conn, readErr error, after time.Duration) bool {
+	if errors.Is(readErr, syscall.ECONNRESET) || errors.Is(readErr, syscall.EPIPE) {
+		return after <= maxUnreadCloseTime
+	}
+	return errors.Is(readErr, io.EOF) && graceful.IsReset(conn)
+}
+
 func (c *ordinaryClients) recordLost(what string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -331,6 +357,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered[status]++
+	c.longest = max(c.longest, took)
 	if took > c.wait+answerSlack {
 		c.late = append(c.late, took)
 	}
@@ -341,9 +368,11 @@
 	c.t.Helper()
 	close(c.stop)
 	c.running.Wait()
-	c.t.Logf("ordinary clients: %v answers by status, %d late, %d lost", c.answered, len(c.late), len(c.lost))
+	c.t.Logf("ordinary clients: %v answers by status, the longest after %v, %d late, %d lost",
+		c.answered, c.longest, len(c.late), len(c.lost))
 	if len(c.lost) > 0 {
 		c.t.Errorf("%d requests of ordinary clients got no answer, the first: %s", len(c.lost), c.lost[0])
+		c.t.Logf("metrics of the node: %s", strings.Join(strings.Fields(c.node.counters()), " "))
 	}
 	if len(c.late) > 0 {
 		c.t.Errorf("%d answers to ordinary clients came more than %v after the deadline, the first after %v",
--- a/cmd/edgeproxy/descriptor_abuse_test.go
+++ b/cmd/edgeproxy/descriptor_abuse_test.go
@@ -4,40 +4,31 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
-	"runtime"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
-	"unsafe"
-)
-
-// sysPrlimit is the number of the system call prlimit64, which package syscall has on some architectures only.
-var sysPrlimit = map[string]uintptr{"amd64": 302, "arm64": 261}[runtime.GOARCH]
 
-// resourceLimit is a limit as the system call prlimit takes it.
-type resourceLimit struct{ current, maximum uint64 }
+	"mulleinmux/internal/testserver"
+)
 
-// setDescriptors sets the number of descriptors that a process may have, and returns the last one. The maximum up to
-// which it may be raised again stays.
+// setDescriptors sets the number of descriptors that a process may have, and returns the last one.
 func setDescriptors(t *testing.T, pid int, count uint64) (last uint64) {
 	t.Helper()
-	var limit resourceLimit
-	callPrlimit(t, pid, nil, &limit)
-	last, limit.current = limit.current, count
-	callPrlimit(t, pid, &limit, nil)
+	last, err := testserver.SetDescriptorLimit(pid, count)
+	if err != nil {
+		t.Fatal(err)
+	}
 	return last
 }
 
-// callPrlimit sets, or gets, a process's limit of descriptors.
-func callPrlimit(t *testing.T, pid int, set, get *resourceLimit) {
+// openDescriptors returns how many descriptors a process has.
+func openDescriptors(t *testing.T, pid int) int {
 	t.Helper()
-	_, _, errno := syscall.RawSyscall6(sysPrlimit, uintptr(pid), syscall.RLIMIT_NOFILE,
-		uintptr(unsafe.Pointer(set)), uintptr(unsafe.Pointer(get)), 0, 0)
-	if errno != 0 {
-		t.Fatal(errno)
+	count, err := testserver.OpenDescriptors(pid)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return count
 }
 
 // startNewConnections keeps clients connecting anew for each sound request until the returned function is called. It
@@ -99,11 +90,8 @@
 	random := rand.New(rand.NewPCG(abuseSeed, 0))
 	for range 4 {
 		time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
-		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
-		if err != nil {
-			t.Fatal(err)
-		}
-		last := setDescriptors(t, n.cmd.Process.Pid, uint64(len(entries)-random.IntN(8)))
+		open := openDescriptors(t, n.cmd.Process.Pid)
+		last := setDescriptors(t, n.cmd.Process.Pid, uint64(open-random.IntN(8)))
 		time.Sleep(time.Duration(50+random.IntN(250)) * time.Millisecond)
 		setDescriptors(t, n.cmd.Process.Pid, last)
 	}
--- a/cmd/edgeproxy/main.go
+++ b/cmd/edgeproxy/main.go
@@ -21,8 +21,21 @@
 	memoryFraction = 0.7
 )
 
+// Exit statuses of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+)
+
 func main() {
-	logger := logging.New(os.Stderr)
+	os.Exit(run())
+}
+
+// run runs the edge node and returns the exit status.
+func run() int {
+	log := logging.NewQueuedWriter(os.Stderr)
+	defer log.Close()
+	logger := logging.New(log)
 	// Registered before anything else, because an unhandled SIGHUP terminates the program. A signal that arrives while
 	// another one is being handled stays in the channel and causes one more reload.
 	reload := make(chan os.Signal, 1)
@@ -30,7 +43,7 @@
 	cfg, err := edgeproxy.LoadConfig(os.Getenv)
 	if err != nil {
 		logger.Error("invalid configuration", logging.Error(err))
-		os.Exit(1)
+		return exitFailure
 	}
 	runtime.GOMAXPROCS(1) // the node has one core
 	debug.SetGCPercent(gcPercent)
@@ -42,6 +55,7 @@
 	stop()
 	if err != nil {
 		logger.Error("edge node failed", logging.Error(err))
-		os.Exit(1)
+		return exitFailure
 	}
+	return exitOK
 }
--- a/cmd/edgeproxy/main_test.go
+++ b/cmd/edgeproxy/main_test.go
@@ -35,7 +35,8 @@
 		t.Fatal(err)
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
-	cmd.Env = append(os.Environ(), "MULLEINMUX_TEST_PROGRAM=1", "PROXY_CONFIG="+path)
+	// Under the race detector a program waits for a second before it exits.
+	cmd.Env = append(os.Environ(), "MULLEINMUX_TEST_PROGRAM=1", "PROXY_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	if err != nil {
 		t.Fatal(err)
@@ -139,9 +140,10 @@
 
 // sharedSocket is a listening socket for clients that several processes inherit, and the directory that they share.
 type sharedSocket struct {
-	addr string
-	file *os.File
-	dir  string
+	addr   string
+	file   *os.File
+	dir    string
+	config func(addr, management string) string // of the processes
 }
 
 func newSharedSocket(t *testing.T) *sharedSocket {
@@ -156,13 +158,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { file.Close() })
-	return &sharedSocket{addr: ln.Addr().String(), file: file, dir: t.TempDir()}
+	return &sharedSocket{addr: ln.Addr().String(), file: file, dir: t.TempDir(), config: configText}
 }
 
 // start starts the program with the socket as descriptor 5.
 func (s *sharedSocket) start(t *testing.T) (*exec.Cmd, func() string) {
 	t.Helper()
-	cmd, logs := newProgram(t, configText(s.addr, freeAddr(t)))
+	cmd, logs := newProgram(t, s.config(s.addr, freeAddr(t)))
 	cmd.Env = append(cmd.Env, "TMPDIR="+s.dir, "PROXY_ACCEPT_FD=5")
 	cmd.ExtraFiles = []*os.File{s.file, s.file, s.file} // 3, 4 and 5
 	if err := cmd.Start(); err != nil {
--- /dev/null
+++ b/cmd/edgeproxy/shutdown_process_test.go
@@ -0,0 +1,318 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinmux/internal/testserver"
+)
+
+// The deadline of configText, and when the platform kills the program after SIGTERM.
+const (
+	configDeadline = 2 * time.Second
+	killsAfter     = configDeadline + 700*time.Millisecond
+)
+
+// fillLog fills the pipe of a process's log.
+func fillLog(t *testing.T, pid int) {
+	t.Helper()
+	if err := testserver.FillPipe(fmt.Sprintf("/proc/%d/fd/2", pid)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// replaceByPipe replaces a file by a pipe that nobody writes to, so that whoever opens it waits.
+func replaceByPipe(t *testing.T, path string) {
+	t.Helper()
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a shutdown that waits for the reader of the log, or for a file that a reload reads: the program went on
+// to take work and was killed.
+func TestShutdownBesideFileThatHangs(t *testing.T) {
+	for name, trouble := range map[string]func(t *testing.T, program *exec.Cmd, configPath string){
+		"log is not read": func(t *testing.T, program *exec.Cmd, _ string) { fillLog(t, program.Process.Pid) },
+		"reload hangs": func(t *testing.T, program *exec.Cmd, configPath string) {
+			replaceByPipe(t, configPath)
+			for range 2 { // the second one comes while the first one hangs
+				program.Process.Signal(syscall.SIGHUP)
+				time.Sleep(100 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := freeAddr(t)
+			cmd, _ := newProgram(t, configText(addr, ""))
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reader.Close()
+			cmd.Stderr = writer
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			writer.Close()
+			awaitReady(t, addr)
+			trouble(t, cmd, configPath(cmd))
+			requireShutdown(t, cmd, addr)
+		})
+	}
+}
+
+// configPath returns the path of a program's configuration.
+func configPath(program *exec.Cmd) (path string) {
+	for _, variable := range program.Env {
+		if value, isPath := strings.CutPrefix(variable, "PROXY_CONFIG="); isPath {
+			path = value
+		}
+	}
+	return path
+}
+
+// requireShutdown sends SIGTERM to a program without open requests. It checks that the program is not ready soon
+// after, accepts no clients later, and has ended before the platform kills it.
+func requireShutdown(t *testing.T, cmd *exec.Cmd, addr string) {
+	t.Helper()
+	termAt := time.Now()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(termAt.Add(150 * time.Millisecond)))
+	if resp, err := http.Get("http://" + addr + "/health/ready"); err == nil {
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			t.Errorf("the program is ready %v after SIGTERM", time.Since(termAt).Round(time.Millisecond))
+		}
+	}
+	time.Sleep(time.Until(termAt.Add(900 * time.Millisecond))) // clients are accepted for 0.5 s
+	if conn, err := net.Dial("tcp", addr); err == nil {
+		conn.Close()
+		t.Errorf("the program accepts clients %v after SIGTERM", time.Since(termAt).Round(time.Millisecond))
+	}
+	requireEnd(t, cmd, time.Until(termAt.Add(killsAfter)))
+}
+
+// Guards against a shutdown that waits for a successor which was stopped, beyond the time at which the platform kills
+// the process: requests that are open then are lost.
+func TestShutdownBesideStoppedSuccessor(t *testing.T) {
+	for name, signal := range map[string]syscall.Signal{"stopped": syscall.SIGSTOP, "just died": syscall.SIGKILL} {
+		t.Run(name, func(t *testing.T) {
+			const deadline = 400 * time.Millisecond
+			requestCount := make(chan struct{}, 3)
+			server := startAbuseServer(t, func(conn net.Conn, _ *http.Request) bool {
+				requestCount <- struct{}{}
+				io.Copy(io.Discard, conn) // it never answers
+				return false
+			})
+			socket := newSharedSocket(t)
+			socket.config = func(addr, management string) string {
+				return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","management":%q,"seed":"1",
+					"limits":{"memory_mb":192,"sockets":1024},"known":{"generation":1,"reset":true,"instances":[
+					{"instanceId":"s","hostPort":%q,"zone":"z","machineType":"k","lifecycle":"up","weight":1}]},
+					"settings":%s}`, addr, management, server.listener.Addr(),
+					fmt.Sprintf(abuseSettings, deadline.Seconds()))
+			}
+			first, firstLogs := socket.start(t)
+			awaitLog(t, firstLogs, "ready")
+			second, _ := socket.start(t)
+			awaitLog(t, firstLogs, "successor waiting")
+			clients := []net.Conn{socket.dial(t), socket.dial(t), socket.dial(t)}
+			for i, client := range clients {
+				fmt.Fprintf(client, "GET /check/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: r%d\r\n"+
+					"X-Qos: check\r\nX-Contract: wide\r\nX-Expires-In: %v\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n",
+					i, deadline.Seconds())
+			}
+			<-requestCount // the server has a request
+			second.Process.Signal(signal)
+			defer second.Process.Kill()
+			termAt := time.Now()
+			first.Process.Signal(syscall.SIGTERM)
+			kill := time.AfterFunc(deadline+700*time.Millisecond, func() { first.Process.Kill() })
+			defer kill.Stop()
+			for _, client := range clients {
+				client.SetReadDeadline(termAt.Add(5 * time.Second))
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if err != nil {
+					t.Errorf("a request that was open at SIGTERM has no answer: %v", err)
+					continue
+				}
+				resp.Body.Close()
+			}
+			if err := first.Wait(); err != nil {
+				t.Errorf("the program ended %v after SIGTERM with %v, want exit code 0 before the kill",
+					time.Since(termAt).Round(time.Millisecond), err)
+			}
+		})
+	}
+}
+
+// Guards against a shutdown that first waits for a descriptor, to accept a successor that may have connected just now.
+// Until then the node stayed ready.
+func TestReadinessDuringShutdownWithoutDescriptors(t *testing.T) {
+	socket := newSharedSocket(t)
+	cmd, logs := socket.start(t)
+	awaitLog(t, logs, "ready")
+	client := newReadinessClient(t, socket.addr)
+	if err := client.query(); err != nil {
+		t.Fatal(err)
+	}
+	setDescriptors(t, cmd.Process.Pid, 3) // no descriptor has a lower number
+	cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(150 * time.Millisecond)
+	if err := client.query(); err != nil || client.status == http.StatusOK {
+		t.Errorf("150 ms after SIGTERM: status %d, error %v", client.status, err)
+	}
+	requireEnd(t, cmd, killsAfter)
+}
+
+// Guards against a shutdown in which the connections of clients that send nothing hold all descriptors, while clients
+// that have just connected wait for one in the kernel's backlog: they were reset.
+func TestShutdownWhileIdleConnectionsHoldAllDescriptors(t *testing.T) {
+	addr := freeAddr(t)
+	cmd, logs := newProgram(t, configText(addr, ""))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	awaitLog(t, logs, "ready")
+	for range 3 {
+		if err := newReadinessClient(t, addr).query(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := testserver.UseUpDescriptors(cmd.Process.Pid); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(350 * time.Millisecond) // the platform sends new clients for 0.4 s
+	if err := newReadinessClient(t, addr).query(); err != nil {
+		t.Errorf("the request of a new client has no answer: %v", err)
+	}
+	requireEnd(t, cmd, killsAfter)
+}
+
+// Guards against a node that gets SIGTERM in the middle of its start and resets clients that have connected, or runs on.
+// A successor that ends so leaves all clients to its predecessor.
+func TestShutdownDuringStart(t *testing.T) {
+	const startTime = 100 * time.Millisecond // SIGTERM comes within it
+	for _, hasPredecessor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("predecessor %v", hasPredecessor), func(t *testing.T) {
+			socket := newSharedSocket(t)
+			if hasPredecessor {
+				predecessor, logs := socket.start(t)
+				awaitLog(t, logs, "ready")
+				defer requireEnd(t, predecessor, killsAfter)
+				defer predecessor.Process.Signal(syscall.SIGTERM)
+			}
+			for delay := time.Duration(0); delay < startTime; delay += startTime / 10 {
+				var node *exec.Cmd
+				addr := socket.addr
+				if hasPredecessor {
+					node, _ = socket.start(t)
+				} else {
+					addr = freeAddr(t)
+					node, _ = newProgram(t, configText(addr, ""))
+					if err := node.Start(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				terminateDuringStart(t, node, addr, delay)
+			}
+		})
+	}
+}
+
+// terminateDuringStart sends SIGTERM to a program some time after its start. Each client that could connect to an
+// address has to get an answer, and the program has to end before the platform kills it.
+func terminateDuringStart(t *testing.T, node *exec.Cmd, addr string, delay time.Duration) {
+	t.Helper()
+	termAt := time.Now().Add(delay)
+	term := time.AfterFunc(delay, func() { node.Process.Signal(syscall.SIGTERM) })
+	defer term.Stop()
+	var clients sync.WaitGroup
+	for ; time.Since(termAt) < 350*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			continue
+		}
+		client := &readinessClient{conn: conn, reader: bufio.NewReader(conn)}
+		clients.Go(func() {
+			defer conn.Close()
+			conn.SetDeadline(termAt.Add(killsAfter))
+			if err := client.query(); err != nil {
+				t.Errorf("SIGTERM %v after the start: a client that connected has no answer: %v", delay, err)
+			}
+		})
+	}
+	requireEnd(t, node, time.Until(termAt.Add(killsAfter)))
+	clients.Wait()
+}
+
+// requireEnd checks that a program ends within a time.
+func requireEnd(t *testing.T, cmd *exec.Cmd, within time.Duration) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(within):
+		t.Errorf("the program has not ended within %v", within)
+		cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// readinessClient queries a node's readiness on one connection.
+type readinessClient struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	status int // of the last answer
+}
+
+func newReadinessClient(t *testing.T, addr string) *readinessClient {
+	t.Helper()
+	conn, reader, err := testserver.DialClient(addr, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &readinessClient{conn: conn, reader: reader}
+}
+
+func (c *readinessClient) query() error {
+	if _, err := io.WriteString(c.conn, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return err
+	}
+	response, err := testserver.ReadResponse(c.reader, "GET")
+	c.status = response.Status
+	return err
+}
+
+// dial connects a client to the socket.
+func (s *sharedSocket) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"mulleinmux/internal/logging"
 )
 
 // cli is the whole command line.
@@ -32,6 +34,21 @@
 	stdout io.Writer
 	stderr io.Writer
 	labEnv []string // additional variables for the processes of the lab command
+
+	queuedStderr *logging.QueuedWriter // nil before queueStderr is called
+}
+
+// queueStderr makes the command no longer wait for the reader of its standard error, from now until it has ended.
+func (e *environment) queueStderr() {
+	e.queuedStderr = logging.NewQueuedWriter(e.stderr)
+	e.stderr = e.queuedStderr
+}
+
+// close writes what is left of the standard error.
+func (e *environment) close() {
+	if e.queuedStderr != nil {
+		e.queuedStderr.Close()
+	}
 }
 
 // errRuleBroken is returned for a scenario that broke a rule, after its verdict has been printed.
@@ -77,14 +94,16 @@
 		fmt.Fprintln(stderr, "gateway:", err)
 		return exitUsage
 	}
-	err = parsed.Run(&environment{ctx, stdout, stderr, extraLabEnv}, &c.Config, &c.Stream)
+	e := &environment{ctx: ctx, stdout: stdout, stderr: stderr, labEnv: extraLabEnv}
+	defer e.close()
+	err = parsed.Run(e, &c.Config, &c.Stream)
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.Is(err, errRuleBroken), errors.Is(err, errDiffers):
 		return exitFailure
 	}
-	fmt.Fprintln(stderr, "gateway:", err)
+	fmt.Fprintln(e.stderr, "gateway:", err)
 	if _, ok := errors.AsType[usageError](err); ok {
 		return exitUsage
 	}
--- a/cmd/gateway/operators_test.go
+++ b/cmd/gateway/operators_test.go
@@ -22,6 +22,8 @@
 	certs       string
 	adminAddrs  []string // addresses of the members for operators
 	listenAddrs []string // addresses of the members for requests
+	streamAddrs []string // addresses of the members for followers
+	linkAddrs   []string // addresses of the members for other sites' members
 }
 
 // mustRun runs a command, checks its exit status, and returns its standard output followed by its standard error.
--- a/cmd/gateway/run.go
+++ b/cmd/gateway/run.go
@@ -15,6 +15,7 @@
 	"mulleinmux/internal/logging"
 	"mulleinmux/internal/openapi"
 	"mulleinmux/internal/raftnode"
+	"mulleinmux/internal/reload"
 	"mulleinmux/internal/scenario"
 	"mulleinmux/routing"
 )
@@ -54,32 +55,33 @@
 		defer func() { err = errors.Join(err, traces.Close()) }()
 		f.Config.OnTrace = traces.Record
 	}
+	e.queueStderr()
 	logger := logging.New(e.stderr)
 	// An unhandled SIGHUP would end the process with requests open.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	switch {
 	case f.Member != nil:
-		defer ignoreReloads(reload, logger)()
+		defer ignoreReloads(reloads, logger)()
 		return c.runMember(e, f, logger)
 	case f.Follower != nil:
-		defer ignoreReloads(reload, logger)()
+		defer ignoreReloads(reloads, logger)()
 		return c.runFollower(e, f, logger)
 	default:
-		return c.runStandalone(e, f, reload, logger)
+		return c.runStandalone(e, f, reloads, logger)
 	}
 }
 
-// ignoreReloads logs each signal to reload, until stop is called: the members of a cluster agree on the configuration,
+// ignoreReloads logs each signal to reloads, until stop is called: the members of a cluster agree on the configuration,
 // so that an instance has no file to read again.
-func ignoreReloads(reload <-chan os.Signal, logger *slog.Logger) (stop func()) {
+func ignoreReloads(reloads <-chan os.Signal, logger *slog.Logger) (stop func()) {
 	stopping := make(chan struct{})
 	var listener sync.WaitGroup
 	listener.Go(func() {
 		for {
 			select {
-			case <-reload:
+			case <-reloads:
 				logger.Warn("reload ignored",
 					slog.String("hint", "the configuration is agreed on: change it with gateway config apply"))
 			case <-stopping:
@@ -104,17 +106,18 @@
 
 // runStandalone runs an instance without a cluster. On SIGHUP it reads its description again.
 func (c *runCmd) runStandalone(
-	e *environment, f *gatewayconfig.File, reload <-chan os.Signal, logger *slog.Logger,
+	e *environment, f *gatewayconfig.File, reloads <-chan os.Signal, logger *slog.Logger,
 ) error {
 	cfg := &f.Config
-	description := resolvePath(c.Config, f.Description)
-	table, check, err := loadDescription(description, cfg)
+	load := func() (compiledDescription, error) { return loadDescription(resolvePath(c.Config, f.Description), cfg) }
+	first, err := load()
 	if err != nil {
 		return usageError{err}
 	}
+	description := reload.NewReader(load)
 	ready, ended := make(chan *gateway.Instance, 1), make(chan error, 1)
 	go func() {
-		setup := cfg.Setup(1, table, check)
+		setup := cfg.Setup(1, first.table, first.check)
 		ended <- gateway.Run(e.ctx, cfg, setup, logger, func(in *gateway.Instance) { ready <- in })
 	}()
 	var instance *gateway.Instance
@@ -123,48 +126,57 @@
 		case err := <-ended:
 			return err
 		case instance = <-ready:
-		case <-reload:
-			if instance == nil {
-				continue
+		case <-reloads:
+			if instance != nil {
+				description.Start()
 			}
-			operationCount, err := reloadDescription(instance, description, cfg, version+1)
-			if err != nil {
-				logger.Warn("reload failed", slog.Uint64(logging.KeyVersion, version), logging.Error(err))
-				continue
+		case read := <-description.Results():
+			description.Finish()
+			if installDescription(instance, read, cfg, version+1, logger) {
+				version++
 			}
-			version++
-			logger.Info("description reloaded",
-				slog.Uint64(logging.KeyVersion, version), slog.Int("operations", operationCount))
 		}
 	}
 }
 
-// reloadDescription reads the description again and installs it as a version. It returns the number of operations.
-func reloadDescription(in *gateway.Instance, file string, cfg *gateway.Config, version uint64) (int, error) {
-	table, check, err := loadDescription(file, cfg)
-	if err != nil {
-		return 0, err
+// compiledDescription is the table of a description and, for full validation, its checker.
+type compiledDescription struct {
+	table *routing.Table
+	check gateway.Checker
+}
+
+// installDescription installs a description that was read again as a version. It reports whether it did, and logs the
+// result.
+func installDescription(in *gateway.Instance, read reload.Result[compiledDescription], cfg *gateway.Config,
+	version uint64, logger *slog.Logger) bool {
+	err := read.Err
+	if err == nil {
+		err = in.Install(cfg.Setup(version, read.Value.table, read.Value.check))
 	}
-	if err := in.Install(cfg.Setup(version, table, check)); err != nil {
-		return 0, err
+	if err != nil {
+		logger.Warn("reload failed", slog.Uint64(logging.KeyVersion, version-1), logging.Error(err))
+		return false
 	}
-	return len(table.Operations), nil
+	logger.Info("description reloaded",
+		slog.Uint64(logging.KeyVersion, version), slog.Int("operations", len(read.Value.table.Operations)))
+	return true
 }
 
 // loadDescription reads and compiles the description.
-func loadDescription(file string, cfg *gateway.Config) (*routing.Table, gateway.Checker, error) {
+func loadDescription(file string, cfg *gateway.Config) (compiled compiledDescription, err error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return nil, nil, fmt.Errorf("description: %w", err)
+		return compiled, fmt.Errorf("description: %w", err)
 	}
 	table, d, err := openapi.Compile(file, text, cfg.Options())
 	if err != nil {
-		return nil, nil, err
+		return compiled, err
 	}
-	if !cfg.FullValidation {
-		return table, nil, nil
+	compiled.table = table
+	if cfg.FullValidation {
+		compiled.check = d.Checker()
 	}
-	return table, d.Checker(), nil
+	return compiled, nil
 }
 
 // runMember runs an instance as a member of a cluster.
--- a/internal/cluster/follower.go
+++ b/internal/cluster/follower.go
@@ -90,6 +90,9 @@
 	if instanceConfig.Agreement == nil {
 		instanceConfig.Agreement = &gateway.Agreement{}
 	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	serving, drain := context.WithCancel(context.Background())
 	defer drain()
 	instance, instanceEnded, err := startInstance(serving, instanceConfig, logger)
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -16,8 +16,11 @@
 	"mulleinmux/internal/raftnode"
 )
 
-// leaderTransferTimeout bounds how long a stopping leader waits for another member to become the leader.
-const leaderTransferTimeout = 2 * time.Second
+// How long a stopping leader tries to make another member the leader.
+const (
+	maxLeaderTransferTime = 2 * time.Second
+	minLeaderTransferTime = 500 * time.Millisecond // also if its instance has drained sooner
+)
 
 // Member is a member of the cluster and its gateway instance. It connects the Raft node to versionInstaller,
 // which puts versions in force, adminServer, followerServer and siteMonitor.
@@ -36,10 +39,10 @@
 	installError string // why the agreed version is not in force at the instance; empty if it is
 }
 
-// RunMember runs a member and its instance until ctx ends. Then a leader transfers its leadership, the instance drains
-// and the member stops. If the member fails (its storage failed, or it was removed), both end with its error.
-// instanceConfig is a configuration without sites, plans, licensees and classes; started is called once the instance
-// has started.
+// RunMember runs a member and its instance until ctx ends. Then the instance drains; meanwhile a leader transfers its
+// leadership, which no request waits for. The member stops last. If the member fails (its storage failed, or it was
+// removed), both end with its error. instanceConfig is a configuration without sites, plans, licensees and classes;
+// started is called once the instance has started.
 func RunMember(ctx context.Context, cfg *MemberConfig, instanceConfig *gateway.Config, logger *slog.Logger,
 	started func(*Member)) (err error) {
 	if err := cfg.checkIdentity(); err != nil {
@@ -113,6 +116,9 @@
 		defer stream.Close()
 	}
 
+	if ctx.Err() != nil {
+		return nil
+	}
 	serving, drain := context.WithCancel(context.Background())
 	defer drain()
 	instance, instanceEnded, err := startInstance(serving, m.instanceConfig, m.logger)
@@ -133,14 +139,17 @@
 	case err := <-instanceEnded:
 		return err
 	case <-m.node.Done():
+		drain()
 		m.logger.Error("member failed, draining instance",
 			slog.Uint64(logging.KeyMember, m.cfg.MemberID), logging.Error(m.node.Err()))
-		err = fmt.Errorf("member %d: %w", m.cfg.MemberID, m.node.Err())
+		return errors.Join(fmt.Errorf("member %d: %w", m.cfg.MemberID, m.node.Err()), <-instanceEnded)
 	case <-ctx.Done():
-		m.transferLeadership()
 	}
-	drain()
-	return errors.Join(err, <-instanceEnded)
+	drain() // first: whatever follows may have to wait for other members
+	transfer := m.startLeaderTransfer()
+	err = <-instanceEnded
+	transfer.finish()
+	return err
 }
 
 // startInstance starts a gateway instance without a version in force. The instance runs until ctx ends, and its result
@@ -160,24 +169,40 @@
 	}
 }
 
-// transferLeadership makes another member the leader if this one is, so that a planned stop causes no election timeout.
-func (m *Member) transferLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaderTransferTimeout)
-	defer cancel()
-	status, err := m.node.Status(ctx)
-	if err != nil || status.Leader != status.ID {
-		return
-	}
-	for _, voter := range status.Voters {
-		lag, known, err := m.node.ReplicationLag(ctx, voter)
-		if voter == status.ID || err != nil || !isCaughtUp(lag, known) {
-			continue
-		}
-		if err := m.node.TransferLeadership(ctx, voter); err != nil {
+// leaderTransfer is the attempt of a stopping member to make another one the leader, beside the drain of its instance.
+type leaderTransfer struct {
+	startedAt time.Time
+	cancel    context.CancelFunc
+	done      chan struct{} // closed when the attempt has ended
+}
+
+// startLeaderTransfer makes another member the leader if this one is, so that a planned stop causes no election
+// timeout. It returns at once.
+func (m *Member) startLeaderTransfer() *leaderTransfer {
+	ctx, cancel := context.WithTimeout(context.Background(), maxLeaderTransferTime)
+	t := &leaderTransfer{startedAt: time.Now(), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(t.done)
+		if err := m.node.ResignLeadership(ctx); err != nil {
 			m.logger.Warn("leadership transfer failed", logging.Error(err))
 		}
+	}()
+	return t
+}
+
+// finish ends the attempt and waits until it has ended. It lets the attempt go on for minLeaderTransferTime since it
+// started.
+func (t *leaderTransfer) finish() {
+	defer t.cancel()
+	timer := time.NewTimer(time.Until(t.startedAt.Add(minLeaderTransferTime)))
+	defer timer.Stop()
+	select {
+	case <-t.done:
 		return
+	case <-timer.C:
 	}
+	t.cancel()
+	<-t.done
 }
 
 // notifyStateChanged wakes the goroutine that applies versions. The Raft node calls it; it does not block.
--- a/internal/edgeproxy/discovery_watch.go
+++ b/internal/edgeproxy/discovery_watch.go
@@ -8,6 +8,7 @@
 
 	"mulleinmux/internal/discovery"
 	"mulleinmux/internal/logging"
+	"mulleinmux/internal/reload"
 )
 
 // discoveryWatch follows the endpoint list of one discovery agent.
@@ -83,21 +84,20 @@
 	<-w.done
 }
 
-// reload reads the configuration again and returns the watch of its discovery address. It returns the present watch if
-// that address is unchanged or the configuration is invalid, which is logged. Other changes take effect at the next
+// reload returns the watch of the discovery address in a configuration that was read again. It returns the present watch
+// if that address is unchanged or the configuration is invalid, which is logged. Other changes take effect at the next
 // start.
-func (w *discoveryWatch) reload(ctx context.Context, n *Node) *discoveryWatch {
-	cfg, err := n.cfg.reread()
-	if err != nil {
-		n.logger.Warn("reload failed", logging.Error(err))
+func (w *discoveryWatch) reload(ctx context.Context, n *Node, reread reload.Result[*Config]) *discoveryWatch {
+	if reread.Err != nil {
+		n.logger.Warn("reload failed", logging.Error(reread.Err))
 		return w
 	}
-	n.logger.Info("discovery reloaded",
-		slog.Any(logging.KeyAddress, cfg.Discovery), slog.Any("previous_address", w.addr))
-	if cfg.Discovery == w.addr {
+	addr := reread.Value.Discovery
+	n.logger.Info("discovery reloaded", slog.Any(logging.KeyAddress, addr), slog.Any("previous_address", w.addr))
+	if addr == w.addr {
 		return w
 	}
 	w.stop()
 	// Another agent may number its generations differently.
-	return startWatch(ctx, n, cfg.Discovery, 0)
+	return startWatch(ctx, n, addr, 0)
 }
--- a/internal/edgeproxy/hot_restart.go
+++ b/internal/edgeproxy/hot_restart.go
@@ -43,7 +43,7 @@
 // before it has taken over, the predecessor keeps everything and drains as at a planned restart.
 const (
 	handoverSocketName     = "mulleinmux-handover"
-	handoverMessageTimeout = 2 * time.Second        // for one message: the other process may be busy
+	handoverMessageTimeout = 2 * time.Second        // for one message at most: the other process may be busy
 	handoverVersion        = 3                      // version in the hello; version 0 sent neither hello nor taken over
 	sentIDsVersion         = 2                      // from which on a process understands sent IDs
 	clockVersion           = 3                      // from which on a successor understands the clock
@@ -82,6 +82,7 @@
 	state, sentIDs, gossipSocket, err := s.node.handOverState()
 	if err == nil {
 		successors.stopListening()
+		successors.deadline = s.shutdown.handoverDeadline()
 		successors.setSentIDReceived(s.node.ids.receive)
 		err = successors.sendInheritedState(state, sentIDs, gossipSocket)
 	}
@@ -97,6 +98,7 @@
 	if gossipSocket != nil {
 		gossipSocket.Close() // from here on the successor receives gossip
 	}
+	successors.deadline = *s.shutdown.endsAt.Load()
 	s.limiter.startHandOver(successors.sendClient)
 	s.node.pool.CloseIdle()
 	s.awaitClientsDisconnected()
@@ -104,13 +106,20 @@
 }
 
 // awaitClientsDisconnected waits until neither this process nor its predecessor has a client left, for
-// longestRequestTime at most: by then the last request must have been answered.
+// longestRequestTime at most: by then the last request must have been answered. It ends with the shutdown timer.
 func (s *clientServer) awaitClientsDisconnected() {
 	ticker := time.NewTicker(handOverPollInterval)
 	defer ticker.Stop()
-	end := time.Now().Add(s.longestRequestTime())
-	for (s.limiter.count() > 0 || s.hasPredecessor.Load()) && time.Now().Before(end) {
-		<-ticker.C
+	timeout := time.NewTimer(s.longestRequestTime())
+	defer timeout.Stop()
+	for s.limiter.count() > 0 || s.hasPredecessor.Load() {
+		select {
+		case <-ticker.C:
+		case <-timeout.C:
+			return
+		case <-s.shutdown.expired:
+			return
+		}
 	}
 }
 
--- a/internal/edgeproxy/rules_test.go
+++ b/internal/edgeproxy/rules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/policy"
 )
 
@@ -121,7 +122,7 @@
 		3 * time.Second:  3550 * ms,
 		20 * time.Second: 3550 * ms,
 	} {
-		if got := shutdownTimeout(longestDeadline); got != want {
+		if got := graceful.AnswerTimeout(longestDeadline, defaultDrainDelay); got != want {
 			t.Errorf("longest deadline %v: timeout %v, want %v", longestDeadline, got, want)
 		}
 	}
--- a/internal/edgeproxy/run.go
+++ b/internal/edgeproxy/run.go
@@ -12,11 +12,12 @@
 
 	"mulleinmux/internal/gossip"
 	"mulleinmux/internal/logging"
+	"mulleinmux/internal/reload"
 )
 
 // Run runs an edge node until ctx ends, then hands over to a waiting successor process, or else drains the node. At
-// each signal on reload it reads its configuration again.
-func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger) error {
+// each signal on reloads it reads its configuration again.
+func Run(ctx context.Context, cfg *Config, reloads <-chan os.Signal, logger *slog.Logger) error {
 	var ln net.Listener
 	var err error
 	if cfg.AcceptFD != 0 {
@@ -27,7 +28,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return runOn(ctx, cfg, reload, logger, ln)
+	return runOn(ctx, cfg, reloads, logger, ln)
 }
 
 // msgNoInheritedState is logged, with the reason, if a process can't use the state of a predecessor.
@@ -44,7 +45,8 @@
 type process struct {
 	cfg         *Config
 	logger      *slog.Logger
-	reload      <-chan os.Signal
+	reloads     <-chan os.Signal
+	configFile  *reload.Reader[*Config]
 	lifetime    context.Context // of the background goroutines
 	background  sync.WaitGroup  // goroutines that end with lifetime or with the listener or socket that they serve
 	serveErrors chan error      // errors of goroutines that can't continue to serve
@@ -60,7 +62,7 @@
 
 // newProcess returns a process whose background goroutines will end with lifetime. It starts none yet.
 func newProcess(
-	lifetime context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger,
+	lifetime context.Context, cfg *Config, reloads <-chan os.Signal, logger *slog.Logger,
 ) (*process, error) {
 	logger = logger.With(slog.String("node", cfg.Name))
 	n, err := newNode(lifetime, cfg, logger)
@@ -70,7 +72,8 @@
 	return &process{
 		cfg:         cfg,
 		logger:      logger,
-		reload:      reload,
+		reloads:     reloads,
+		configFile:  reload.NewReader(cfg.reread),
 		lifetime:    lifetime,
 		serveErrors: make(chan error, maxServeErrors),
 		node:        n,
@@ -79,12 +82,12 @@
 
 // runOn is Run on an open listener, which it closes.
 func runOn(
-	ctx context.Context, cfg *Config, reload <-chan os.Signal, logger *slog.Logger, ln net.Listener,
+	ctx context.Context, cfg *Config, reloads <-chan os.Signal, logger *slog.Logger, ln net.Listener,
 ) error {
 	defer ln.Close()
 	lifetime, stop := context.WithCancel(context.Background())
 	defer stop()
-	p, err := newProcess(lifetime, cfg, reload, logger)
+	p, err := newProcess(lifetime, cfg, reloads, logger)
 	if err != nil {
 		return err
 	}
@@ -249,8 +252,10 @@
 	}()
 	for {
 		select {
-		case <-p.reload:
-			p.watch = p.watch.reload(p.lifetime, p.node)
+		case <-p.reloads:
+			p.configFile.Start()
+		case reread := <-p.configFile.Results():
+			p.applyReload(reread)
 		case r := <-received:
 			if r.err == nil {
 				p.node.importState(r.state)
@@ -308,14 +313,22 @@
 		case err := <-p.serveErrors:
 			p.clients.httpServer.Close()
 			return false, err
-		case <-p.reload:
-			p.watch = p.watch.reload(p.lifetime, p.node)
+		case <-p.reloads:
+			p.configFile.Start()
+		case reread := <-p.configFile.Results():
+			p.applyReload(reread)
 		case <-ctx.Done():
 			return true, nil
 		}
 	}
 }
 
+// applyReload uses a configuration that was read again.
+func (p *process) applyReload(reread reload.Result[*Config]) {
+	p.watch = p.watch.reload(p.lifetime, p.node, reread)
+	p.configFile.Finish()
+}
+
 // shutDown hands over to a waiting successor, or else accepts clients for the drain delay and answers every request
 // that was received. ln is the listener for clients.
 func (p *process) shutDown(ln net.Listener) {
@@ -333,6 +346,5 @@
 			p.background.Go(func() { p.serveErrors <- p.clients.serve(reopened) })
 		}
 	}
-	p.logger.Info("draining")
 	p.clients.drain(drainDelay)
 }
--- a/internal/edgeproxy/successor_conn.go
+++ b/internal/edgeproxy/successor_conn.go
@@ -149,10 +149,10 @@
 	takeoverFailed                            // the successor disconnected before it had taken over, or there is none
 )
 
-// awaitTakeover waits for the successor to confirm the takeover, for handoverMessageTimeout at most. A successor of
-// version 0 never confirms; it is recognized by the lack of a hello for handoverMessageTimeout since it connected.
-func (s *successorConn) awaitTakeover() takeoverResult {
-	timeout := time.NewTimer(handoverMessageTimeout)
+// awaitTakeover waits for the successor to confirm the takeover, for maxWait at most. A successor of version 0 never
+// confirms; it is recognized by the lack of a hello for handoverMessageTimeout since it connected.
+func (s *successorConn) awaitTakeover(maxWait time.Duration) takeoverResult {
+	timeout := time.NewTimer(maxWait)
 	defer timeout.Stop()
 	helloTimeout := time.NewTimer(time.Until(s.connectedAt.Add(handoverMessageTimeout)))
 	defer helloTimeout.Stop()
--- a/internal/edgeproxy/successor_listener.go
+++ b/internal/edgeproxy/successor_listener.go
@@ -23,6 +23,7 @@
 	readers  sync.WaitGroup // goroutines that read from successors; acceptSuccessors waits for them
 
 	clockOffset func() time.Duration // of the node's clock, for successors; nil: not sent
+	deadline    time.Time            // of the messages of a handover, set before they are sent; zero: none
 
 	mu        sync.Mutex
 	successor *successorConn // the latest one; nil if none is connected
@@ -99,13 +100,13 @@
 	return l.successor
 }
 
-// hasSuccessor reports whether a successor is connected, including one whose connection is not accepted yet. A nil
-// listener has none.
+// hasSuccessor reports whether a successor is connected, including one whose connection is not accepted yet. It doesn't
+// wait for a descriptor for that one: the shutdown goes on. A nil listener has none.
 func (l *successorListener) hasSuccessor() bool {
 	if l == nil {
 		return false
 	}
-	for _, conn := range graceful.AcceptPending(l.listener) {
+	for _, conn := range graceful.AcceptPending(l.listener, time.Now()) {
 		l.setSuccessor(conn.(*net.UnixConn))
 	}
 	s := l.current()
@@ -118,13 +119,22 @@
 	if s == nil {
 		return takeoverFailed
 	}
-	result := s.awaitTakeover()
+	result := s.awaitTakeover(l.messageTimeout())
 	if result == takeoverUnconfirmed && s.currentState() == successorWaiting {
 		l.logger.Warn("successor did not confirm takeover")
 	}
 	return result
 }
 
+// messageTimeout returns how long to wait for the successor at most: handoverMessageTimeout, and not beyond the
+// deadline.
+func (l *successorListener) messageTimeout() time.Duration {
+	if l.deadline.IsZero() {
+		return handoverMessageTimeout
+	}
+	return min(handoverMessageTimeout, time.Until(l.deadline))
+}
+
 // stopListening closes the listener, so that the successor can listen at the path. Messages can still be sent.
 func (l *successorListener) stopListening() {
 	l.mu.Lock()
@@ -151,7 +161,7 @@
 		return errNoSuccessor
 	}
 	message := append([]byte{kind}, body...)
-	successor.conn.SetWriteDeadline(time.Now().Add(handoverMessageTimeout))
+	successor.conn.SetWriteDeadline(time.Now().Add(l.messageTimeout()))
 	write := func(rights []byte) error {
 		_, _, err := successor.conn.WriteMsgUnix(message, rights, nil)
 		return err
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"mulleinmux/internal/graceful"
 )
 
 // drainPollInterval is the interval at which a draining instance interrupts connections that have become idle.
@@ -48,51 +50,62 @@
 	return serves && s.drainState.isReady.Load()
 }
 
-// drain stops serving. For DrainTimeout new requests are still accepted, and each answer closes its connection. Then
-// the listeners close. Within maxFinishDuration the instance answers every request that was received, whether or not it
-// was read, also those on connections in the kernel's backlog. Connections that have nothing to read are closed, new
-// ones after newConnGrace.
-func (s *clientServer) drain() {
+// drain stops serving. It begins at once; all its times count from signaledAt, when the instance was told to end (see
+// [graceful.Schedule]). Until FinishListeningAt new requests are still accepted, and each answer closes its connection.
+// Then the listeners close. By AnswerBy the instance answers every request that was received, whether or not it was
+// read, also those on connections in the kernel's backlog. Connections that have nothing to read are closed, new ones
+// after newConnGrace.
+func (s *clientServer) drain(signaledAt time.Time) {
 	s.drainState.begin()
-	<-time.After(s.instance.config.DrainTimeout)
-	for _, listener := range s.listeners {
-		listener.Finish()
-	}
-	s.acceptors.Wait() // connections accepted during the close are drained with the others
+	schedule := graceful.NewSchedule(signaledAt, s.instance.config.DrainTimeout, s.instance.longestDeadline())
+	s.drainState.setFinishDeadline(schedule.AnswerBy)
+	s.instance.logger.Info("draining")
+	<-time.After(time.Until(schedule.FinishListeningAt))
 	ended := make(chan struct{})
-	go func() {
+	go func() { // beside it interrupts free descriptors for the backlog
+		defer close(ended)
+		for _, listener := range s.listeners {
+			s.acceptors.Go(func() { listener.Finish(schedule.AnswerBy) })
+		}
+		s.acceptors.Wait() // connections accepted during the close are drained with the others
 		s.handlers.Wait()
-		close(ended)
 	}()
-	s.interruptUntil(ended)
-	s.conns.each(func(c *clientConn) { c.nc.Close() })
-	<-ended
+	s.interruptUntil(ended, schedule)
+	s.closeConnsUntil(ended)
+}
+
+// closeConnsUntil closes connections until all have ended, also those that are accepted last.
+func (s *clientServer) closeConnsUntil(ended <-chan struct{}) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		s.conns.each(func(c *clientConn) { c.nc.Close() })
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
-// interruptUntil interrupts connections as they become idle, until all have ended or maxFinishDuration has passed.
-// Requests that were received are answered before finishDeadline. A request that is still being read at finishDeadline
-// may take requestReadTimeout more and is rejected.
-func (s *clientServer) interruptUntil(ended <-chan struct{}) {
+// interruptUntil interrupts connections as they become idle, until all have ended or CloseBy has passed. At AnswerBy
+// the requests that are still open fail: their deadlines are later than the end of this process.
+func (s *clientServer) interruptUntil(ended <-chan struct{}, schedule graceful.Schedule) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	finishDuration := maxFinishDuration(s.instance.longestDeadline(), s.instance.config.Settings.ResponseSlack)
-	s.drainState.setFinishDeadline(time.Now().Add(finishDuration - requestReadTimeout))
-	timeout := time.After(finishDuration)
+	answersDue := time.After(time.Until(schedule.AnswerBy))
+	closesDue := time.After(time.Until(schedule.CloseBy))
 	for {
 		now := time.Now()
 		s.conns.each(func(c *clientConn) { c.lifecycle.interrupt(now) })
 		select {
 		case <-ticker.C:
-		case <-timeout:
+		case <-answersDue:
+			s.instance.failOpenRequests()
+		case <-closesDue:
 			return
 		case <-ended:
 			return
 		}
 	}
 }
-
-// maxFinishDuration returns how long a draining instance may take to finish the requests that it has accepted: one that
-// is being read may take requestReadTimeout and then the longest deadline, with the slack for its response.
-func maxFinishDuration(longestDeadline, responseSlack time.Duration) time.Duration {
-	return longestDeadline + responseSlack + requestReadTimeout
-}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/openapi"
+	"mulleinmux/policy"
 	"mulleinmux/routing"
 )
 
@@ -49,6 +51,26 @@
 	}
 }
 
+// Guards against a drained instance that waits for a health check which its server leaves unanswered: it ended up to
+// healthCheckTimeout after everything was answered.
+func TestDrainedInstanceEndsHealthChecks(t *testing.T) {
+	h := newTestSites(t)
+	stopped, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections, and nobody reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stopped.Close()
+	h.listServer("site-a", "stopped", stopped.Addr().String(), "up")
+	g := startInstance(t, h, 1, func(c *Config) { c.DrainTimeout = 20 * time.Millisecond })
+	g.host.handleEvent(func(_ time.Duration, out policy.Actions) { out.CheckHealth("site-a/stopped") })
+	stoppedAt := time.Now()
+	g.stop()
+	g.done <- <-g.done
+	if took := time.Since(stoppedAt); took > healthCheckTimeout/2 {
+		t.Errorf("the instance ended after %v, while nothing but a health check was open", took)
+	}
+}
+
 // Guards against a drain that cuts off a request whose deadline is that of a version which was just replaced by one with
 // shorter deadlines.
 func TestDrainFinishesRequestsOfReplacedVersion(t *testing.T) {
@@ -67,7 +89,7 @@
 		t.Fatal(err)
 	}
 	g.stop()
-	time.Sleep(g.cfg.DrainTimeout + 2*maxFinishDuration(10*time.Millisecond, g.cfg.Settings.ResponseSlack))
+	time.Sleep(3 * graceful.AnswerTimeout(10*time.Millisecond, g.cfg.DrainTimeout))
 	a.response <- responseText(200, "", "x")
 	if r := c.readResponse(); r.Status != 200 {
 		t.Errorf("request of the replaced version: got %+v, want status 200", r)
--- a/internal/gateway/line_log.go
+++ b/internal/gateway/line_log.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
 	"sync/atomic"
 	"time"
+
+	"mulleinmux/internal/logging"
 )
 
 const (
@@ -13,9 +16,13 @@
 	lineLogFlushInterval = 200 * time.Millisecond // between flushes of buffered lines
 )
 
+// errLogNotRead is returned if the lines that were left at the end could not be written in time.
+var errLogNotRead = errors.New("the last lines could not be written in time")
+
 // lineLog writes values as lines of JSON. It never blocks a request: a line is dropped and counted if the queue is
 // full.
 type lineLog[T any] struct {
+	out     *logging.StallDetector
 	lines   chan T
 	done    chan struct{} // closed when run has ended
 	dropped atomic.Int64
@@ -24,8 +31,8 @@
 
 // newLineLog starts a log that writes to w. close stops it.
 func newLineLog[T any](w io.Writer) *lineLog[T] {
-	l := &lineLog[T]{lines: make(chan T, lineLogQueueLength), done: make(chan struct{})}
-	go l.run(w)
+	l := &lineLog[T]{out: logging.NewStallDetector(w), lines: make(chan T, lineLogQueueLength), done: make(chan struct{})}
+	go l.run()
 	return l
 }
 
@@ -38,9 +45,9 @@
 	}
 }
 
-func (l *lineLog[T]) run(w io.Writer) {
+func (l *lineLog[T]) run() {
 	defer close(l.done)
-	out := bufio.NewWriterSize(w, 64<<10)
+	out := bufio.NewWriterSize(l.out, 64<<10)
 	enc := json.NewEncoder(out)
 	tick := time.NewTicker(lineLogFlushInterval)
 	defer tick.Stop()
@@ -66,9 +73,12 @@
 	}
 }
 
-// close writes the queued lines and returns the first write error. record must not be called after close.
+// close writes the queued lines, as long as [logging.StallDetector.AwaitEnd] waits, and returns the first write error.
+// record must not be called after close.
 func (l *lineLog[T]) close() error {
 	close(l.lines)
-	<-l.done
+	if !l.out.AwaitEnd(l.done) {
+		return errLogNotRead
+	}
 	return l.err
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// failOpenRequests fails all requests that have no answer yet and ends their attempts in flight.
+func (in *Instance) failOpenRequests() {
+	in.host.handleEvent(func(now time.Duration, out policy.Actions) {
+		for _, r := range in.requests.byID {
+			in.abandonEvent(r)(now, out)
+		}
+	})
+}
+
 // admit records a request and passes it to the engine. A request whose key has no available owner is rejected instead.
 // The caller must hold the instance's mutex.
 func (in *Instance) admit(r *pendingRequest, engineRequest policy.Request, now time.Duration, out policy.Actions) {
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -119,18 +119,6 @@
 	}
 }
 
-func TestMaxFinishDuration(t *testing.T) {
-	classes := []policy.Class{{Deadline: 2 * time.Second}, {Deadline: 5 * time.Second}, {Deadline: time.Second}}
-	var deadlines openDeadlines
-	deadlines.replace(0, classes)
-	if got, want := maxFinishDuration(deadlines.longest(0), 8*time.Millisecond), 6508*time.Millisecond; got != want {
-		t.Errorf("with classes: got %v, want %v", got, want)
-	}
-	if got, want := maxFinishDuration(0, 0), 1500*time.Millisecond; got != want {
-		t.Errorf("without classes: got %v, want %v", got, want)
-	}
-}
-
 // Requests that were matched before their version was replaced keep its longer deadlines, and no longer than that.
 func TestOpenDeadlinesOfReplacedVersions(t *testing.T) {
 	var d openDeadlines
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,9 +14,10 @@
 	"mulleinmux/routing"
 )
 
-// Run runs an instance until ctx ends, then drains it: the instance accepts requests for another DrainTimeout, finishes
-// the accepted ones within the longest deadline, and returns. onListening is called once the instance listens. With
-// Config.Agreement the instance is ready when a setup with a table has been installed and confirmed, otherwise at once.
+// Run runs an instance until ctx ends, then drains it: the instance is not ready from then on, accepts requests for
+// another DrainTimeout, answers the accepted ones by the time that [graceful.AnswerTimeout] gives, and returns.
+// onListening is called once the instance listens. With Config.Agreement the instance is ready when a setup with a table
+// has been installed and confirmed, otherwise at once.
 func Run(ctx context.Context, config *Config, setup Setup, logger *slog.Logger, onListening func(*Instance)) error {
 	instanceCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -29,6 +30,9 @@
 		stop()
 		in.close()
 	}()
+	if config.listener == nil && ctx.Err() != nil {
+		return nil // the process is to end, and no client has connected yet
+	}
 	ln, err := config.listen()
 	if err != nil {
 		return err
@@ -82,8 +86,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	in.logger.Info("draining")
-	server.drain()
+	server.drain(time.Now())
 	stop()
 	in.close()
 	in.logger.Info("drained")
--- a/internal/graceful/accept_error.go
+++ b/internal/graceful/accept_error.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	acceptRetryInterval = 2 * time.Millisecond   // before another try after a transient error
-	pendingRetryTimeout = 500 * time.Millisecond // for which a backlog is accepted in spite of transient errors
-	openRetryTimeout    = time.Second            // for which OpenSocket tries to open a socket
+	acceptRetryInterval = 2 * time.Millisecond // before another try after a transient error
+	openRetryTimeout    = time.Second          // for which OpenSocket tries to open a socket
 )
 
 // transientAcceptErrors are the errors of accept(2) that say nothing about the listener: the connection has failed
--- a/internal/graceful/accept_error_test.go
+++ b/internal/graceful/accept_error_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	l := NewListener(&failingListener{Listener: inner, errnos: transientAcceptErrors})
-	defer l.Finish()
+	defer l.Finish(time.Now())
 	client, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -55,7 +55,7 @@
 	if _, err := l.Accept(); !errors.Is(err, syscall.EBADF) {
 		t.Errorf("Accept: got %v, want EBADF", err)
 	}
-	if l.Finish(); !errors.Is(firstError(l), ErrFinished) {
+	if l.Finish(time.Now()); !errors.Is(firstError(l), ErrFinished) {
 		t.Error("Accept of a finished listener does not return ErrFinished")
 	}
 }
@@ -119,7 +119,7 @@
 		defer client.Close()
 	}
 	useUpDescriptors(t, 20*acceptRetryInterval)
-	conns := AcceptPending(ln)
+	conns := AcceptPending(ln, time.Now().Add(time.Second))
 	if len(conns) != clients {
 		t.Errorf("accepted %d connections of %d", len(conns), clients)
 	}
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -26,12 +26,13 @@
 // NewListener returns a Listener that wraps inner. Closing it closes inner.
 func NewListener(inner net.Listener) *Listener { return &Listener{Listener: inner} }
 
-// Finish closes the listener. Accept still returns the connections that were in the kernel's backlog.
-func (l *Listener) Finish() {
+// Finish closes the listener. Accept still returns the connections that were in the kernel's backlog. While no
+// descriptor or memory is left for one, Finish tries again until retryUntil, so the caller should free some meanwhile.
+func (l *Listener) Finish(retryUntil time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.isFinished = true
-	l.backlog = AcceptPending(l.Listener)
+	l.backlog = AcceptPending(l.Listener, retryUntil)
 	l.Listener.Close()
 }
 
@@ -59,23 +60,24 @@
 }
 
 // AcceptPending accepts the connections in the kernel's backlog of a listener, without waiting for more. It returns
-// none for a closed listener.
-func AcceptPending(listener net.Listener) (conns []net.Conn) {
-	_ = ControlSocket(listener, func(fd int) { conns = acceptPending(fd) })
+// none for a closed listener. If no descriptor or memory is left, it tries again until retryUntil: the kernel resets the
+// connections that are still in the backlog when the listener is closed.
+func AcceptPending(listener net.Listener, retryUntil time.Time) (conns []net.Conn) {
+	_ = ControlSocket(listener, func(fd int) { conns = acceptPending(fd, retryUntil) })
 	return conns
 }
 
-// acceptPending is AcceptPending on the descriptor of a listening socket. If no descriptor or memory is left, it tries
-// again for pendingRetryTimeout: the kernel resets the connections that are still in the backlog when it is closed.
-func acceptPending(fd int) (conns []net.Conn) {
-	for end := time.Now().Add(pendingRetryTimeout); ; {
+// acceptPending is AcceptPending on the descriptor of a listening socket.
+func acceptPending(fd int, retryUntil time.Time) (conns []net.Conn) {
+	for {
 		conn, err := acceptNow(fd)
 		switch {
 		case err == nil:
 			conns = append(conns, conn)
-		case errors.Is(err, syscall.EAGAIN) || !IsTransientAcceptError(err) || time.Now().After(end):
+		case errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED): // the next one may succeed
+		case errors.Is(err, syscall.EAGAIN) || !IsTransientAcceptError(err) || !time.Now().Before(retryUntil):
 			return conns
-		case !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.ECONNABORTED):
+		default:
 			time.Sleep(acceptRetryInterval)
 		}
 	}
--- a/internal/graceful/socket.go
+++ b/internal/graceful/socket.go
@@ -45,11 +45,24 @@
 
 // IsPeerDisconnected reports whether the peer of a connection has closed or reset it, even if there is unread data.
 func IsPeerDisconnected(conn net.Conn) bool {
-	isGone := false
-	err := ControlSocket(conn, func(fd int) {
-		info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		state := info & 0xff // the state is the first byte of TCP_INFO
-		isGone = err == nil && (state == tcpClose || state == tcpCloseWait || state == tcpLastAck)
-	})
+	state, err := tcpState(conn)
+	isGone := state == tcpClose || state == tcpCloseWait || state == tcpLastAck
 	return isGone || err != nil && err != ErrNoSocket
 }
+
+// IsReset reports whether a connection was reset. A connection that its peer has closed is reset once the peer receives
+// data after that.
+func IsReset(conn net.Conn) bool {
+	state, err := tcpState(conn)
+	return err == nil && state == tcpClose
+}
+
+// tcpState returns the state of a connection, or 0 if the kernel does not tell it. The error is that of ControlSocket.
+func tcpState(conn net.Conn) (state int, err error) {
+	err = ControlSocket(conn, func(fd int) {
+		if info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			state = info & 0xff // the first byte of TCP_INFO
+		}
+	})
+	return state, err
+}
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -41,6 +41,7 @@
 	"deploy":                2,
 
 	"internal/discovery":      3,
+	"internal/reload":         3,
 	"internal/gossip":         3,
 	"internal/serverpool":     3,
 	"internal/graceful":       3,
--- a/internal/raftnode/membership.go
+++ b/internal/raftnode/membership.go
@@ -1,6 +1,7 @@
 package raftnode
 
 import (
+	"cmp"
 	"slices"
 
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -79,5 +80,27 @@
 // applied.
 func (c *Core) AbandonMembershipChange(id string) { delete(c.membershipChanges, id) }
 
+// TransferCandidates returns the voters that may take over the leadership from this member: first those that have
+// responded recently, and of these first those that lack the fewest entries. It returns none unless this member leads.
+func (c *Core) TransferCandidates() []uint64 {
+	progress := c.rawNode.Status().Progress // empty unless this member leads
+	voters, _ := c.Members()
+	candidates := slices.DeleteFunc(slices.Clone(voters), func(id uint64) bool {
+		_, isKnown := progress[id]
+		return id == c.cfg.ID || !isKnown
+	})
+	slices.SortStableFunc(candidates, func(a, b uint64) int {
+		switch first, second := progress[a], progress[b]; {
+		case first.RecentActive != second.RecentActive && first.RecentActive:
+			return -1
+		case first.RecentActive != second.RecentActive:
+			return 1
+		default:
+			return cmp.Compare(second.Match, first.Match)
+		}
+	})
+	return candidates
+}
+
 // TransferLeadership requests that the leader transfer its leadership to another member.
 func (c *Core) TransferLeadership(to uint64) { c.rawNode.TransferLeader(to) }
--- a/internal/raftnode/node_membership.go
+++ b/internal/raftnode/node_membership.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// ResignLeadership makes another voter the leader if this member leads, so that its end causes no election timeout. It
+// tries one voter after the other, each for an election timeout, since a voter that has just died looks like the others.
+func (n *Node) ResignLeadership(ctx context.Context) error {
+	var candidates []uint64
+	if err := n.loop.call(ctx, func() { candidates = n.core.TransferCandidates() }); err != nil {
+		return err
+	}
+	var err error
+	for _, voter := range candidates {
+		attempt, cancel := context.WithTimeout(ctx, n.electionTimeout())
+		err = n.TransferLeadership(attempt, voter)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
 // CheckPeerAddress returns an error if a member does not accept connections of other members at an address. It verifies
 // the member's certificate and sends no message.
 func (n *Node) CheckPeerAddress(ctx context.Context, member uint64, address string) error {
--- a/internal/raftnode/node_test.go
+++ b/internal/raftnode/node_test.go
@@ -167,3 +167,23 @@
 		t.Error("broadcast over the maximum size: got no error")
 	}
 }
+
+// Guards against a leader that resigns in favour of a member that has died alone: the transfer failed, and the cluster
+// had no leader until an election.
+func TestResignLeadership(t *testing.T) {
+	c := newLiveCluster(t, 3)
+	c.elect(3)
+	c.await("all are led", isLed)
+	c.stop(1) // the first candidate, which looks alive to the leader
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if err := c.nodes[3].ResignLeadership(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if leader := c.status(3).Leader; leader != 2 {
+		t.Errorf("the leader after a resignation is member %d, want 2, the only other one alive", leader)
+	}
+	if err := c.nodes[3].ResignLeadership(ctx); err != nil {
+		t.Errorf("resignation of a member that does not lead: %v", err)
+	}
+}
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -41,11 +41,11 @@
 	environment     *environment
 	dir             string
 	members         []*clusterInstance
-	followers       []*clusterInstance // instances that follow the configuration stream
-	streamLinks     map[linkKey]*link  // from a follower to a member
-	raftLinks       map[linkKey]*link  // from a member to another
-	relayLinks      map[linkKey]*link  // from a member to one at the other site
-	operatorClients []*cluster.Client  // one for each operator
+	followers       []*clusterInstance           // instances that follow the configuration stream
+	streamLinks     map[linkKey]*testserver.Link // from a follower to a member
+	raftLinks       map[linkKey]*testserver.Link // from a member to another
+	relayLinks      map[linkKey]*testserver.Link // from a member to one at the other site
+	operatorClients []*cluster.Client            // one for each operator
 	hasChaos        bool
 	rng             *rand.Rand
 	afterClose      func() // called after siteCloses has closed a site; may be nil
@@ -73,9 +73,9 @@
 	return &clusterRun{
 		environment: env,
 		dir:         dir,
-		streamLinks: map[linkKey]*link{},
-		raftLinks:   map[linkKey]*link{},
-		relayLinks:  map[linkKey]*link{},
+		streamLinks: map[linkKey]*testserver.Link{},
+		raftLinks:   map[linkKey]*testserver.Link{},
+		relayLinks:  map[linkKey]*testserver.Link{},
 		rng:         rand.New(rand.NewPCG(env.options.Seed, faultRandomStream)),
 		hasChaos:    env.scenario.Name == "chaos-config",
 	}, err
@@ -221,7 +221,7 @@
 func (c *clusterRun) openLinks() (err error) {
 	for i := range c.followers {
 		for j, to := range c.members {
-			if c.streamLinks[linkKey{from: i, to: j}], err = newLink(to.stream); err != nil {
+			if c.streamLinks[linkKey{from: i, to: j}], err = testserver.NewLink(to.stream); err != nil {
 				return err
 			}
 		}
@@ -231,11 +231,11 @@
 			if i == j {
 				continue
 			}
-			if c.raftLinks[linkKey{from: i, to: j}], err = newLink(to.raft); err != nil {
+			if c.raftLinks[linkKey{from: i, to: j}], err = testserver.NewLink(to.raft); err != nil {
 				return err
 			}
 			if c.environment.scenario.hasTwoSites && i%2 != j%2 {
-				if c.relayLinks[linkKey{from: i, to: j}], err = newLink(to.relay); err != nil {
+				if c.relayLinks[linkKey{from: i, to: j}], err = testserver.NewLink(to.relay); err != nil {
 					return err
 				}
 			}
@@ -301,13 +301,13 @@
 		}
 	}
 	for _, l := range c.raftLinks {
-		l.close()
+		l.Close()
 	}
 	for _, l := range c.relayLinks {
-		l.close()
+		l.Close()
 	}
 	for _, l := range c.streamLinks {
-		l.close()
+		l.Close()
 	}
 	for _, cl := range c.operatorClients {
 		cl.Close()
@@ -333,3 +333,6 @@
 			len(c.environment.ledger.Arrivals())))
 	}
 }
+
+// linkKey identifies a link by the indexes of the two instances that it connects.
+type linkKey struct{ from, to int }
--- a/internal/scenario/cluster_process.go
+++ b/internal/scenario/cluster_process.go
@@ -76,7 +76,7 @@
 		m.followerName, m.id)
 	for j, other := range c.members {
 		fmt.Fprintf(b, "[[follow.member]]\nnumber = %d\nstream = %q\n", other.id,
-			c.streamLinks[linkKey{from: i - len(c.members), to: j}].addr())
+			c.streamLinks[linkKey{from: i - len(c.members), to: j}].Addr())
 	}
 }
 
@@ -99,7 +99,7 @@
 	for j, other := range c.members {
 		raft := other.raft
 		if l := c.raftLinks[linkKey{from: i, to: j}]; l != nil {
-			raft = l.addr()
+			raft = l.Addr()
 		}
 		fmt.Fprintf(b, "[[cluster.member]]\nnumber = %d\nraft = %q\nadmin = %q\n", other.id, raft, other.admin)
 	}
@@ -111,7 +111,7 @@
 	for j, other := range c.members {
 		if l := c.relayLinks[linkKey{from: i, to: j}]; l != nil {
 			fmt.Fprintf(b, "[[cluster.link.far]]\nhall = %q\nmember = %d\naddress = %q\n", siteNames[j%2], other.id,
-				l.addr())
+				l.Addr())
 		}
 	}
 }
--- a/internal/scenario/cluster_verdict.go
+++ b/internal/scenario/cluster_verdict.go
@@ -139,7 +139,7 @@
 // the history.
 func (c *clusterRun) checkAgreement(ctx context.Context, checker *ruleChecker) []clusterconfig.HistoryRecord {
 	for _, l := range c.raftLinks {
-		l.setCut(false)
+		l.SetCut(false)
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -203,7 +203,7 @@
 // answers confirm it.
 func (c *clusterRun) checkFollowers(ctx context.Context, checker *ruleChecker) {
 	for _, l := range c.streamLinks {
-		l.setCut(false)
+		l.SetCut(false)
 	}
 	if len(c.followers) == 0 {
 		return
--- a/internal/scenario/faults_members.go
+++ b/internal/scenario/faults_members.go
@@ -11,7 +11,7 @@
 func (c *clusterRun) setPartitioned(m *clusterInstance, cut bool) {
 	for key, l := range c.raftLinks {
 		if key.from == int(m.id-1) || key.to == int(m.id-1) {
-			l.setCut(cut)
+			l.SetCut(cut)
 		}
 	}
 }
@@ -225,19 +225,19 @@
 		return c.restart(context.WithoutCancel(ctx), m)
 	case 1: // one-way
 		l := c.raftLinks[linkKey{from: index, to: other}]
-		l.setCut(true)
+		l.SetCut(true)
 		pause(ctx, time.Duration(300+c.rng.IntN(700))*time.Millisecond)
-		l.setCut(false)
+		l.SetCut(false)
 	case 2:
 		c.setPartitioned(m, true)
 		pause(ctx, time.Duration(300+c.rng.IntN(700))*time.Millisecond)
 		c.setPartitioned(m, false)
 	default: // a kill while the others are cut from each other
 		l := c.raftLinks[linkKey{from: other, to: index}]
-		l.setCut(true)
+		l.SetCut(true)
 		pause(ctx, 200*time.Millisecond)
 		c.kill(c.members[other])
-		l.setCut(false)
+		l.SetCut(false)
 		return c.restart(context.WithoutCancel(ctx), c.members[other])
 	}
 	return nil
@@ -264,7 +264,7 @@
 func streamBreaks(ctx context.Context, c *clusterRun) {
 	for until := c.faultsEnd(ctx); time.Now().Before(until) && ctx.Err() == nil; {
 		for _, l := range c.streamLinks {
-			l.setCut(c.rng.IntN(3) == 0)
+			l.SetCut(c.rng.IntN(3) == 0)
 		}
 		pause(ctx, time.Duration(100+c.rng.IntN(500))*time.Millisecond)
 	}
--- a/internal/scenario/faults_relay.go
+++ b/internal/scenario/faults_relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulleinmux/internal/gateway"
+	"mulleinmux/internal/testserver"
 )
 
 // Times of the scenario relay-chaos.
@@ -46,14 +47,14 @@
 	}
 	switch c.rng.IntN(8) {
 	case 0:
-		c.injectLinkFault(ctx, (*link).setCut)
+		c.injectLinkFault(ctx, (*testserver.Link).SetCut)
 	case 1:
-		c.injectLinkFault(ctx, (*link).setDropsReplies)
+		c.injectLinkFault(ctx, (*testserver.Link).SetDropsReplies)
 	case 2:
 		delay := c.randomDuration(0, maxLinkDelay)
-		c.injectLinkFault(ctx, func(l *link, isSlow bool) { l.setDelay(delay, isSlow) })
+		c.injectLinkFault(ctx, func(l *testserver.Link, isSlow bool) { l.SetDelay(delay, isSlow) })
 	case 3:
-		c.injectLinkFault(ctx, func(l *link, _ bool) { l.closeAll() })
+		c.injectLinkFault(ctx, func(l *testserver.Link, _ bool) { l.CloseConnections() })
 	case 4:
 		site := c.environment.sites[c.rng.IntN(len(c.environment.sites))]
 		site.SetPartitioned(true)
@@ -73,8 +74,8 @@
 }
 
 // injectLinkFault sets a fault on random links between the sites and removes it after a while.
-func (c *clusterRun) injectLinkFault(ctx context.Context, set func(l *link, on bool)) {
-	var disturbed []*link
+func (c *clusterRun) injectLinkFault(ctx context.Context, set func(l *testserver.Link, on bool)) {
+	var disturbed []*testserver.Link
 	for _, l := range c.relayLinks {
 		if c.rng.IntN(2) == 0 {
 			disturbed = append(disturbed, l)
--- a/internal/scenario/faults_sites.go
+++ b/internal/scenario/faults_sites.go
@@ -169,12 +169,12 @@
 	for time.Now().Before(until) && ctx.Err() == nil {
 		for _, l := range c.relayLinks {
 			if c.rng.IntN(2) == 0 {
-				l.setCut(true)
+				l.SetCut(true)
 			}
 		}
 		pause(ctx, time.Duration(20+c.rng.IntN(200))*time.Millisecond)
 		for _, l := range c.relayLinks {
-			l.setCut(false)
+			l.SetCut(false)
 		}
 		c.flapCount++
 		pause(ctx, time.Duration(100+c.rng.IntN(500))*time.Millisecond)
@@ -204,11 +204,11 @@
 func (c *clusterRun) setSitesPartitioned(cut bool) {
 	for key, l := range c.raftLinks {
 		if key.from%2 != key.to%2 {
-			l.setCut(cut)
+			l.SetCut(cut)
 		}
 	}
 	for _, l := range c.relayLinks {
-		l.setCut(cut)
+		l.SetCut(cut)
 	}
 }
 
--- a/internal/scenario/stop_at_step_test.go
+++ b/internal/scenario/stop_at_step_test.go
@@ -228,7 +228,7 @@
 // its attempts. It returns when they were closed.
 func (run *stopRun) breakRelay() time.Time {
 	at := time.Now()
-	run.relayLink.closeAll()
+	run.relayLink.CloseConnections()
 	return at
 }
 
@@ -242,7 +242,7 @@
 	time.Sleep(c.duration / 2)
 	r.sendRest()
 	stopped.Wait()
-	run.relayLink.setDelay(relayDelay, false)
+	run.relayLink.SetDelay(relayDelay, false)
 	r.awaitAnswers()
 }
 
@@ -253,8 +253,8 @@
 		r = run.sendAllButOneByte(run.near, writeTemplates...)
 		return r, r.sentAt.Add(heldStepDelay)
 	case stopPoint{nearRole, gateway.StepBegun}: // it waits for a new connection
-		run.relayLink.setDelay(relayDelay, true)
-		run.relayLink.closeAll()
+		run.relayLink.SetDelay(relayDelay, true)
+		run.relayLink.CloseConnections()
 		time.Sleep(heldStepDelay)
 		r = run.send(stopTemplates...)
 		return r, r.sentAt.Add(heldStepDelay)
--- a/internal/scenario/stop_cluster_test.go
+++ b/internal/scenario/stop_cluster_test.go
@@ -35,7 +35,7 @@
 	t          *testing.T
 	cluster    *clusterRun
 	near, far  *clusterInstance
-	relayLink  *link                         // from near to far
+	relayLink  *testserver.Link              // from near to far
 	offsets    map[stopPoint][]time.Duration // of the calibrated steps, since their trigger
 	attempts   []testserver.Attempt          // that have ended
 	stops      []stopRecord
@@ -114,7 +114,7 @@
 	run.relayLink = run.cluster.relayLinks[linkKey{from: nearIndex, to: farIndex}]
 	for key, l := range run.cluster.relayLinks {
 		if key.from == nearIndex && key.to != farIndex {
-			l.close()
+			l.Close()
 			delete(run.cluster.relayLinks, key)
 		}
 	}
--- a/internal/testserver/connection.go
+++ b/internal/testserver/connection.go
@@ -41,6 +41,18 @@
 	return Response{response.StatusCode, response.Header, string(body), response.Close}, nil
 }
 
+// ServeListener accepts connections until the listener is closed, and serves each as ServeRequests does, beside the
+// others.
+func ServeListener(listener net.Listener, serve func(conn net.Conn, r *http.Request) bool) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go ServeRequests(conn, func(r *http.Request, _ []byte) bool { return serve(conn, r) })
+	}
+}
+
 // ServeRequests reads requests from a connection and passes each, with its whole body, to serve, until serve returns
 // false or the connection ends. It closes the connection.
 func ServeRequests(conn net.Conn, serve func(r *http.Request, body []byte) bool) {
--- a/internal/scenario/link.go
+++ b/internal/testserver/link.go
@@ -1,4 +1,4 @@
-package scenario
+package testserver
 
 import (
 	"errors"
@@ -9,12 +9,9 @@
 	"time"
 )
 
-// linkKey identifies a link by the indexes of the two instances that it connects.
-type linkKey struct{ from, to int }
-
-// link is a forwarder on loopback for the path from one instance to another. It can be cut. There is
+// Link is a forwarder on loopback for the path from one instance to another. It can be cut. There is
 // a link for each direction: the bytes of a member's messages go in one direction, so that a cut is one-way.
-type link struct {
+type Link struct {
 	ln           net.Listener
 	to           string
 	cut          atomic.Bool
@@ -25,45 +22,45 @@
 	goroutines   sync.WaitGroup
 }
 
-// newLink opens a link to an address.
-func newLink(to string) (*link, error) {
+// NewLink opens a link to an address.
+func NewLink(to string) (*Link, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &link{ln: ln, to: to, conns: map[net.Conn]struct{}{}}
+	l := &Link{ln: ln, to: to, conns: map[net.Conn]struct{}{}}
 	l.goroutines.Go(l.serve)
 	return l, nil
 }
 
-// addr returns the address on which the link listens.
-func (l *link) addr() string { return l.ln.Addr().String() }
+// Addr returns the address on which the link listens.
+func (l *Link) Addr() string { return l.ln.Addr().String() }
 
-// setCut cuts the link or heals it. Connections on a cut link lose all bytes, as on a network
+// SetCut cuts the link or heals it. Connections on a cut link lose all bytes, as on a network
 // that drops all packets. They are closed when the link heals.
-func (l *link) setCut(cut bool) {
+func (l *Link) SetCut(cut bool) {
 	if l.cut.Swap(cut) && !cut {
-		l.closeAll()
+		l.CloseConnections()
 	}
 }
 
-// setDropsReplies makes the link lose the bytes from the far instance, or heals it as setCut does.
-func (l *link) setDropsReplies(drops bool) {
+// SetDropsReplies makes the link lose the bytes from the far instance, or heals it as SetCut does.
+func (l *Link) SetDropsReplies(drops bool) {
 	if l.dropsReplies.Swap(drops) && !drops {
-		l.closeAll()
+		l.CloseConnections()
 	}
 }
 
-// setDelay delays each read on the link if isSlow, else removes the delay.
-func (l *link) setDelay(delay time.Duration, isSlow bool) {
+// SetDelay delays each read on the link if isSlow, else removes the delay.
+func (l *Link) SetDelay(delay time.Duration, isSlow bool) {
 	if !isSlow {
 		delay = 0
 	}
 	l.delay.Store(int64(delay))
 }
 
-// closeAll closes the connections on the link.
-func (l *link) closeAll() {
+// CloseConnections closes the connections on the link.
+func (l *Link) CloseConnections() {
 	l.mu.Lock()
 	for c := range l.conns {
 		c.Close()
@@ -71,15 +68,15 @@
 	l.mu.Unlock()
 }
 
-// close closes the link with its connections and waits until its goroutines have ended.
-func (l *link) close() {
+// Close closes the link with its connections and waits until its goroutines have ended.
+func (l *Link) Close() {
 	l.ln.Close()
-	l.closeAll()
+	l.CloseConnections()
 	l.goroutines.Wait()
 }
 
 // track registers a connection. The function that it returns closes and unregisters it.
-func (l *link) track(c net.Conn) func() {
+func (l *Link) track(c net.Conn) func() {
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -92,7 +89,7 @@
 }
 
 // serve accepts connections and forwards their bytes in both directions.
-func (l *link) serve() {
+func (l *Link) serve() {
 	for {
 		c, err := l.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -128,7 +125,7 @@
 
 // forward copies bytes until either connection ends. Bytes that arrive while the link is cut, or isDropping is set, are
 // lost; their connection is therefore closed once the link heals.
-func (l *link) forward(to, from net.Conn, isDropping *atomic.Bool) {
+func (l *Link) forward(to, from net.Conn, isDropping *atomic.Bool) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
