--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
+	"mulleinmux/internal/attemptprogress"
 	"mulleinmux/policy"
 )
 
@@ -134,8 +136,17 @@
 // attempt, so the request fails unless it is idempotent.
 func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
 	begunAt := time.Now()
-	result := in.servers.exchange(in.ctx, r.current, a.server, a.deadline, r.requestHead.Method == "HEAD", &r.response,
-		func(b []byte) []byte { return r.appendRequest(b, a.deadline) })
+	request := exchangeRequest{
+		server:        a.server,
+		limits:        attemptprogress.Limits{ResponseBy: a.deadline, AnswerBy: r.answerBy},
+		isHeadRequest: r.requestHead.Method == http.MethodHead,
+		isRelayed:     r.isRelayed,
+		append:        func(b []byte) []byte { return r.appendRequest(b, a.deadline) },
+	}
+	if source := r.current.source; r.answerBy.After(r.deadline) {
+		request.onBegun = func() { in.responseBegun(r, source) }
+	}
+	result := in.servers.exchange(in.ctx, r.current, request, &r.response)
 	r.recorder.attemptExchanged(r.attempts, a, &r.response, result)
 	if r.current.isClientGone {
 		in.fail(r)
@@ -149,7 +160,7 @@
 		return result
 	}
 	query := relayedStatusQuery{servers: in.servers, control: r.current, number: r.relayNumber, startedAt: begunAt,
-		server: a.server, deadline: deadline}
+		server: a.server, deadline: deadline, isIdempotent: r.isIdempotent()}
 	r.recorder.add(TraceStep{Kind: StepStatusQueried, Attempt: r.attempts, Server: a.server})
 	status, hasEnded := query.await(in.ctx)
 	r.recorder.statusResolved(r.attempts, a.server, status.status, hasEnded)
@@ -159,6 +170,15 @@
 	return r.resolveRelayed(result, status)
 }
 
+// responseBegun is called when a server has begun its response to a request that was relayed to this instance, and the
+// response is not complete yet. The relaying instance waits for it until answerBy, and no other response can follow.
+func (in *Instance) responseBegun(r *pendingRequest, source requestSource) {
+	source.announceResponse()
+	in.host.handleEvent(func(now time.Duration, out policy.Actions) {
+		in.host.engine.ResponseStarted(now, r.id, r.attempts-1, out)
+	})
+}
+
 // countAttempt counts an attempt that was written completely. The first such attempt also counts the request's units.
 func (r *pendingRequest) countAttempt(result policy.Result) {
 	if !r.response.wasWritten {
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -11,6 +11,7 @@
 
 	"mulleinmux/internal/graceful"
 	"mulleinmux/internal/httpwire"
+	"mulleinmux/internal/loadreport"
 	"mulleinmux/internal/logging"
 	"mulleinmux/multisite"
 )
@@ -204,9 +205,32 @@
 	}
 	limited -= c.server.instance.host.latenessMargin(limited)
 	c.request.deadline = now.Add(limited + slack)
+	c.request.answerBy = c.answerBy(now)
 	return limited, nil
 }
 
+// answerBy returns until when a response that a server has begun in time is awaited: until the request's deadline. The
+// instance that relayed a request may allow more, which a drain limits.
+func (c *clientConn) answerBy(now time.Time) time.Time {
+	within, count := c.request.requestHead.Values(answerWithinField)
+	seconds, isValid := loadreport.ParseDecimal(within)
+	if !c.isRelay || count != 1 || !isValid || seconds <= 0 {
+		return c.request.deadline
+	}
+	timeout := min(time.Duration(seconds*float64(time.Second))-clientTransitTime, c.request.operation.Class.Deadline)
+	slack := c.server.instance.config.Settings.ResponseSlack
+	limited, _ := c.server.drainState.requestTimeout(now, timeout, slack)
+	return latest(c.request.deadline, now.Add(limited))
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // localHandler returns the handler of a request that the instance answers itself, or nil if the request is to be
 // forwarded. The handler reports whether the connection can be reused.
 func (c *clientConn) localHandler() func() bool {
@@ -263,6 +287,12 @@
 	return c.closeWatch.stop
 }
 
+// announceResponse sends an interim response with responseBegunField. An instance that does not know the field ignores
+// the response.
+func (c *clientConn) announceResponse() {
+	c.output.write([]byte("HTTP/1.1 102 Processing\r\n" + responseBegunField + ": 1\r\n\r\n"))
+}
+
 // hasDisconnected reports whether the client or the other site's instance has closed the connection. It checks the
 // socket itself: a goroutine that watches the connection may not have run since the close.
 func (c *clientConn) hasDisconnected() bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"mulleinmux/internal/attemptprogress"
 	"mulleinmux/internal/httpwire"
 	"mulleinmux/internal/loadreport"
 	"mulleinmux/internal/serverpool"
@@ -20,7 +21,6 @@
 	mu         sync.Mutex
 	conn       *serverConn        // that carries the exchange; nil: before start and after finish
 	cancelDial context.CancelFunc // of the dial in progress; nil: no dial is in progress
-	deadline   time.Time
 	isAborted  bool
 	aborted    chan struct{} // closed by abort; nil: awaitAbort has not been called
 
@@ -57,36 +57,24 @@
 	return k.aborted
 }
 
-// start attaches a connection to the exchange and sets the connection's deadline. It returns false if the exchange was
-// aborted.
-func (k *attemptControl) start(c *serverConn, deadline time.Time) bool {
+// start attaches a connection to the exchange and prepares it. It returns false if the exchange was aborted.
+func (k *attemptControl) start(c *serverConn, request *exchangeRequest) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.isAborted {
 		return false
 	}
-	k.conn, k.deadline = c, deadline
-	c.remaining, c.hasBytes, c.hasRestDeadline, c.attempt = maxResponseSize, false, false, k
-	c.nc.SetDeadline(deadline)
+	k.conn = c
+	c.beginExchange(k, request)
 	return true
 }
 
-// setRestDeadline sets a deadline for the rest of a response that has begun. Servers write a response in one piece, so
-// an incomplete one must not use up the time that a retry would need.
-func (k *attemptControl) setRestDeadline(c *serverConn) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if rest := time.Now().Add(responseRestTimeout); !k.isAborted && rest.Before(k.deadline) {
-		c.nc.SetReadDeadline(rest)
-	}
-}
-
-// restoreDeadline undoes setRestDeadline after an interim (1xx) response: the final response may follow much later.
-func (k *attemptControl) restoreDeadline(c *serverConn) {
+// setReadDeadline sets the read deadline of the exchange's connection, unless the exchange was aborted.
+func (k *attemptControl) setReadDeadline(c *serverConn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.isAborted {
-		c.nc.SetReadDeadline(k.deadline)
+		c.nc.SetReadDeadline(c.waitsUntil)
 	}
 }
 
@@ -107,24 +95,40 @@
 	}
 }
 
-// exchange writes a request to a server, at most once, and reads the complete response. appendRequest appends the
-// request to a buffer. An exchange that reaches the deadline or is aborted through control closes its connection before
-// it returns.
+// exchangeRequest is a request to a server, and how its response is awaited.
+type exchangeRequest struct {
+	server        string
+	limits        attemptprogress.Limits
+	isHeadRequest bool
+	isRelayed     bool                  // the server is another site's instance
+	onBegun       func()                // called if the response begins and is not complete at once; nil: not called
+	append        func(b []byte) []byte // appends the text of the request
+}
+
+// untilDeadline returns the limits of an exchange that only a deadline ends.
+func untilDeadline(deadline time.Time) attemptprogress.Limits {
+	return attemptprogress.Limits{ResponseBy: deadline, AnswerBy: deadline}
+}
+
+// exchange writes a request to a server, at most once, and reads the complete response. The server has to begin it by
+// the limits' ResponseBy; one that has begun may take until AnswerBy. An exchange that reaches its limits or is aborted
+// through control closes its connection before it returns.
 func (p *serverPool) exchange(
-	ctx context.Context, control *attemptControl, server string, deadline time.Time, isHeadRequest bool, resp *response,
-	appendRequest func([]byte) []byte,
+	ctx context.Context, control *attemptControl, request exchangeRequest, resp *response,
 ) policy.Result {
 	*resp = response{head: resp.head}
-	pooled, err := p.acquire(ctx, control, server, deadline)
+	deadline := request.limits.ResponseBy
+	pooled, err := p.acquire(ctx, control, request.server, deadline)
 	if err != nil {
+		resp.wasRefused = errors.Is(err, syscall.ECONNREFUSED)
 		return connectFailureResult(err, control, deadline)
 	}
 	c := pooled.HostConn
-	if !control.start(c, deadline) {
+	if !control.start(c, &request) {
 		p.Discard(pooled)
 		return policy.Cancelled
 	}
-	c.buffer = appendRequest(c.buffer[:0])
+	c.buffer = request.append(c.buffer[:0])
 	if control.source != nil && control.source.hasDisconnected() {
 		control.isClientGone = true
 		p.releaseUnused(pooled, control)
@@ -137,7 +141,8 @@
 		return unsentResult(control, deadline)
 	}
 	resp.wasWritten, resp.writtenAt = true, time.Now()
-	result, isReusable, err := c.read(resp, isHeadRequest)
+	result, isReusable, err := c.read(resp, &request)
+	resp.hasBegun = c.progress.HasBegun()
 	isAborted := !control.finish()
 	if isReusable && !isAborted {
 		p.release(pooled)
@@ -170,13 +175,13 @@
 	switch {
 	case isAborted:
 		return policy.Cancelled
-	case errors.Is(err, os.ErrDeadlineExceeded) && !pooled.HostConn.hasBytes:
+	case errors.Is(err, os.ErrDeadlineExceeded) && !pooled.HostConn.progress.HasBegun():
 		p.CloseIdleOf(pooled)
 		return policy.TimedOut
 	case errors.Is(err, os.ErrDeadlineExceeded) || isInvalidResponse(err):
 		return policy.ErrorResponse // the server has responded, though incompletely or invalidly
 	}
-	if !pooled.HostConn.hasBytes {
+	if !pooled.HostConn.progress.HasBegun() {
 		p.RecordReset(pooled, time.Since(writtenAt))
 	}
 	return policy.ConnectionReset
@@ -218,13 +223,17 @@
 	head        httpwire.Head
 	body        []byte
 	connectedAt time.Time // when its connection was established; zero: no response was received
+	wasRefused  bool      // the server refused the connection: no process listens there
 	wasWritten  bool      // the request was written completely
+	hasBegun    bool      // part of the response was received, or announced by another site's instance
 	writtenAt   time.Time // set if wasWritten
 	closedAt    time.Time // when the connection was closed after the exchange; zero: it was kept
 }
 
 // read reads the complete response and reports whether the connection can be reused.
-func (c *serverConn) read(resp *response, isHeadRequest bool) (result policy.Result, isReusable bool, err error) {
+func (c *serverConn) read(
+	resp *response, request *exchangeRequest,
+) (result policy.Result, isReusable bool, err error) {
 	for {
 		if err := c.reader.ReadResponse(&resp.head); err != nil {
 			return 0, false, err
@@ -232,15 +241,14 @@
 		if resp.head.Status >= 200 || resp.head.Status == 101 {
 			break
 		}
-		c.hasBytes = c.reader.Buffered() > 0 // the final response may follow later
-		if c.hasRestDeadline {
-			c.hasRestDeadline = false
-			c.attempt.restoreDeadline(c)
+		isAnnounced := request.isRelayed && resp.head.Get(responseBegunField) != ""
+		if c.reader.Buffered() == 0 && !isAnnounced {
+			c.progress.InterimReceived()
 		}
 	}
 	h := &resp.head
 	switch {
-	case isHeadRequest || h.Status == 204 || h.Status == 304:
+	case request.isHeadRequest || h.Status == 204 || h.Status == 304:
 	case h.Chunked:
 		if resp.body, err = c.reader.ReadChunkedBody(maxResponseBody); err != nil {
 			return 0, false, err
--- a/internal/gateway/health_check.go
+++ b/internal/gateway/health_check.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"mulleinmux/internal/loadreport"
@@ -13,15 +14,21 @@
 )
 
 // checkHealth sends a health check to a server and passes the result and the server's load report to the engine. The
-// check takes at most healthCheckTimeout.
+// check takes at most healthCheckTimeout and ends with the instance's context.
 func (in *Instance) checkHealth(id string) {
 	defer in.healthChecks.Done()
 	var resp response
 	sent := in.host.now()
-	deadline := time.Now().Add(healthCheckTimeout)
-	result := in.servers.exchange(in.ctx, &attemptControl{}, id, deadline, false, &resp, func(b []byte) []byte {
-		return append(b, "GET "+healthCheckPath+" HTTP/1.1\r\nHost: "+healthCheckHost+"\r\n\r\n"...)
-	})
+	request := exchangeRequest{
+		server: id,
+		limits: untilDeadline(time.Now().Add(healthCheckTimeout)),
+		append: func(b []byte) []byte {
+			return append(b, "GET "+healthCheckPath+" HTTP/1.1\r\nHost: "+healthCheckHost+"\r\n\r\n"...)
+		},
+	}
+	control := &attemptControl{}
+	defer context.AfterFunc(in.ctx, control.abort)()
+	result := in.servers.exchange(in.ctx, control, request, &resp)
 	report := resp.report()
 	if report == nil && result == policy.OK {
 		report = loadreport.Parse(string(resp.body))
--- a/internal/gateway/relay_late_test.go
+++ b/internal/gateway/relay_late_test.go
@@ -197,6 +197,7 @@
   /visits/{id}:
     parameters: [{name: id, in: path, required: true, schema: {type: string}}]
     get: {operationId: get, x-mulleinmux: {aim: 400ms}, responses: {"200": {description: ok}}}
+    delete: {operationId: cancel, x-mulleinmux: {class: book, aim: 400ms}, responses: {"204": {description: ok}}}
   /visits:
     post:
       operationId: book
@@ -273,7 +274,7 @@
 	near, second, links := startTwoFarInstances(t, h)
 	c := dial(t, near.addr)
 	book := func(key string) *receivedRequest {
-		c.send(postRequest("POST /visits", `{}`, "Idempotency-Key: "+key))
+		c.send(postRequest("POST /visits", `{}`, "Idempotency-Key: "+key, "X-Expires-In: 3"))
 		return h.nextRequest()
 	}
 	serveWarmUpRequests(t, book, c)
@@ -288,6 +289,32 @@
 	attempt.response <- ""
 }
 
+// Guards against a status query that gives up, with time left, a request which must not be repeated: it failed although it
+// had been served, if the link was down for longer than statusTimeout.
+func TestStatusQueryLastsAsLongAsItsRequest(t *testing.T) {
+	h := newTestSites(t)
+	near, far, link := startTwoSites(t, h, nil)
+	for _, instance := range []*testInstance{near, far} {
+		instance.install(t, 2, earlyRetryDescription)
+	}
+	c := dial(t, near.addr)
+	book := func(key string) *receivedRequest {
+		c.send(postRequest("POST /visits", `{}`, "Idempotency-Key: "+key, "X-Expires-In: 3"))
+		return h.nextRequest()
+	}
+	serveWarmUpRequests(t, book, c)
+	attempt := book("k")
+	farAddr := link.target()
+	link.redirect("127.0.0.1:1")
+	link.breakAll()
+	attempt.response <- responseText(201, "", "")
+	time.Sleep(2 * statusTimeout)
+	link.redirect(farAddr)
+	if got := c.readResponse(); got.Status != 201 {
+		t.Errorf("request that was served: got %+v, want status 201", got)
+	}
+}
+
 // An idempotent request is retried at the site's other instance once the far instance has had statusTimeout to report
 // that the first attempt has ended.
 func TestIdempotentRequestOutlivesSilentInstance(t *testing.T) {
--- a/internal/gateway/relay_restart_test.go
+++ b/internal/gateway/relay_restart_test.go
@@ -140,8 +140,12 @@
 	const timeout = 200 * time.Millisecond
 	began := time.Now()
 	var resp response
-	result := near.servers.exchange(t.Context(), &attemptControl{}, "site-b"+remoteServerSeparator+"2",
-		began.Add(timeout), false, &resp, func(b []byte) []byte { return append(b, getRequest("GET /visits/new")...) })
+	request := exchangeRequest{
+		server: "site-b" + remoteServerSeparator + "2",
+		limits: untilDeadline(began.Add(timeout)),
+		append: func(b []byte) []byte { return append(b, getRequest("GET /visits/new")...) },
+	}
+	result := near.servers.exchange(t.Context(), &attemptControl{}, request, &resp)
 	if took := time.Since(began); took > 2*timeout || result != policy.NotSent {
 		t.Errorf("handshake with an unresponsive instance: got %v after %v, want NotSent at the deadline", result, took)
 	}
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -58,24 +58,25 @@
 	return r.operation.Class.Idempotency == policy.Idempotent
 }
 
-// statusDeadline decides whether the remote instance is queried for the status of a relayed attempt, and until when. If
-// the connection broke, it is queried for statusTimeout, or until the attempt's own deadline if that is later: the
-// request may have been answered or may never run, and an idempotent one may be retried after the deadline. If the
-// attempt timed out, the remote instance is queried if there is time for a further attempt, before which this one must
-// have ended.
+// statusDeadline decides whether the remote instance is queried for the status of a relayed attempt, and until when. It
+// is queried if the connection broke, since the request may have been answered or may never run, and if the attempt
+// timed out and there is time for a further one, before which this one must have ended. A request that is not idempotent
+// fails if the status stays unknown, so that the query may take all the time that is left of it. An idempotent one may
+// be retried once its attempt has ended there, at the latest at the attempt's own deadline, or at that of the request if
+// the response has begun and the instance does not refuse connections; a query takes statusTimeout at least.
 func (r *pendingRequest) statusDeadline(
 	now time.Time, a attempt, result policy.Result,
 ) (deadline time.Time, needsQuery bool) {
 	earliest := attemptDeadline(now, statusTimeout, r.deadline)
 	switch {
+	case result != policy.ConnectionReset && (result != policy.TimedOut || r.deadline.Sub(now) <= statusPollInterval):
+		return time.Time{}, false
+	case !r.isIdempotent() || r.response.hasBegun:
+		return r.deadline, true
 	case result == policy.ConnectionReset && a.deadline.After(earliest):
 		return a.deadline, true
-	case result == policy.ConnectionReset:
-		return earliest, true
-	case result == policy.TimedOut && r.deadline.Sub(now) > statusPollInterval:
-		return earliest, true
 	}
-	return time.Time{}, false
+	return earliest, true
 }
 
 // relayedStatusQuery queries a remote instance for the status of a relayed attempt, over another connection.
@@ -86,14 +87,18 @@
 	startedAt time.Time       // when the attempt started
 	server    string          // the remote instance
 	deadline  time.Time
+
+	isIdempotent bool      // the request may run any number of times
+	refusedSince time.Time // since when the instance has refused connections; zero: it does not
 }
 
-// await repeats the query until the attempt has ended, the query's deadline has passed or the request has its answer.
+// await repeats the query until the attempt has ended, the query's deadline has passed or the request has its answer. It
+// gives up an idempotent request earlier if the instance has died.
 func (q *relayedStatusQuery) await(ctx context.Context) (status relayedStatus, hasEnded bool) {
 	aborted := q.control.awaitAbort()
 	for time.Now().Before(q.deadline) {
-		if status, hasEnded = q.send(ctx); hasEnded {
-			return status, true
+		if status, hasEnded = q.send(ctx); hasEnded || q.hasInstanceDied(time.Now()) {
+			return status, hasEnded
 		}
 		pause := time.NewTimer(statusPollInterval)
 		select {
@@ -109,15 +114,31 @@
 	return relayedStatus{status: multisite.ExecutionUnknown}, false
 }
 
+// hasInstanceDied decides whether the remote instance counts as dead, with its attempts, for an idempotent request: it
+// has refused connections for statusTimeout.
+func (q *relayedStatusQuery) hasInstanceDied(now time.Time) bool {
+	return q.isIdempotent && !q.refusedSince.IsZero() && now.Sub(q.refusedSince) >= statusTimeout
+}
+
 // send sends one query. hasEnded is true if the remote instance has responded and the attempt is not executing any
 // more.
 func (q *relayedStatusQuery) send(ctx context.Context) (result relayedStatus, hasEnded bool) {
-	deadline := attemptDeadline(time.Now(), statusTimeout, q.deadline)
 	var resp response
-	exchangeResult := q.servers.exchange(ctx, q.control, q.server, deadline, false, &resp, func(b []byte) []byte {
-		b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
-		return append(httpwire.AppendField(b, relayIDField, q.number), "\r\n"...)
-	})
+	request := exchangeRequest{
+		server: q.server,
+		limits: untilDeadline(attemptDeadline(time.Now(), statusTimeout, q.deadline)),
+		append: func(b []byte) []byte {
+			b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
+			return append(httpwire.AppendField(b, relayIDField, q.number), "\r\n"...)
+		},
+	}
+	exchangeResult := q.servers.exchange(ctx, q.control, request, &resp)
+	switch {
+	case !resp.wasRefused:
+		q.refusedSince = time.Time{}
+	case q.refusedSince.IsZero():
+		q.refusedSince = time.Now()
+	}
 	if exchangeResult != policy.OK {
 		return relayedStatus{}, false
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,8 +22,9 @@
 	licensee        string
 	units           int
 	deadline        time.Time
-	wasSent         bool // an attempt was written completely
-	hasKeyOwner     bool // it has an idempotency key that is owned by one site
+	answerBy        time.Time // until when a response that has begun is awaited; not before deadline
+	wasSent         bool      // an attempt was written completely
+	hasKeyOwner     bool      // it has an idempotency key that is owned by one site
 	key             uint64
 	mayHaveRun      bool // an attempt may have run
 
@@ -111,6 +112,10 @@
 	// watchClose calls onClose once if the other site's instance that relayed the request closes the connection before
 	// stop is called. If the connection is closed already, onClose is called before watchClose returns.
 	watchClose(onClose func()) (stop func())
+
+	// announceResponse reports to the other site's instance that relayed the request that a server has begun its
+	// response.
+	announceResponse()
 }
 
 // serveRequest carries out a request until it has its final answer.
--- a/internal/gateway/request_write.go
+++ b/internal/gateway/request_write.go
@@ -9,6 +9,10 @@
 	"mulleinmux/internal/httpwire"
 )
 
+// minAnswerExtension is by how much the deadline of a relayed request has to be later than that of its attempt for the
+// other instance to be told.
+const minAnswerExtension = 50 * time.Millisecond
+
 // appendSeconds appends a duration in the format of header fields: in seconds, at least 1 ms.
 func appendSeconds(b []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(b, math.Max(d.Seconds(), 0.001), 'f', 3, 64)
@@ -34,6 +38,10 @@
 	if r.isRelayed {
 		b = append(b, "\r\n"+relayIDField+": "...)
 		b = append(b, r.relayNumber...)
+		if r.deadline.Sub(deadline) > minAnswerExtension {
+			b = append(b, "\r\n"+answerWithinField+": "...)
+			b = appendSeconds(b, time.Until(r.deadline))
+		}
 	}
 	b = append(b, "\r\n"+versionField+": "...)
 	if from, n := h.Values(versionField); r.isFromRelay && n == 1 {
@@ -60,6 +68,8 @@
 		return strings.EqualFold(name, timeoutField)
 	case len(relayIDField):
 		return strings.EqualFold(name, relayIDField)
+	case len(answerWithinField):
+		return strings.EqualFold(name, answerWithinField)
 	case len(versionField): // also the length of explainField
 		return strings.EqualFold(name, versionField) || strings.EqualFold(name, explainField)
 	}
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -18,8 +18,7 @@
 	keyed := postRequest("POST /visits", `{"installers": 1}`, "Idempotency-Key: k")
 	return []retryCase{
 		{"idempotent, reset", getRequest("GET /visits/1"), "", true, 0},
-		{"idempotent, half an answer", getRequest("GET /visits/1"), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
-			true, 0},
+		{"idempotent, half an answer", getRequest("GET /visits/1"), halfAnswer, true, 0},
 		{"idempotent, 429 that may have run", getRequest("GET /visits/1"), responseText(429, "", ""), true, 0},
 		{"non-idempotent, never ran", getRequest("DELETE /visits/1"), neverRan, true, 0},
 		{"non-idempotent, reset", getRequest("DELETE /visits/1"), "", false, 502},
@@ -35,6 +34,9 @@
 	}
 }
 
+// halfAnswer is an answer whose server closes the connection before its end.
+const halfAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
+
 // The result of an attempt, which determines whether the request may have run, decides whether it is retried.
 func TestRetries(t *testing.T) {
 	for _, c := range retryCases() {
--- a/internal/gateway/scripted_server_test.go
+++ b/internal/gateway/scripted_server_test.go
@@ -105,7 +105,7 @@
 		case <-h.done:
 		}
 		_, err := io.WriteString(c, text)
-		return err == nil && text != ""
+		return err == nil && text != "" && text != halfAnswer
 	})
 }
 
--- a/internal/gateway/server_pool_test.go
+++ b/internal/gateway/server_pool_test.go
@@ -105,13 +105,17 @@
 func runExchange(t *testing.T, pool *serverPool, server, path string, beforeWrite func()) policy.Result {
 	t.Helper()
 	var resp response
-	deadline := time.Now().Add(testTimeout)
-	return pool.exchange(context.Background(), &attemptControl{}, server, deadline, false, &resp, func(b []byte) []byte {
-		if beforeWrite != nil {
-			beforeWrite()
-		}
-		return append(b, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"...)
-	})
+	request := exchangeRequest{
+		server: server,
+		limits: untilDeadline(time.Now().Add(testTimeout)),
+		append: func(b []byte) []byte {
+			if beforeWrite != nil {
+				beforeWrite()
+			}
+			return append(b, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"...)
+		},
+	}
+	return pool.exchange(context.Background(), &attemptControl{}, request, &resp)
 }
 
 func wantResult(t *testing.T, got, want policy.Result) {
--- a/internal/gateway/texts.go
+++ b/internal/gateway/texts.go
@@ -24,7 +24,9 @@
 	configAgeField       = "X-Mulleinmux-Config-Age"
 	relayIDField         = "X-Mulleinmux-Crossing"
 	executionStatusField = "X-Mulleinmux-Fate"
-	uptimeField          = "X-Mulleinmux-Uptime" // seconds since which relayed requests are recorded
+	uptimeField          = "X-Mulleinmux-Uptime"        // seconds since which relayed requests are recorded
+	answerWithinField    = "X-Mulleinmux-Answer-Within" // seconds within which a relayed request needs its complete answer
+	responseBegunField   = "X-Mulleinmux-Begun"         // in an interim response: a server has begun its response
 )
 
 // Paths and Host values of requests to servers and other instances.
