Edge node: a request that reaches an evicted connection is not dropped

Cause: between an eviction and its close the connection was still read; and a complete request that waited for its turn lost its memory and was dropped.

Change: nothing is read from an evicted connection, so that its close is a reset; a complete request keeps its memory or is rejected.

--- a/internal/edgeproxy/client_socket.go
+++ b/internal/edgeproxy/client_socket.go
@@ -53,12 +53,16 @@
 }
 
 // readRaw waits until the socket is readable, or its deadline, and reads from it. With a nil buffer the data is added
-// to the input.
+// to the input. From a connection that was evicted nothing is read: its close over unread data resets it.
 func (c *clientConn) readRaw(p []byte) (n int, err error) {
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		c.limiter.mu.Lock()
 		defer c.limiter.mu.Unlock()
-		if c.isMemoryEvicted {
+		switch {
+		case c.state == stateClosed:
+			n, err = 0, net.ErrClosed
+			return true
+		case c.isMemoryEvicted:
 			n, err = 0, errMemoryEvicted
 			return true
 		}
@@ -70,6 +74,8 @@
 		return 0, errMemoryEvicted
 	case rawErr != nil:
 		return 0, rawErr
+	case err == net.ErrClosed:
+		return 0, err
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(),
 			Err: os.NewSyscallError("read", err)}
--- a/internal/edgeproxy/connection_limiter_test.go
+++ b/internal/edgeproxy/connection_limiter_test.go
@@ -1,10 +1,12 @@
 package edgeproxy
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -110,6 +112,68 @@
 	}
 }
 
+// A request that reaches a connection between its eviction and its close is not read: a connection that was read and
+// closed without an answer has lost its request, while a reset shows the client that it can be sent again.
+func TestRequestAfterEvictionIsNotRead(t *testing.T) {
+	server, addr := newLimitedServer(t, 8)
+	client := dial(t, addr)
+	if a := client.do(readyRequest); a.status != 200 {
+		t.Fatalf("before the eviction: got %+v, want status 200", a)
+	}
+	var evicted []*clientConn
+	eventually(t, "the connection is evicted", func() bool {
+		evicted = server.limiter.evictIdle(0, 0)
+		return len(evicted) == 1
+	})
+	client.send(readyRequest)
+	time.Sleep(50 * time.Millisecond) // the goroutine that reads from the connection has run
+	evicted[0].Conn.Close()
+	if _, err := client.br.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the request's connection ended with %v, want a reset", err)
+	}
+}
+
+// A request that waits for its turn is answered although its memory is needed for others: one whose end is known to have
+// been received is served, another is rejected.
+func TestWaitingRequestIsAnsweredDespiteMemoryEviction(t *testing.T) {
+	chunked := request("book", "chunked", "Content-Length", "", "Transfer-Encoding", "chunked", "body", "4\r\nslot\r\n0\r\n\r\n")
+	for name, c := range map[string]struct {
+		text       string
+		wantStatus int
+	}{
+		"without a body": {request("check", "bare"), 200},
+		"with a length":  {request("book", "length"), 200},
+		"in chunks":      {chunked, 429},
+	} {
+		t.Run(name, func(t *testing.T) {
+			app := newAppServer(t, respondWith(okAnswer))
+			server, addr := newLimitedServer(t, 8, app.instance("a"))
+			client := dial(t, addr)
+			if a := client.do(readyRequest); a.status != 200 {
+				t.Fatalf("before the eviction: got %+v, want status 200", a)
+			}
+			other := server.limiter.turns.newConn()
+			other.await(time.Millisecond)
+			t.Cleanup(other.end)
+			client.send(c.text)
+			var waiting *clientConn
+			eventually(t, "the request is received", func() bool {
+				server.limiter.mu.Lock()
+				defer server.limiter.mu.Unlock()
+				if len(server.limiter.conns) == 1 && server.limiter.conns[0].input.isHeadComplete {
+					waiting = server.limiter.conns[0]
+				}
+				return waiting != nil
+			})
+			waiting.evictMemory()
+			other.end()
+			if a := client.read(); a.status != c.wantStatus {
+				t.Errorf("got %+v, want status %d", a, c.wantStatus)
+			}
+		})
+	}
+}
+
 // Without silent connections, the connection that has been idle for longest is evicted first, then one with an
 // incomplete head; a connection with an active request never is. If all requests are active, the new connection is
 // closed, because its client might otherwise wait in vain.
--- a/internal/edgeproxy/memory_account.go
+++ b/internal/edgeproxy/memory_account.go
@@ -167,10 +167,10 @@
 }
 
 // evictMemory ends the request that is being received on the connection. The reading goroutine answers it and releases
-// its memory.
+// its memory. A request that was received completely goes on, though it may still wait for its turn.
 func (c *clientConn) evictMemory() {
 	c.limiter.mu.Lock()
-	isReceiving := c.state == stateReading
+	isReceiving := c.state == stateReading && !c.input.isRequestComplete()
 	c.isMemoryEvicted = c.isMemoryEvicted || isReceiving
 	c.limiter.mu.Unlock()
 	if isReceiving {
--- a/internal/edgeproxy/serve_request.go
+++ b/internal/edgeproxy/serve_request.go
@@ -74,6 +74,7 @@
 	skipConnectionEvicted            // the connection was closed: the client can tell that nothing was forwarded
 	skipTimeoutExpired               // the request waited too long before it was processed
 	skipShuttingDown                 // the process exits before the request could be answered
+	skipMemoryEvicted                // its end was received after its memory was needed for others
 	skipClientDisconnected
 )
 
@@ -94,6 +95,9 @@
 	if engineRequest.Timeout, isTimeLeft = s.shutdown.requestTimeout(engineRequest.Timeout, slack); !isTimeLeft {
 		return skipShuttingDown
 	}
+	if conn.isEvictedForMemory() { // which also ends the watch for the client's disconnect
+		return skipMemoryEvicted
+	}
 	if r.Context().Err() != nil {
 		return skipClientDisconnected
 	}
@@ -107,6 +111,8 @@
 		events.count(refusedExpired)
 	case skipShuttingDown:
 		events.count(refusedShuttingDown)
+	case skipMemoryEvicted:
+		events.count(refusedBodyMemory)
 	}
 }
 
@@ -116,6 +122,9 @@
 	switch r {
 	case skipTimeoutExpired:
 		writeText(w, http.StatusTooManyRequests, textRejected)
+	case skipMemoryEvicted:
+		w.Header().Set("Connection", "close")
+		writeText(w, http.StatusTooManyRequests, textRejected)
 	case skipShuttingDown:
 		w.Header().Set("Connection", "close")
 		writeText(w, http.StatusServiceUnavailable, textShuttingDown)
