Edge node: idle clients keep their connections while others end at the limit

Cause: in a drain each answer closes its connection and clients connect anew at once. Answered connections count until their goroutines have closed them; on the one processor these run late. At the limit the longest idle connection was evicted, and its client's next request found it closed.

Change: at the limit the accepting goroutine waits, 20 polls of 1 ms at most, while a connection closes after its answer.

--- a/cmd/edgeproxy/shutdown_process_test.go
+++ b/cmd/edgeproxy/shutdown_process_test.go
@@ -206,6 +206,58 @@
 	requireEnd(t, cmd, killsAfter)
 }
 
+// Guards against a drain in which connections that are about to close, because their answer said so, fill the limit of
+// connections: idle ones were closed for the clients that connect anew, and their next requests were lost.
+func TestIdleClientsAreAnsweredWhileOthersReconnectDuringShutdown(t *testing.T) {
+	const (
+		sockets             = 80 // 16 connections of clients
+		idleClients         = 3
+		reconnectingClients = 6
+	)
+	addr := freeAddr(t)
+	cmd, logs := newProgram(t, strings.Replace(configText(addr, ""), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	awaitLog(t, logs, "ready")
+	var idle []*readinessClient
+	for range idleClients {
+		client := newReadinessClient(t, addr)
+		if err := client.query(); err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, client)
+	}
+	time.Sleep(150 * time.Millisecond) // the clients' connections are idle for long enough to be closed for others
+	cmd.Process.Signal(syscall.SIGTERM)
+	termAt := time.Now()
+	var reconnecting sync.WaitGroup
+	for range reconnectingClients {
+		reconnecting.Go(func() { queryOnNewConnections(addr, termAt.Add(300*time.Millisecond)) })
+	}
+	reconnecting.Wait()
+	for i, client := range idle {
+		if err := client.query(); err != nil {
+			t.Errorf("%v after SIGTERM: the request of idle client %d has no answer: %v",
+				time.Since(termAt).Round(time.Millisecond), i, err)
+		}
+	}
+	requireEnd(t, cmd, killsAfter)
+}
+
+// queryOnNewConnections queries a node's readiness until a time, each time on a new connection.
+func queryOnNewConnections(addr string, until time.Time) {
+	for time.Now().Before(until) {
+		conn, reader, err := testserver.DialClient(addr, time.Second)
+		if err != nil {
+			continue
+		}
+		client := &readinessClient{conn: conn, reader: reader}
+		_ = client.query() // only the idle clients are checked
+		conn.Close()
+	}
+}
+
 // Guards against a node that gets SIGTERM in the middle of its start and resets clients that have connected, or runs on.
 // A successor that ends so leaves all clients to its predecessor.
 func TestShutdownDuringStart(t *testing.T) {
--- a/internal/edgeproxy/client_conn.go
+++ b/internal/edgeproxy/client_conn.go
@@ -49,6 +49,7 @@
 	isForwarded       bool            // the current request was forwarded: what it cost was not in vain
 	isBodyBuffered    bool            // its body is being buffered: each piece is processed in a turn
 	answeredCount     int             // requests that were answered
+	isEnding          bool            // net/http closes it after the last answer
 	isMemoryEvicted   bool            // its memory is needed for others
 	evictedFrom       clientConnState // the state in which it was evicted for another connection
 }
@@ -205,6 +206,14 @@
 	return true
 }
 
+// markAnswered records that the current request was answered, and whether net/http closes the connection after that.
+func (c *clientConn) markAnswered(isEnding bool) {
+	c.limiter.mu.Lock()
+	c.isEnding = isEnding
+	c.limiter.mu.Unlock()
+	c.setState(stateAnswered)
+}
+
 // recordReceived records that data was received. Called under limiter.mu.
 func (c *clientConn) recordReceived() {
 	now := time.Now()
@@ -231,6 +240,7 @@
 		age:       now.Sub(c.stateSince),
 		sinceRead: now.Sub(c.lastReadAt),
 		hasServed: c.answeredCount > 0,
+		isEnding:  c.isEnding,
 	}
 }
 
--- a/internal/edgeproxy/connection_limiter.go
+++ b/internal/edgeproxy/connection_limiter.go
@@ -1,6 +1,7 @@
 package edgeproxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -72,6 +73,34 @@
 	return evicted
 }
 
+// The wait of awaitRoom.
+const (
+	maxRoomPolls     = 20 // a count: while the process gets no processor, it closes no connection either
+	roomPollInterval = time.Millisecond
+)
+
+// awaitRoom waits while the limit is reached and a connection is about to be closed, for maxRoomPolls at most. Otherwise
+// a connection between requests would be evicted for a new one although there is room in a moment, and the next request
+// of its client would be lost: during a drain each answer ends its connection, and clients connect anew at once.
+func (l *connectionLimiter) awaitRoom() {
+	for range maxRoomPolls {
+		if !l.isRoomDue(time.Now()) {
+			return
+		}
+		time.Sleep(roomPollInterval) // the goroutines that close connections run meanwhile
+	}
+}
+
+// isRoomDue reports whether the limit is reached and a connection is about to be closed.
+func (l *connectionLimiter) isRoomDue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) < l.maxConns {
+		return false
+	}
+	return slices.ContainsFunc(l.conns, func(c *clientConn) bool { return c.activity(now).endsSoon() })
+}
+
 // evictionCandidate is the connection with the highest eviction priority.
 type evictionCandidate struct {
 	conn      *clientConn // nil if none can be evicted
--- a/internal/edgeproxy/eviction.go
+++ b/internal/edgeproxy/eviction.go
@@ -4,13 +4,14 @@
 	"time"
 )
 
-// Ages of a connection's state from which the connection is evicted with a higher priority.
+// Ages of a connection's state that decide on its eviction.
 const (
 	silentGrace  = 100 * time.Millisecond // most clients send a request as soon as they have connected
 	idleGrace    = 2 * time.Second        // clients may expect an idle connection to stay open this long
 	readingGrace = 500 * time.Millisecond // since the start of a head, and since its latest piece
 	newConnGrace = 20 * time.Millisecond  // the same on a connection on which no request was served yet
 	writtenGrace = 100 * time.Millisecond // for the last response to reach the client
+	endingGrace  = 500 * time.Millisecond // for the close of a connection after its last response
 )
 
 // nearConnLimitPercent is the percentage of a limiter's connections in use from which on responses close their
@@ -29,6 +30,13 @@
 	age       time.Duration // of the state
 	sinceRead time.Duration // since data was last received
 	hasServed bool          // a request was served on the connection
+	isEnding  bool          // it is closed after its last answer
+}
+
+// endsSoon reports whether the connection is about to be closed, because its last answer was given a moment ago. A
+// client that does not read that answer may keep the connection open for longer.
+func (a connActivity) endsSoon() bool {
+	return a.isEnding && a.state.isBetweenRequests() && a.age < endingGrace
 }
 
 // evictionPriority orders connections for eviction; the highest is evicted first.
--- a/internal/edgeproxy/limited_listener.go
+++ b/internal/edgeproxy/limited_listener.go
@@ -49,6 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.limiter.awaitRoom()
 		l.turn.await(fairqueue.AcceptCost)
 		c := newClientConn(nc, l.limiter)
 		switch evicted := l.limiter.add(c); evicted {
--- a/internal/edgeproxy/rules_test.go
+++ b/internal/edgeproxy/rules_test.go
@@ -23,11 +23,11 @@
 		"new":                          {connActivity{state: stateSilent, age: silentGrace - 1}, false, evictSilent},
 		"silent":                       {connActivity{state: stateSilent, age: silentGrace}, false, evictSilentLong},
 		"head has begun":               {connActivity{state: stateReading, age: readingGrace - 1}, false, evictNever},
-		"slow head":                    {connActivity{stateReading, readingGrace, readingGrace - 1, true}, false, evictSlowHead},
-		"stalled head":                 {connActivity{stateReading, readingGrace, readingGrace, true}, false, evictStalledHead},
-		"first request stops":          {connActivity{stateReading, newConnGrace, newConnGrace, false}, false, evictNewStalled},
-		"first request pauses":         {connActivity{stateReading, newConnGrace, newConnGrace - 1, false}, false, evictNever},
-		"later request stops":          {connActivity{stateReading, newConnGrace, newConnGrace, true}, false, evictNever},
+		"slow head":                    {connActivity{state: stateReading, age: readingGrace, sinceRead: readingGrace - 1, hasServed: true}, false, evictSlowHead},
+		"stalled head":                 {connActivity{state: stateReading, age: readingGrace, sinceRead: readingGrace, hasServed: true}, false, evictStalledHead},
+		"first request stops":          {connActivity{state: stateReading, age: newConnGrace, sinceRead: newConnGrace}, false, evictNewStalled},
+		"first request pauses":         {connActivity{state: stateReading, age: newConnGrace, sinceRead: newConnGrace - 1}, false, evictNever},
+		"later request stops":          {connActivity{state: stateReading, age: newConnGrace, sinceRead: newConnGrace, hasServed: true}, false, evictNever},
 		"active":                       {connActivity{state: stateActive, age: time.Hour}, false, evictNever},
 		"answered just now":            {connActivity{state: stateAnswered, age: writtenGrace - 1}, false, evictNever},
 		"idle for little":              {connActivity{state: stateIdle, age: idleGrace - 1}, false, evictIdleShort},
@@ -46,6 +46,24 @@
 	}
 }
 
+// A connection is awaited as long as it closes soon: after its last answer, not in the middle of a request, and no longer
+// if its client does not read that answer.
+func TestEndsSoon(t *testing.T) {
+	for _, c := range []struct {
+		activity connActivity
+		want     bool
+	}{
+		{connActivity{state: stateAnswered, isEnding: true}, true},
+		{connActivity{state: stateAnswered, isEnding: true, age: endingGrace}, false},
+		{connActivity{state: stateAnswered}, false},
+		{connActivity{state: stateReading, isEnding: true}, false},
+	} {
+		if got := c.activity.endsSoon(); got != c.want {
+			t.Errorf("%+v: got %v, want %v", c.activity, got, c.want)
+		}
+	}
+}
+
 // A new connection is refused rather than an idle one evicted only where few are idle: else idle ones would keep out
 // clients that open a connection for each request.
 func TestRefusalIsPreferred(t *testing.T) {
--- a/internal/edgeproxy/serve_request.go
+++ b/internal/edgeproxy/serve_request.go
@@ -16,7 +16,7 @@
 	defer s.recoverPanic(w)
 	headReceivedAt := time.Now()
 	conn := clientConnOf(r)
-	defer conn.setState(stateAnswered)
+	defer func() { conn.markAnswered(r.Close || w.Header().Get("Connection") == "close") }()
 	head, firstByteAt := conn.takeHead()
 	s.setConnectionClose(w, conn)
 	if err := checkFraming(r, head); err != nil {
