Edge node: clients aren't left to a successor that is stopped

Callers of a node that got SIGTERM while its successor was stopped: a client that connected 0.35 s later got no answer at all.

Class: an exit that waits for others before it does its own work. Cause: the listener was closed before the state was sent, and when half of the shutdown's time was over all clients were left to a successor that had not confirmed.

Change: clients are accepted until the successor has taken over. It confirms before it imports the state.

The soak treats the drain after a failed handover as that of a planned restart; its excuse for requests beside a stopped successor now begins with the end of that drain, no longer with the stop.

--- a/internal/edgeproxy/hot_restart.go
+++ b/internal/edgeproxy/hot_restart.go
@@ -19,13 +19,13 @@
 //	sent IDs        to the successor: the IDs of requests that were forwarded, in chunks
 //	state complete  to the successor: all of the above was sent
 //	taken over      to the predecessor: the successor serves from now on
+//	given up        to the successor: it has not taken over in time, and can't any more
 //	client          to the successor: the connection of one client
 //	sent ID         to either: the ID of a request that is being forwarded, from the state on as long as both serve
 //
 // Ownership during a hot restart:
 //
-//	new connections     the predecessor until it closes its listener, before it exports its state; the successor once it
-//	                    has taken over; in between they wait in the kernel's backlog
+//	new connections     the predecessor until the successor has taken over, when it closes its listener
 //	engine state        the predecessor until the state is exported; the successor from state complete on; after the
 //	                    export the engine of the predecessor only finishes the requests in flight
 //	quotas' tokens      split when the state is exported: the predecessor keeps a reserve for requests that arrive before
@@ -40,7 +40,9 @@
 //
 // So two processes never decide on requests of new connections at the same time. Requests on a connection that was not
 // handed over yet are decided by the predecessor's engine and unknown to the successor's. If the successor disconnects
-// before it has taken over, the predecessor keeps everything and drains as at a planned restart.
+// before it has taken over, or has not by the handover's deadline since it is stopped, the predecessor keeps everything
+// and drains as at a planned restart. It closes the connection between both once it accepts no more clients. Only then
+// does a successor start whose takeover came too late, without inherited state.
 const (
 	handoverSocketName     = "mulleinmux-handover"
 	handoverMessageTimeout = 2 * time.Second        // for one message at most: the other process may be busy
@@ -60,22 +62,17 @@
 	msgGossipSocket  = 'p'
 	msgStateComplete = 'g'
 	msgTakenOver     = 'y'
+	msgGivenUp       = 'x'
 	msgClient        = 'c'
 	msgSentIDs       = 'i'
 	msgSentID        = 'j'
 )
 
-// handOver hands the engine's state and the clients over to the successor process. It first closes ln, the listener for
-// clients; the successor has the same socket. It returns once this process has answered its own requests and its
+// handOver hands the engine's state and the clients over to the successor process. Clients are accepted on ln until the
+// successor has taken over; it has the same socket. It returns once this process has answered its own requests and its
 // predecessor has no more clients to hand over. An error means that nothing was handed over: the caller drains the node
-// as at a planned restart, and accepts clients on reopened, if it is not nil, in the meantime.
-func (s *clientServer) handOver(successors *successorListener, ln net.Listener) (reopened net.Listener, err error) {
-	socket, err := duplicateDescriptor(ln)
-	if err != nil {
-		return nil, err
-	}
-	defer socket.Close()
-	ln.Close()
+// as at a planned restart.
+func (s *clientServer) handOver(successors *successorListener, ln net.Listener) error {
 	if successors.takesSentIDs() { // before the IDs are exported: one that is added meanwhile is reported
 		s.node.ids.setPeer(successors.sendSentID)
 	}
@@ -87,14 +84,14 @@
 		err = successors.sendInheritedState(state, sentIDs, gossipSocket)
 	}
 	if err == nil && successors.awaitTakeover() == takeoverFailed {
-		err = errNoSuccessor
+		err = errNoTakeover
 	}
-	if err != nil {
+	if err != nil && !successors.giveUp() {
 		s.node.ids.setPeer(nil)
 		s.node.resume(gossipSocket)
-		reopened, listenErr := fileListener(socket)
-		return reopened, errors.Join(err, listenErr)
+		return err
 	}
+	ln.Close() // the successor accepts the clients that connect from now on
 	if gossipSocket != nil {
 		gossipSocket.Close() // from here on the successor receives gossip
 	}
@@ -102,7 +99,7 @@
 	s.limiter.startHandOver(successors.sendClient)
 	s.node.pool.CloseIdle()
 	s.awaitClientsDisconnected()
-	return nil, nil
+	return nil
 }
 
 // awaitClientsDisconnected waits until neither this process nor its predecessor has a client left, for
--- a/internal/edgeproxy/predecessor.go
+++ b/internal/edgeproxy/predecessor.go
@@ -49,10 +49,29 @@
 	return &predecessor{conn: c.(*net.UnixConn), buf: make([]byte, maxStateChunk+1)}, nil
 }
 
-// confirmTakeover reports to the predecessor that this process has taken over.
-func (p *predecessor) confirmTakeover() {
-	// A predecessor that has disconnected in the meantime needs no confirmation.
-	_, _ = p.conn.Write([]byte{msgTakenOver})
+// errHandoverGivenUp means that the predecessor has not waited until this process has taken over.
+var errHandoverGivenUp = errors.New("handover: the predecessor has given it up")
+
+// confirmTakeover reports to the predecessor that this process takes over, so that it serves from now on. If the
+// predecessor has given up the handover, confirmTakeover returns an error once the predecessor accepts no more clients,
+// or ctx ends. A predecessor that has died needs no confirmation.
+func (p *predecessor) confirmTakeover(ctx context.Context) error {
+	if _, err := p.conn.Write([]byte{msgTakenOver}); err == nil {
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { p.conn.SetReadDeadline(expiredDeadline) })
+	defer stop()
+	for isGivenUp := false; ; {
+		message, err := p.readMessage()
+		switch {
+		case err == nil:
+			isGivenUp = isGivenUp || message.kind == msgGivenUp
+		case isGivenUp:
+			return errHandoverGivenUp
+		default:
+			return nil
+		}
+	}
 }
 
 // awaitClock waits for the offset of the node's clock, for clockTimeout at most. An older predecessor sends none.
--- a/internal/edgeproxy/run.go
+++ b/internal/edgeproxy/run.go
@@ -214,8 +214,9 @@
 	return admin, nil
 }
 
-// takeOver waits until the predecessor, if there is one, has sent its state and gossip socket, and starts to use them.
-// If the handover fails the node starts without inherited state. It returns errStoppedBeforeServing if ctx ends first.
+// takeOver waits until the predecessor, if there is one, has sent its state and gossip socket, confirms the takeover and
+// starts to use them. If the handover fails the node starts without inherited state. It returns errStoppedBeforeServing
+// if ctx ends first.
 func (p *process) takeOver(ctx context.Context) error {
 	if p.predecessor == nil {
 		return nil
@@ -223,14 +224,21 @@
 	p.logger.Info("waiting for predecessor")
 	p.isPredecessorAwaited.Store(true)
 	inherited, err := p.awaitPredecessorState(ctx)
-	if ctx.Err() != nil {
+	hasTakenOver := false
+	if err == nil && ctx.Err() == nil {
+		err = p.predecessor.confirmTakeover(ctx)
+		hasTakenOver = err == nil
+	}
+	if ctx.Err() != nil && !hasTakenOver {
 		if inherited.gossipConn != nil {
 			inherited.gossipConn.Close()
 		}
 		p.predecessor.Close()
 		return errStoppedBeforeServing
 	}
-	if err != nil {
+	if err == nil {
+		p.node.importState(inherited)
+	} else {
 		p.logger.Warn(msgNoInheritedState, logging.Error(err))
 		p.predecessor.Close()
 		p.predecessor = nil
@@ -238,8 +246,7 @@
 	return p.startGossip(inherited.gossipConn)
 }
 
-// awaitPredecessorState waits for the complete state of the predecessor and imports its engine state. It handles
-// reloads in the meantime.
+// awaitPredecessorState waits for the complete state of the predecessor. It handles reloads in the meantime.
 func (p *process) awaitPredecessorState(ctx context.Context) (inheritedState, error) {
 	type result struct {
 		state inheritedState
@@ -257,9 +264,6 @@
 		case reread := <-p.configFile.Results():
 			p.applyReload(reread)
 		case r := <-received:
-			if r.err == nil {
-				p.node.importState(r.state)
-			}
 			return r.state, r.err
 		}
 	}
@@ -281,8 +285,7 @@
 	p.background.Go(successors.acceptSuccessors)
 }
 
-// servePredecessorClients confirms the takeover to the predecessor, if there is one, and starts to serve the clients
-// that it hands over.
+// servePredecessorClients starts to serve the clients that the predecessor, if there is one, hands over.
 func (p *process) servePredecessorClients() {
 	predecessorConn := p.predecessor
 	if predecessorConn == nil {
@@ -291,7 +294,6 @@
 	p.node.takeOverQuotas()
 	predecessorConn.sentIDReceived = p.node.ids.receive
 	p.node.ids.setPeer(predecessorConn.sendSentID)
-	predecessorConn.confirmTakeover()
 	p.clients.hasPredecessor.Store(true)
 	p.background.Go(func() { p.clients.servePredecessor(predecessorConn) })
 }
@@ -333,18 +335,15 @@
 // that was received. ln is the listener for clients.
 func (p *process) shutDown(ln net.Listener) {
 	p.clients.startShutdownTimer()
-	drainDelay := p.cfg.drainDelay
-	if p.successors.hasSuccessor() {
-		p.logger.Info("handing over")
-		reopened, err := p.clients.handOver(p.successors, ln)
-		if err != nil {
-			p.logger.Warn("handover failed", logging.Error(err))
-		} else {
-			drainDelay = immediateDrainDelay
-		}
-		if reopened != nil {
-			p.background.Go(func() { p.serveErrors <- p.clients.serve(reopened) })
-		}
+	if !p.successors.hasSuccessor() {
+		p.clients.drain(p.cfg.drainDelay, nil)
+		return
+	}
+	p.logger.Info("handing over")
+	if err := p.clients.handOver(p.successors, ln); err != nil {
+		p.logger.Warn("handover failed", logging.Error(err))
+		p.clients.drain(p.cfg.drainDelay, p.successors.close) // a successor that lives may accept clients from then on
+		return
 	}
-	p.clients.drain(drainDelay)
+	p.clients.drain(immediateDrainDelay, nil)
 }
--- a/internal/edgeproxy/shutdown.go
+++ b/internal/edgeproxy/shutdown.go
@@ -36,9 +36,10 @@
 }
 
 // handoverDeadline returns until when the timer's process waits for its successor to take over: for half of its time,
-// so that it can answer in the other half what the successor does not take.
+// so that it can answer in the other half what the successor does not take, and no longer than clients still arrive.
 func (t *shutdownTimer) handoverDeadline() time.Time {
-	return t.startedAt.Add(t.endsAt.Load().Sub(t.startedAt) / 2)
+	half := t.endsAt.Load().Sub(t.startedAt) / 2
+	return t.startedAt.Add(min(half, defaultDrainDelay))
 }
 
 // requestTimeout limits the timeout of a request that is received now to the time until the timer expires, minus slack
@@ -61,8 +62,8 @@
 // acceptDuration has passed since the shutdown timer was started. Then the kernel's backlog is accepted, the listeners
 // are closed, and the accepted connections are finished. A request has to be answered once it was received, whether or
 // not it was read: only connections without unread data are evicted, and a request that is received late is answered in
-// the time that is left.
-func (s *clientServer) drain(acceptDuration time.Duration) {
+// the time that is left. Once no more clients are accepted it calls onFinished, which may be nil.
+func (s *clientServer) drain(acceptDuration time.Duration, onFinished func()) {
 	s.phase.Store(phaseDraining)
 	s.node.logger.Info("draining")
 	<-time.After(time.Until(s.shutdown.startedAt.Add(acceptDuration)))
@@ -70,6 +71,9 @@
 	go func() { // ends with the shutdown timer; beside it evictions free descriptors for the backlog
 		defer close(listenersFinished)
 		s.finishListeners()
+		if onFinished != nil {
+			onFinished()
+		}
 	}()
 	s.evictUntilNoneLeft(listenersFinished)
 	s.httpServer.Close()
--- a/internal/edgeproxy/successor_conn.go
+++ b/internal/edgeproxy/successor_conn.go
@@ -31,6 +31,7 @@
 
 	mu             sync.Mutex // guards the fields below
 	state          successorState
+	isGivenUp      bool                 // the handover was given up
 	version        byte                 // of its hello; 0 before
 	sentIDReceived func(message []byte) // gets the IDs of requests that it is about to forward; nil: ignored
 
@@ -145,8 +146,8 @@
 
 const (
 	takeoverConfirmed   takeoverResult = iota // the successor has taken over
-	takeoverUnconfirmed                       // the successor may have taken over: do not resume serving
-	takeoverFailed                            // the successor disconnected before it had taken over, or there is none
+	takeoverUnconfirmed                       // the successor has version 0 and may have taken over
+	takeoverFailed                            // the successor has disconnected, is stopped, or there is none
 )
 
 // awaitTakeover waits for the successor to confirm the takeover, for maxWait at most. A successor of version 0 never
@@ -160,10 +161,10 @@
 		switch state := s.currentState(); {
 		case state == successorServing:
 			return takeoverConfirmed
-		case state == successorEnded:
-			return takeoverFailed
-		case isTimedOut || isHelloOverdue && state == successorConnected:
+		case isHelloOverdue && state == successorConnected:
 			return takeoverUnconfirmed
+		case isTimedOut || state == successorEnded:
+			return takeoverFailed
 		}
 		select {
 		case <-s.changed:
@@ -174,3 +175,24 @@
 		}
 	}
 }
+
+// giveUp ends the handover unless the successor has taken over, and reports whether it has. From then on the successor
+// can't confirm a takeover: it finds that out when it tries, however late it runs.
+func (s *successorConn) giveUp() (hasTakenOver bool) {
+	s.mu.Lock()
+	s.isGivenUp = true
+	s.mu.Unlock()
+	_ = s.conn.CloseRead() // fails if the connection has ended; what was sent before can still be received
+	if s.currentState() == successorServing {
+		return true
+	}
+	sendNow(s.conn, []byte{msgGivenUp})
+	return false
+}
+
+// isHandoverGivenUp reports whether giveUp was called.
+func (s *successorConn) isHandoverGivenUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isGivenUp
+}
--- a/internal/edgeproxy/successor_listener.go
+++ b/internal/edgeproxy/successor_listener.go
@@ -30,8 +30,11 @@
 	isClosed  bool
 }
 
-// errNoSuccessor means that no successor is connected.
-var errNoSuccessor = errors.New("handover: no successor is connected")
+// Errors of a handover.
+var (
+	errNoSuccessor = errors.New("handover: no successor is connected")
+	errNoTakeover  = errors.New("handover: the successor has disconnected, or has not taken over in time")
+)
 
 // listenForSuccessor opens the hot restart socket at path. It replaces the socket of a process that was killed.
 func listenForSuccessor(path string, logger *slog.Logger) (*successorListener, error) {
@@ -83,7 +86,7 @@
 func (l *successorListener) removeIfCurrent(s *successorConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.successor != s {
+	if l.successor != s || s.isHandoverGivenUp() {
 		return
 	}
 	l.successor = nil
@@ -113,17 +116,20 @@
 	return s != nil && s.currentState() != successorEnded
 }
 
+// giveUp ends a handover that has failed, and reports whether the successor has taken over all the same: see
+// [successorConn.giveUp]. The connection stays open until close is called.
+func (l *successorListener) giveUp() (hasTakenOver bool) {
+	s := l.current()
+	return s != nil && s.giveUp()
+}
+
 // awaitTakeover waits for the successor to confirm the takeover.
 func (l *successorListener) awaitTakeover() takeoverResult {
 	s := l.current()
 	if s == nil {
 		return takeoverFailed
 	}
-	result := s.awaitTakeover(l.messageTimeout())
-	if result == takeoverUnconfirmed && s.currentState() == successorWaiting {
-		l.logger.Warn("successor did not confirm takeover")
-	}
-	return result
+	return s.awaitTakeover(l.messageTimeout())
 }
 
 // messageTimeout returns how long to wait for the successor at most: handoverMessageTimeout, and not beyond the
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -120,7 +120,8 @@
 	outages            []interval  // periods without an accepting process; clients wait in the socket's backlog
 }
 
-// restart is the end of a process that a later process replaced.
+// restart is the end of a process that a later process replaced, and that closed its clients' connections: at a planned
+// restart, or after a failed handover, when it drains in the same way.
 type restart struct {
 	servesUntil time.Time // when the process may have stopped accepting requests
 	exitedAt    time.Time
@@ -147,7 +148,7 @@
 		if p.sigtermAt.IsZero() {
 			continue
 		}
-		if r.plan.isRestart() && !isLast {
+		if (r.plan.isRestart() || p.hasLogged(msgHandoverFailed)) && !isLast {
 			service.restarts = append(service.restarts, restart{p.servesUntil(), p.exitedAt})
 		}
 		if until := p.servesUntil(); p.hasLogged("draining") && until.After(service.acceptedUntil) {
@@ -160,7 +161,7 @@
 // hadClients reports whether a killed process had clients. It had if it became ready, or if it is a successor whose
 // predecessor did not report a failed handover and so did not take the clients back.
 func (r *run) hadClients(p *process) bool {
-	return p.hasLogged("ready") || p.number > 0 && !r.processes[p.number-1].hasLogged("handover failed")
+	return p.hasLogged("ready") || p.number > 0 && !r.processes[p.number-1].hasLogged(msgHandoverFailed)
 }
 
 // wasOpenAtKill reports whether a request was open when the plan killed a process that may have been handling it.
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -141,6 +141,9 @@
 		sleep(ctx, r.plan.StopDuration)
 		next.signal(syscall.SIGCONT)
 		r.awaitReady(next)
+		if old.hasLogged(msgHandoverFailed) { // it has served until the end of its drain
+			began = old.servesUntil().Add(-drainTolerance)
+		}
 		r.outages = append(r.outages, interval{began, time.Now()})
 		sleep(ctx, servingTime)
 		return next, nil
@@ -233,7 +236,7 @@
 // replaceSuccessor returns the process that serves after a successor was killed: the old process if it reports that the
 // handover failed and so keeps serving, or a new process if the successor had already taken over.
 func (r *run) replaceSuccessor(ctx context.Context, old, killed *process) (*process, error) {
-	if !killed.hasLogged("ready") && old.awaitLog("handover failed", handoverTimeout) {
+	if !killed.hasLogged("ready") && old.awaitLog(msgHandoverFailed, handoverTimeout) {
 		r.blockConnectsAfterSigterm(old)
 		return old, nil
 	}
@@ -247,6 +250,9 @@
 	return third, nil
 }
 
+// msgHandoverFailed is logged by a process that keeps its clients since its successor has not taken over.
+const msgHandoverFailed = "handover failed"
+
 // handoverTimeout is longer than an old process waits for its successor.
 const handoverTimeout = 2500 * time.Millisecond
 
