--- a/cmd/edgeproxy/shutdown_process_test.go
+++ b/cmd/edgeproxy/shutdown_process_test.go
@@ -136,23 +136,19 @@
 			})
 			socket := newSharedSocket(t)
 			socket.config = func(addr, management string) string {
-				return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","management":%q,"seed":"1",
-					"limits":{"memory_mb":192,"sockets":1024},"known":{"generation":1,"reset":true,"instances":[
-					{"instanceId":"s","hostPort":%q,"zone":"z","machineType":"k","lifecycle":"up","weight":1}]},
-					"settings":%s}`, addr, management, server.listener.Addr(),
-					fmt.Sprintf(abuseSettings, c.deadline.Seconds()))
+				return abuseConfig(addr, management, server.listener.Addr(), c.deadline)
 			}
 			first, firstLogs := socket.start(t)
 			awaitLog(t, firstLogs, "ready")
 			second, secondLogs := socket.start(t)
 			awaitLog(t, firstLogs, "successor waiting")
-			idle := newReadinessClient(t, socket.addr)
+			idle := newNodeClient(t, socket.addr)
 			if err := idle.query(); err != nil {
 				t.Fatal(err)
 			}
 			var clients sync.WaitGroup
 			for i := range 3 {
-				client := newReadinessClient(t, socket.addr)
+				client := newNodeClient(t, socket.addr)
 				clients.Go(func() {
 					requireAnswer(t, "a request that was open at SIGTERM", client, fmt.Sprint("open", i), c.deadline)
 				})
@@ -165,13 +161,13 @@
 			kill := time.AfterFunc(c.deadline+700*time.Millisecond, func() { first.Process.Kill() })
 			defer kill.Stop()
 			time.Sleep(time.Until(termAt.Add(350 * time.Millisecond))) // the platform sends new clients for 0.4 s
-			late := newReadinessClient(t, socket.addr)
+			late := newNodeClient(t, socket.addr)
 			clients.Go(func() { requireAnswer(t, "a request on an idle connection", idle, "idle", c.deadline) })
 			clients.Go(func() { requireAnswer(t, "the request of a new client", late, "late", c.deadline) })
 			time.Sleep(time.Until(termAt.Add(600 * time.Millisecond))) // the first process accepts clients for 0.5 s
 			if c.signal == syscall.SIGSTOP {
 				second.Process.Signal(syscall.SIGCONT)
-				next := newReadinessClient(t, socket.addr)
+				next := newNodeClient(t, socket.addr)
 				clients.Go(func() { requireAnswer(t, "the request of a client after SIGCONT", next, "next", c.deadline) })
 			}
 			clients.Wait()
@@ -188,25 +184,72 @@
 	}
 }
 
+// abuseConfig returns a configuration with one server, and with a deadline of all classes.
+func abuseConfig(listen, management string, server net.Addr, deadline time.Duration) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","management":%q,"seed":"1",
+		"limits":{"memory_mb":192,"sockets":1024},"known":{"generation":1,"reset":true,"instances":[
+		{"instanceId":"s","hostPort":%q,"zone":"z","machineType":"k","lifecycle":"up","weight":1}]},
+		"settings":%s}`, listen, management, server, fmt.Sprintf(abuseSettings, deadline.Seconds()))
+}
+
 // requireAnswer sends a request whose client waits for a deadline, and checks that it is answered within that time.
-func requireAnswer(t *testing.T, what string, client *readinessClient, id string, deadline time.Duration) {
+func requireAnswer(t *testing.T, what string, client *nodeClient, id string, deadline time.Duration) {
 	sentAt := time.Now()
-	fmt.Fprintf(client.conn, "GET /check/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n"+
-		"X-Qos: check\r\nX-Contract: wide\r\nX-Expires-In: %v\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n",
-		id, deadline.Seconds())
+	client.sendCheck(id, deadline)
 	_, err := testserver.ReadResponse(client.reader, "GET")
 	if took := time.Since(sentAt); err != nil || took > deadline+answerTolerance {
 		t.Errorf("%s: error %v after %v, want an answer within %v", what, err, took.Round(time.Millisecond), deadline)
 	}
 }
 
+// Guards against a successor whose shutdown waits for its predecessor, which was stopped: while the successor waits to
+// take over, or while the predecessor still hands over clients.
+func TestShutdownBesideStoppedPredecessor(t *testing.T) {
+	for name, hasTakenOver := range map[string]bool{"waiting": false, "serving": true} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			server := startAbuseServer(t, func(conn net.Conn, _ *http.Request) bool {
+				arrived <- struct{}{}
+				io.Copy(io.Discard, conn) // it never answers
+				return false
+			})
+			socket := newSharedSocket(t)
+			socket.config = func(addr, management string) string {
+				return abuseConfig(addr, management, server.listener.Addr(), configDeadline)
+			}
+			first, firstLogs := socket.start(t)
+			awaitLog(t, firstLogs, "ready")
+			second, secondLogs := socket.start(t)
+			awaitLog(t, firstLogs, "successor waiting")
+			if hasTakenOver {
+				open := newNodeClient(t, socket.addr)
+				open.sendCheck("open", configDeadline)
+				<-arrived
+				first.Process.Signal(syscall.SIGTERM)
+				awaitLog(t, secondLogs, "ready")
+			}
+			first.Process.Signal(syscall.SIGSTOP)
+			defer first.Process.Kill()
+			second.Process.Signal(syscall.SIGTERM)
+			if hasTakenOver {
+				time.Sleep(350 * time.Millisecond) // the platform sends new clients for 0.4 s
+				late := newNodeClient(t, socket.addr)
+				if err := late.query(); err != nil || late.status == http.StatusOK {
+					t.Errorf("the readiness query of a new client: status %d, error %v", late.status, err)
+				}
+			}
+			requireEnd(t, second, killsAfter)
+		})
+	}
+}
+
 // Guards against a shutdown that first waits for a descriptor, to accept a successor that may have connected just now.
 // Until then the node stayed ready.
 func TestReadinessDuringShutdownWithoutDescriptors(t *testing.T) {
 	socket := newSharedSocket(t)
 	cmd, logs := socket.start(t)
 	awaitLog(t, logs, "ready")
-	client := newReadinessClient(t, socket.addr)
+	client := newNodeClient(t, socket.addr)
 	if err := client.query(); err != nil {
 		t.Fatal(err)
 	}
@@ -229,7 +272,7 @@
 	}
 	awaitLog(t, logs, "ready")
 	for range 3 {
-		if err := newReadinessClient(t, addr).query(); err != nil {
+		if err := newNodeClient(t, addr).query(); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -238,7 +281,7 @@
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	time.Sleep(350 * time.Millisecond) // the platform sends new clients for 0.4 s
-	if err := newReadinessClient(t, addr).query(); err != nil {
+	if err := newNodeClient(t, addr).query(); err != nil {
 		t.Errorf("the request of a new client has no answer: %v", err)
 	}
 	requireEnd(t, cmd, killsAfter)
@@ -258,9 +301,9 @@
 		t.Fatal(err)
 	}
 	awaitLog(t, logs, "ready")
-	var idle []*readinessClient
+	var idle []*nodeClient
 	for range idleClients {
-		client := newReadinessClient(t, addr)
+		client := newNodeClient(t, addr)
 		if err := client.query(); err != nil {
 			t.Fatal(err)
 		}
@@ -290,7 +333,7 @@
 		if err != nil {
 			continue
 		}
-		client := &readinessClient{conn: conn, reader: reader}
+		client := &nodeClient{conn: conn, reader: reader}
 		_ = client.query() // only the idle clients are checked
 		conn.Close()
 	}
@@ -340,7 +383,7 @@
 		if err != nil {
 			continue
 		}
-		client := &readinessClient{conn: conn, reader: bufio.NewReader(conn)}
+		client := &nodeClient{conn: conn, reader: bufio.NewReader(conn)}
 		clients.Go(func() {
 			defer conn.Close()
 			conn.SetDeadline(termAt.Add(killsAfter))
@@ -370,24 +413,31 @@
 	}
 }
 
-// readinessClient queries a node's readiness on one connection.
-type readinessClient struct {
+// nodeClient sends requests to a node on one connection.
+type nodeClient struct {
 	conn   net.Conn
 	reader *bufio.Reader
 	status int // of the last answer
 }
 
-func newReadinessClient(t *testing.T, addr string) *readinessClient {
+func newNodeClient(t *testing.T, addr string) *nodeClient {
 	t.Helper()
 	conn, reader, err := testserver.DialClient(addr, 10*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	return &readinessClient{conn: conn, reader: reader}
+	return &nodeClient{conn: conn, reader: reader}
+}
+
+// sendCheck sends a request whose client waits for a deadline.
+func (c *nodeClient) sendCheck(id string, deadline time.Duration) {
+	fmt.Fprintf(c.conn, "GET /check/a?customer=00000000b4d65521 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n"+
+		"X-Qos: check\r\nX-Contract: wide\r\nX-Expires-In: %v\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n",
+		id, deadline.Seconds())
 }
 
-func (c *readinessClient) query() error {
+func (c *nodeClient) query() error {
 	if _, err := io.WriteString(c.conn, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 		return err
 	}
