Edge node: a partly buffered body is streamed when others take the memory

Change: beyond 8 KiB a body's reservation has what streaming needs, unless its next buffer takes all of it.

TestBodyIsStreamedAfterOthersTakeMemory failed before, passes.

--- a/internal/edgeproxy/request_body.go
+++ b/internal/edgeproxy/request_body.go
@@ -224,7 +224,8 @@
 			if larger > maxBufferedBody {
 				return buffer, false, b.reserveStream(memory, int64(len(buffer)))
 			}
-			reserved := int64(larger+cap(buffer)) - includedBodyBytes
+			streamed := b.streamReserve(larger, size)
+			reserved := max(int64(larger+cap(buffer))-includedBodyBytes, streamed)
 			if len(buffer) >= minStreamedPart && !memory.growsAtOnce(reserved) {
 				return buffer, false, b.reserveStream(memory, int64(cap(buffer)))
 			}
@@ -232,12 +233,13 @@
 				return buffer, true, err
 			}
 			buffer = append(make([]byte, 0, larger), buffer...)
-			memory.shrinkTo(int64(larger) - includedBodyBytes)
+			memory.shrinkTo(max(int64(larger)-includedBodyBytes, streamed))
 		}
 		n, err := b.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		switch {
 		case err == io.EOF && (b.length < 0 || b.received == b.length):
+			memory.shrinkTo(int64(cap(buffer)) - includedBodyBytes)
 			return buffer, true, nil
 		case err == io.EOF:
 			return buffer, true, io.ErrUnexpectedEOF
@@ -251,6 +253,17 @@
 	}
 }
 
+// streamReserve returns what is reserved beside a buffer of a size, so that a body which has to be streamed once the
+// buffer is full needs no more memory: other bodies may take all of it meanwhile. It is 0 if the buffer takes the whole
+// body, and for the first buffers, so that short bodies need little. size is that of the part to be buffered.
+func (b *requestBody) streamReserve(buffer int, size int64) int64 {
+	isWhole := size == b.length && int64(buffer) == size
+	if buffer <= minStreamedPart || isWhole {
+		return 0
+	}
+	return int64(buffer) + streamedBodyBytes
+}
+
 // nextBufferSize returns the size of the next buffer, twice that of the current one but at most size, unless that is
 // unknown.
 func (b *requestBody) nextBufferSize(current int, size int64) int {
--- a/internal/edgeproxy/request_body_test.go
+++ b/internal/edgeproxy/request_body_test.go
@@ -360,6 +360,41 @@
 	}
 }
 
+// readerThen calls a function once some bytes were read from it, and reads on.
+type readerThen struct {
+	io.Reader
+	remaining int // until the call
+	then      func()
+}
+
+func (r *readerThen) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if r.remaining > 0 && n >= r.remaining {
+		r.then()
+	}
+	r.remaining -= n
+	return n, err
+}
+
+// A body that is partly buffered when others take all the memory is streamed: it was refused, since the buffers for that
+// were not reserved.
+func TestBodyIsStreamedAfterOthersTakeMemory(t *testing.T) {
+	for name, length := range map[string]int64{"of known length": 1 << 20, "chunked": -1} {
+		account := newMemoryAccount(64, discard)
+		takeAll := func() {
+			used, limit, _ := account.usage()
+			(&reservation{memory: account.newConn()}).tryGrowTo(limit - used)
+		}
+		memory := account.newConn()
+		memory.received(time.Now())
+		source := &readerThen{bytes.NewReader(pattern(1 << 20)), 20 << 10, takeAll}
+		body, err := readBodyFrom(source, length, memory)
+		if err != nil || body.rest == nil {
+			t.Errorf("%s: %d bytes buffered, streamed %v, error %v; want it streamed", name, len(body.bytes), body.rest != nil, err)
+		}
+	}
+}
+
 // The trailer of a chunked body is dropped: its fields took some 30 times their size while the request was served.
 func TestTrailerIsDropped(t *testing.T) {
 	text := "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\nC: d\r\n\r\n"
