Gateway: nothing is begun at another site for a client that has left

Cause: while a relayed attempt was out, the near instance did not look at its client, and the far instance, which may begin further attempts, can't.

Change: (1) graceful.DisconnectMonitor, an epoll instance on the clients' own sockets, sees closes and resets behind unread data without a read. It is armed while an attempt is relayed. (2) The near instance then reports the leave over another connection, in a status query; the far instance ends the attempt in flight, begins no other and answers, so that the link's connection is kept.

attemptControl has a file of its own, as has the near side's status query.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 	r.isRelayed = isRemoteServer(a.server)
 	r.relayNumber = ""
 	if r.isRelayed {
-		r.relayNumber = in.relay.numbers.next()
+		r.relayNumber, r.clock = in.relay.numbers.next(), in.relay.clock
 	}
 	r.recorder.add(TraceStep{
 		Kind: StepBegun, Attempt: r.attempts, Server: a.server, Relayed: r.isRelayed, RelayID: r.relayNumber,
@@ -115,27 +115,75 @@
 	in.host.handleEvent(func(time.Duration, policy.Actions) { in.answer(r, failed, 0) })
 }
 
-// sendWithCloseWatch sends an attempt. For a request from another site's instance, it abandons the request if that
-// instance closes its connection. Nothing is sent if the client has disconnected by the time the connection to the
-// server is established.
+// sendWithCloseWatch sends an attempt. While a request is relayed to or from another site, it is watched whether the
+// client, or the relaying instance, gives the request up. Nothing is sent if the client has disconnected by the time the
+// connection to the server is established.
 func (in *Instance) sendWithCloseWatch(r *pendingRequest, a attempt, source requestSource) policy.Result {
 	r.current.source = source
-	if !r.isFromRelay {
-		return in.send(r, a)
+	switch {
+	case r.isFromRelay:
+		return in.sendForRelay(r, a, source)
+	case r.isRelayed:
+		return in.sendRelayed(r, a, source)
 	}
-	stop := source.watchClose(func() {
+	return in.send(r, a, in.exchangeRequest(r, a))
+}
+
+// sendForRelay sends an attempt of a request that another site's instance has relayed. It abandons the request if that
+// instance gives it up. A further attempt is dialled only once that instance has confirmed that its client is connected.
+func (in *Instance) sendForRelay(r *pendingRequest, a attempt, source requestSource) policy.Result {
+	source.watchClose(func() {
 		r.recorder.add(TraceStep{Kind: StepClosedByPeer})
 		in.host.handleEvent(in.abandonEvent(r))
 	})
-	defer stop()
-	return in.send(r, a)
+	defer source.stopWatch()
+	if r.attempts > 1 && !source.confirmClient(r.current, a.deadline) {
+		in.fail(r)
+		return policy.NotSent
+	}
+	return in.send(r, a, in.exchangeRequest(r, a))
+}
+
+// sendRelayed relays an attempt to another site's instance. If the attempt may still be in flight there, its execution
+// status is queried. If the status stays unknown, a retry could run beside the first attempt, so the request fails
+// unless it is idempotent. It also fails if the client has left.
+func (in *Instance) sendRelayed(r *pendingRequest, a attempt, source requestSource) policy.Result {
+	relayed := newRelayedAttempt(in, r, a, source)
+	source.watchClose(relayed.clientDisconnected)
+	defer source.stopWatch()
+	request := in.exchangeRequest(r, a)
+	request.relayed = relayed
+	result := in.send(r, a, request)
+	relayed.endExchange()
+	r.current.source = nil // the status query is sent even if the client has disconnected
+	if deadline, needsQuery := r.statusDeadline(time.Now(), a, result); needsQuery {
+		result = in.awaitRelayedStatus(r, relayed, deadline, result)
+	}
+	if relayed.hasClientLeft() && result != policy.OK {
+		in.fail(r)
+		return r.resultAfterClientLeft(result)
+	}
+	return result
+}
+
+// awaitRelayedStatus queries the status of a relayed attempt that ended with a result and without an answer, and returns
+// the result that follows from it.
+func (in *Instance) awaitRelayedStatus(
+	r *pendingRequest, relayed *relayedAttempt, deadline time.Time, result policy.Result,
+) policy.Result {
+	query := relayed.newQuery(r.current, deadline)
+	query.isIdempotent = r.isIdempotent()
+	r.recorder.add(TraceStep{Kind: StepStatusQueried, Attempt: r.attempts, Server: relayed.server})
+	status, hasEnded := query.await(in.ctx, relayed.awaitLeave())
+	r.recorder.statusResolved(r.attempts, relayed.server, status.status, hasEnded)
+	if !hasEnded && !r.isIdempotent() {
+		in.fail(r)
+	}
+	return r.resolveRelayed(result, status)
 }
 
-// send sends an attempt to its server and reads the response. If a relayed attempt may still be in flight at the other
-// site, send queries its execution status there. If the status stays unknown, a retry could run beside the first
-// attempt, so the request fails unless it is idempotent.
-func (in *Instance) send(r *pendingRequest, a attempt) policy.Result {
-	begunAt := time.Now()
+// exchangeRequest returns the exchange of an attempt.
+func (in *Instance) exchangeRequest(r *pendingRequest, a attempt) exchangeRequest {
 	request := exchangeRequest{
 		server:        a.server,
 		limits:        attemptprogress.Limits{ResponseBy: a.deadline, AnswerBy: r.answerBy},
@@ -146,28 +194,18 @@
 	if source := r.current.source; r.answerBy.After(r.deadline) {
 		request.onBegun = func() { in.responseBegun(r, source) }
 	}
+	return request
+}
+
+// send sends an attempt to its server and reads the response. The request fails if the client is found to have
+// disconnected before the first byte was written.
+func (in *Instance) send(r *pendingRequest, a attempt, request exchangeRequest) policy.Result {
 	result := in.servers.exchange(in.ctx, r.current, request, &r.response)
 	r.recorder.attemptExchanged(r.attempts, a, &r.response, result)
 	if r.current.isClientGone {
 		in.fail(r)
 	}
-	r.current.source = nil // the status query below is sent even if the client has disconnected
-	if !r.isRelayed {
-		return result
-	}
-	deadline, needsQuery := r.statusDeadline(time.Now(), a, result)
-	if !needsQuery {
-		return result
-	}
-	query := relayedStatusQuery{servers: in.servers, control: r.current, number: r.relayNumber, startedAt: begunAt,
-		server: a.server, deadline: deadline, isIdempotent: r.isIdempotent()}
-	r.recorder.add(TraceStep{Kind: StepStatusQueried, Attempt: r.attempts, Server: a.server})
-	status, hasEnded := query.await(in.ctx)
-	r.recorder.statusResolved(r.attempts, a.server, status.status, hasEnded)
-	if !hasEnded && !r.isIdempotent() {
-		in.fail(r)
-	}
-	return r.resolveRelayed(result, status)
+	return result
 }
 
 // responseBegun is called when a server has begun its response to a request that was relayed to this instance, and the
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -41,8 +41,10 @@
 	request     pendingRequest
 	input       requestInput
 	output      responseOutput
-	closeWatch  closeWatch // set if isRelay
-	receivedAt  time.Time  // when the head of the current request was received
+	closeWatch  closeWatch      // set if isRelay
+	lease       *relayedLease   // set if isRelay
+	disconnects disconnectWatch // set unless isRelay
+	receivedAt  time.Time       // when the head of the current request was received
 	lifecycle   connLifecycle
 	isRelay     bool                         // the peer is another site's instance
 	peerMember  uint64                       // its member ID, by its certificate; set if isRelay
@@ -106,6 +108,7 @@
 func (c *clientConn) serve() {
 	defer func() {
 		c.nc.Close()
+		c.disconnects.close()
 		c.server.conns.remove(c)
 	}()
 	if c.isRelay && !c.verifyPeer() {
@@ -280,11 +283,25 @@
 	return nil
 }
 
-// watchClose calls onClose once if the other site's instance closes the connection before stop is called. The
-// connection must be one of another site's instance.
-func (c *clientConn) watchClose(onClose func()) (stop func()) {
+// watchClose calls onClose if the client disconnects, or if the other site's instance closes the connection or reports
+// that its client has disconnected, before stopWatch is called.
+func (c *clientConn) watchClose(onClose func()) {
+	if !c.isRelay {
+		c.disconnects.start(onClose)
+		return
+	}
 	c.closeWatch.start(onClose)
-	return c.closeWatch.stop
+	c.lease.watch(onClose)
+}
+
+// stopWatch ends the watch of watchClose. The function of that call is not called any more after stopWatch has returned.
+func (c *clientConn) stopWatch() {
+	if !c.isRelay {
+		c.disconnects.stop()
+		return
+	}
+	c.lease.unwatch()
+	c.closeWatch.stop()
 }
 
 // announceResponse sends an interim response with responseBegunField. An instance that does not know the field ignores
@@ -293,6 +310,23 @@
 	c.output.write([]byte("HTTP/1.1 102 Processing\r\n" + responseBegunField + ": 1\r\n\r\n"))
 }
 
+// askForClient sends a question about the client of a relayed request in an interim response.
+func (c *clientConn) askForClient(askedAt time.Time) {
+	b := []byte("HTTP/1.1 102 Processing\r\n")
+	b = leaseReply{question: c.server.instance.relay.clock.reading(askedAt)}.appendTo(b)
+	c.output.write(append(b, "\r\n"...))
+}
+
+// confirmClient reports whether an attempt may begin now: the client is connected, as far as can be known. For a relayed
+// request it may have to ask the other site's instance first; it waits for the answer until the deadline, or until the
+// attempt is aborted.
+func (c *clientConn) confirmClient(control *attemptControl, deadline time.Time) bool {
+	if c.isRelay && !c.lease.await(control, deadline, c.askForClient) {
+		return false
+	}
+	return !c.hasDisconnected()
+}
+
 // hasDisconnected reports whether the client or the other site's instance has closed the connection. It checks the
 // socket itself: a goroutine that watches the connection may not have run since the close.
 func (c *clientConn) hasDisconnected() bool {
--- a/internal/gateway/client_server.go
+++ b/internal/gateway/client_server.go
@@ -96,7 +96,9 @@
 	c.input.conn = conn
 	if relayConn, ok := conn.(*relayServerConn); ok {
 		c.closeWatch = closeWatch{conn: relayConn, input: &c.input}
+		c.lease = newRelayedLease()
 	}
+	c.disconnects = disconnectWatch{conn: conn, monitor: server.instance.disconnects}
 	c.output.conn = conn
 	c.reader = httpwire.NewReader(&c.input)
 	c.request.wake = make(chan struct{}, 1)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
@@ -15,92 +14,13 @@
 	"mulleinmux/policy"
 )
 
-// attemptControl lets other goroutines abort an exchange. The mutex guards all fields except the last two, which only
-// the goroutine of the exchange uses.
-type attemptControl struct {
-	mu         sync.Mutex
-	conn       *serverConn        // that carries the exchange; nil: before start and after finish
-	cancelDial context.CancelFunc // of the dial in progress; nil: no dial is in progress
-	isAborted  bool
-	aborted    chan struct{} // closed by abort; nil: awaitAbort has not been called
-
-	source       requestSource // checked for a disconnect before the first byte is written; nil: no check
-	isClientGone bool          // source had disconnected, so nothing was written
-}
-
-// abort makes the exchange return at once.
-func (k *attemptControl) abort() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.isAborted && k.aborted != nil {
-		close(k.aborted)
-	}
-	k.isAborted = true
-	if k.conn != nil {
-		k.conn.nc.SetDeadline(pastDeadline)
-	}
-	if k.cancelDial != nil {
-		k.cancelDial()
-	}
-}
-
-// awaitAbort returns a channel that is closed once the exchange is aborted.
-func (k *attemptControl) awaitAbort() <-chan struct{} {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.aborted == nil {
-		k.aborted = make(chan struct{})
-		if k.isAborted {
-			close(k.aborted)
-		}
-	}
-	return k.aborted
-}
-
-// start attaches a connection to the exchange and prepares it. It returns false if the exchange was aborted.
-func (k *attemptControl) start(c *serverConn, request *exchangeRequest) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.isAborted {
-		return false
-	}
-	k.conn = c
-	c.beginExchange(k, request)
-	return true
-}
-
-// setReadDeadline sets the read deadline of the exchange's connection, unless the exchange was aborted.
-func (k *attemptControl) setReadDeadline(c *serverConn) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.isAborted {
-		c.nc.SetReadDeadline(c.waitsUntil)
-	}
-}
-
-// finish detaches the connection from the exchange. It returns false if the exchange was aborted: then the connection
-// has an expired deadline and can't be reused.
-func (k *attemptControl) finish() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.conn = nil
-	return !k.isAborted
-}
-
-func (k *attemptControl) setDialCancel(cancel context.CancelFunc) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.cancelDial = cancel; cancel != nil && k.isAborted {
-		cancel()
-	}
-}
-
 // exchangeRequest is a request to a server, and how its response is awaited.
 type exchangeRequest struct {
 	server        string
 	limits        attemptprogress.Limits
 	isHeadRequest bool
 	isRelayed     bool                  // the server is another site's instance
+	relayed       *relayedAttempt       // answers questions about the client; nil: they are ignored
 	onBegun       func()                // called if the response begins and is not complete at once; nil: not called
 	append        func(b []byte) []byte // appends the text of the request
 }
@@ -129,7 +49,7 @@
 		return policy.Cancelled
 	}
 	c.buffer = request.append(c.buffer[:0])
-	if control.source != nil && control.source.hasDisconnected() {
+	if control.source != nil && !control.source.confirmClient(control, deadline) {
 		control.isClientGone = true
 		p.releaseUnused(pooled, control)
 		return policy.NotSent
@@ -242,6 +162,9 @@
 			break
 		}
 		isAnnounced := request.isRelayed && resp.head.Get(responseBegunField) != ""
+		if question := parseLeaseReply(&resp.head).question; question != 0 && request.relayed != nil {
+			request.relayed.answerQuestion(question)
+		}
 		if c.reader.Buffered() == 0 && !isAnnounced {
 			c.progress.InterimReceived()
 		}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -12,6 +12,7 @@
 
 	"mulleinmux/internal/discovery"
 	"mulleinmux/internal/gossip"
+	"mulleinmux/internal/graceful"
 	"mulleinmux/policy"
 	"mulleinmux/routing"
 )
@@ -30,6 +31,9 @@
 	relay        *relay         // nil: the instance reaches all sites directly
 	healthChecks sync.WaitGroup
 
+	disconnects    *graceful.DisconnectMonitor // of clients; nil: the instance relays nothing
+	relayReporting sync.WaitGroup              // goroutines that report to other sites' instances about clients
+
 	versions        versions
 	counters        operationCounters
 	badRequestCount atomic.Int64 // requests rejected before they were charged
@@ -206,6 +210,10 @@
 // The instance's context must be done.
 func (in *Instance) close() {
 	in.host.close(in.watches.stopAll)
+	if in.disconnects != nil {
+		in.disconnects.Close()
+	}
 	in.healthChecks.Wait()
+	in.relayReporting.Wait()
 	in.watches.watchers.Wait()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,11 @@
 // connection; the remote instance then starts no attempt of the request and ends the one in flight. No further attempt
 // follows until the remote instance has reported that none is in flight there; if it does not report that in time, the
 // request fails unless it is idempotent.
+//
+// If the client disconnects, the relaying instance reports that over another connection, and the remote instance gives
+// the request up as above but answers it, so that the connection is kept. Since such a report may be lost or late, the
+// remote instance itself begins a further attempt, or a late first one, only once the relaying instance has confirmed
+// that the client is connected: see [multisite.ClientLease].
 
 // RelayConfig configures an instance's relay to and from other sites.
 type RelayConfig struct {
@@ -58,6 +63,8 @@
 	relayHandshakeTimeout = time.Second            // for TLS, at both ends
 	forwardedTTL          = 30 * time.Second       // no broken connection delivers a request after that
 	maxForwarded          = 1 << 16                // relayed requests recorded
+	maxPeerClocks         = 256                    // recorded clocks of other sites' instances
+	maxLeaseAnswerAge     = time.Second            // from a question to an answer that is heeded
 	maxRetainedBody       = 16 << 10               // bytes of a retained answer's body
 	statusPollInterval    = 20 * time.Millisecond  // between two status queries of an executing request
 	statusTimeout         = 300 * time.Millisecond // for the answer to one status query
@@ -69,9 +76,11 @@
 	config         *RelayConfig
 	listeningSince time.Time // set before the first connection is accepted
 	numbers        relayNumbers
+	clock          messageClock
 
 	mu        sync.Mutex // guards the fields below
 	forwarded *multisite.ForwardedRequests
+	clocks    map[string]*multisite.PeerClock // of other sites' instances, by process
 	budget    *multisite.RelayBudget
 }
 
@@ -91,7 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &relay{config: config, numbers: relayNumbers{process: rand.Text()}, forwarded: forwarded, budget: budget}, nil
+	return &relay{config: config, numbers: relayNumbers{process: rand.Text()}, clock: newMessageClock(),
+		forwarded: forwarded, budget: budget,
+		clocks: map[string]*multisite.PeerClock{}}, nil
 }
 
 // listen returns the listener for connections from other sites' instances.
--- a/internal/gateway/relay_harness_test.go
+++ b/internal/gateway/relay_harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"mulleinmux/internal/raftnode"
 )
@@ -22,6 +23,7 @@
 	openConns  []net.Conn
 	hold       chan struct{} // received data waits until it is closed; nil: nothing waits
 	held       chan bool     // receives a value for each piece of data that waits
+	delay      time.Duration // for which each piece of data is held back besides
 }
 
 func newLinkForwarder(t *testing.T, to string) *linkForwarder {
@@ -67,8 +69,9 @@
 	for {
 		n, err := near.Read(buf)
 		w.mu.Lock()
-		hold := w.hold
+		hold, delay := w.hold, w.delay
 		w.mu.Unlock()
+		time.Sleep(delay)
 		if n > 0 && hold != nil {
 			w.held <- true
 			<-hold
--- a/internal/gateway/relay_numbers.go
+++ b/internal/gateway/relay_numbers.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync/atomic"
 )
 
@@ -12,5 +13,11 @@
 	last    atomic.Uint64
 }
 
+// relayProcess returns the process that issued a number, or the whole number if it has no such part.
+func relayProcess(number string) string {
+	process, _, _ := strings.Cut(number, ".")
+	return process
+}
+
 // next returns a new number. It is safe for concurrent use.
 func (n *relayNumbers) next() string { return n.process + "." + strconv.FormatUint(n.last.Add(1), 10) }
--- a/internal/gateway/relayed_request.go
+++ b/internal/gateway/relayed_request.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"mulleinmux/internal/httpwire"
-	"mulleinmux/internal/loadreport"
 	"mulleinmux/multisite"
 	"mulleinmux/policy"
 )
@@ -17,9 +15,6 @@
 	minRelativeValue    = 1e-9
 )
 
-// maxUptime bounds the uptime that a remote instance may report.
-const maxUptime = 100 * 365 * 24 * time.Hour
-
 // relativeValue returns a class's priority weight per second of its latency objective.
 func relativeValue(class *policy.Class) float64 {
 	return class.PriorityWeight / max(class.LatencyObjective.Seconds(), minLatencyObjective)
@@ -47,129 +42,11 @@
 	r.budget.Release(request.licensee)
 }
 
-// relayedStatus is the execution status of a relayed request, as the remote instance reports it.
-type relayedStatus struct {
-	status   multisite.ExecutionStatus
-	retained *retainedResponse // of an executed request; nil: its response was not retained
-}
-
 // isIdempotent reports whether the request may run any number of times.
 func (r *pendingRequest) isIdempotent() bool {
 	return r.operation.Class.Idempotency == policy.Idempotent
 }
 
-// statusDeadline decides whether the remote instance is queried for the status of a relayed attempt, and until when. It
-// is queried if the connection broke, since the request may have been answered or may never run, and if the attempt
-// timed out and there is time for a further one, before which this one must have ended. A request that is not idempotent
-// fails if the status stays unknown, so that the query may take all the time that is left of it. An idempotent one may
-// be retried once its attempt has ended there, at the latest at the attempt's own deadline, or at that of the request if
-// the response has begun and the instance does not refuse connections; a query takes statusTimeout at least.
-func (r *pendingRequest) statusDeadline(
-	now time.Time, a attempt, result policy.Result,
-) (deadline time.Time, needsQuery bool) {
-	earliest := attemptDeadline(now, statusTimeout, r.deadline)
-	switch {
-	case result != policy.ConnectionReset && (result != policy.TimedOut || r.deadline.Sub(now) <= statusPollInterval):
-		return time.Time{}, false
-	case !r.isIdempotent() || r.response.hasBegun:
-		return r.deadline, true
-	case result == policy.ConnectionReset && a.deadline.After(earliest):
-		return a.deadline, true
-	}
-	return earliest, true
-}
-
-// relayedStatusQuery queries a remote instance for the status of a relayed attempt, over another connection.
-type relayedStatusQuery struct {
-	servers   *serverPool
-	control   *attemptControl // of the relayed attempt; its abort also ends the query
-	number    string          // of the attempt, as issued by relayNumbers
-	startedAt time.Time       // when the attempt started
-	server    string          // the remote instance
-	deadline  time.Time
-
-	isIdempotent bool      // the request may run any number of times
-	refusedSince time.Time // since when the instance has refused connections; zero: it does not
-}
-
-// await repeats the query until the attempt has ended, the query's deadline has passed or the request has its answer. It
-// gives up an idempotent request earlier if the instance has died.
-func (q *relayedStatusQuery) await(ctx context.Context) (status relayedStatus, hasEnded bool) {
-	aborted := q.control.awaitAbort()
-	for time.Now().Before(q.deadline) {
-		if status, hasEnded = q.send(ctx); hasEnded || q.hasInstanceDied(time.Now()) {
-			return status, hasEnded
-		}
-		pause := time.NewTimer(statusPollInterval)
-		select {
-		case <-pause.C:
-		case <-aborted:
-			pause.Stop()
-			return relayedStatus{status: multisite.ExecutionUnknown}, false
-		case <-ctx.Done():
-			pause.Stop()
-			return relayedStatus{status: multisite.ExecutionUnknown}, false
-		}
-	}
-	return relayedStatus{status: multisite.ExecutionUnknown}, false
-}
-
-// hasInstanceDied decides whether the remote instance counts as dead, with its attempts, for an idempotent request: it
-// has refused connections for statusTimeout.
-func (q *relayedStatusQuery) hasInstanceDied(now time.Time) bool {
-	return q.isIdempotent && !q.refusedSince.IsZero() && now.Sub(q.refusedSince) >= statusTimeout
-}
-
-// send sends one query. hasEnded is true if the remote instance has responded and the attempt is not executing any
-// more.
-func (q *relayedStatusQuery) send(ctx context.Context) (result relayedStatus, hasEnded bool) {
-	var resp response
-	request := exchangeRequest{
-		server: q.server,
-		limits: untilDeadline(attemptDeadline(time.Now(), statusTimeout, q.deadline)),
-		append: func(b []byte) []byte {
-			b = append(b, "GET "+executionStatusPath+" HTTP/1.1\r\nHost: "+executionStatusHost+"\r\n"...)
-			return append(httpwire.AppendField(b, relayIDField, q.number), "\r\n"...)
-		},
-	}
-	exchangeResult := q.servers.exchange(ctx, q.control, request, &resp)
-	switch {
-	case !resp.wasRefused:
-		q.refusedSince = time.Time{}
-	case q.refusedSince.IsZero():
-		q.refusedSince = time.Now()
-	}
-	if exchangeResult != policy.OK {
-		return relayedStatus{}, false
-	}
-	result.status = multisite.ParseExecutionStatus(resp.head.Get(executionStatusField)).
-		CheckedAgainstUptime(parseUptime(resp.head.Get(uptimeField)), time.Since(q.startedAt))
-	if result.status == multisite.Executed && resp.head.Status != http.StatusNoContent {
-		result.retained = &retainedResponse{
-			status:      resp.head.Status,
-			contentType: resp.head.Get("Content-Type"),
-			body:        resp.body,
-		}
-	}
-	return result, result.status != multisite.Executing
-}
-
-// resolveRelayed decides the result of an attempt without an answer from its status at the remote instance. An attempt
-// that never ran there counts as never written, so that a retry does no harm.
-func (r *pendingRequest) resolveRelayed(result policy.Result, remote relayedStatus) policy.Result {
-	switch {
-	case remote.status == multisite.NeverExecuted:
-		// Nothing ran, so the attempt counts as not written. The remote instance is responsive, so it counts as a rejection.
-		r.response.wasWritten = false
-		return policy.RejectedByServer
-	case remote.status == multisite.Executed && remote.retained != nil:
-		r.response.head = remote.retained.head()
-		r.response.body = remote.retained.body
-		return policy.OK
-	}
-	return result
-}
-
 // serveExecutionStatus answers another site's query for the status of a relayed request.
 func (c *clientConn) serveExecutionStatus() (isReusable bool) {
 	relay := c.server.instance.relay
@@ -177,22 +54,85 @@
 	if err != nil {
 		return c.rejectBadRequest(err)
 	}
-	relay.mu.Lock()
-	status, answer := relay.forwarded.ResolveStatus(time.Now(), id)
-	relay.mu.Unlock()
+	status, answer, report := relay.resolveStatus(id, parseLeaseReport(&c.request.requestHead))
 	retained, _ := answer.(*retainedResponse)
 	if retained == nil {
 		b := c.appendStatusLine(http.StatusNoContent, http.StatusText(http.StatusNoContent))
-		return c.writeResponse(relay.appendStatus(b, status), noBody)
+		return c.writeResponse(report.appendTo(relay.appendStatus(b, status)), noBody)
 	}
 	b := c.appendStatusLine(retained.status, http.StatusText(retained.status))
-	b = relay.appendStatus(b, status)
+	b = report.appendTo(relay.appendStatus(b, status))
 	if retained.contentType != "" {
 		b = httpwire.AppendField(b, "Content-Type", retained.contentType)
 	}
 	return c.writeResponse(b, wholeBody(retained.body))
 }
 
+// resolveStatus returns the status of a relayed request and its retained answer. It records what the relaying instance
+// reports about the request's client, and returns the reply.
+func (r *relay) resolveStatus(
+	id multisite.ForwardedRequestID, report leaseReport,
+) (status multisite.ExecutionStatus, answer any, reply leaseReply) {
+	now := time.Now()
+	r.mu.Lock()
+	status, answer = r.forwarded.ResolveStatus(now, id)
+	lease, _ := r.forwarded.Executor(id).(*relayedLease) // nil: the request is voided or has ended
+	sentAt := r.reportSentAt(now, id, report)
+	r.mu.Unlock()
+	switch {
+	case report.isRevoked:
+		if lease != nil {
+			lease.revoke(id)
+		}
+		return status, answer, leaseReply{isRevoked: true}
+	case lease != nil:
+		if askedAt, hasQuestion := lease.renew(id, sentAt); hasQuestion {
+			reply.question = r.clock.reading(askedAt)
+		}
+	}
+	return status, answer, reply
+}
+
+// reportSentAt returns when a report that has arrived was sent: not before the question that it answers. The zero time
+// means that it answers none. It records the answer as a sample of the sender's clock. The caller must hold mu.
+func (r *relay) reportSentAt(now time.Time, id multisite.ForwardedRequestID, report leaseReport) time.Time {
+	askedAt := r.clock.time(report.question)
+	if report.question == 0 || askedAt.After(now) || now.Sub(askedAt) > maxLeaseAnswerAge {
+		return time.Time{}
+	}
+	clock := r.peerClock(id)
+	clock.RecordAnswer(askedAt, now, report.sentAt.duration())
+	return latest(askedAt, clock.SentAt(now, report.sentAt.duration()))
+}
+
+// peerClock returns the clock of the process that has issued an ID. The caller must hold mu.
+func (r *relay) peerClock(id multisite.ForwardedRequestID) *multisite.PeerClock {
+	process := relayProcess(id.Number)
+	clock := r.clocks[process]
+	if clock == nil {
+		if len(r.clocks) >= maxPeerClocks {
+			clear(r.clocks)
+		}
+		clock = &multisite.PeerClock{}
+		r.clocks[process] = clock
+	}
+	return clock
+}
+
+// beginLease begins the lease of a relayed request that has arrived. It returns the question that is to be asked at
+// once, if the lease is not valid or a sample of the sender's clock is due. The caller must hold mu.
+func (r *relay) beginLease(
+	now time.Time, id multisite.ForwardedRequestID, head *httpwire.Head, lease *relayedLease,
+) (askedAt time.Time, isDue bool) {
+	sentAt, isRenewable := parseRenewable(head)
+	if !isRenewable {
+		return lease.begin(now, id, multisite.ClientLease{}, false)
+	}
+	clock := r.peerClock(id)
+	clientLease := multisite.NewClientLease(clock.SentAt(now, sentAt.duration()))
+	return lease.begin(now, id, clientLease, clock.IsSampleDue(now))
+}
+
 // appendStatus appends the header fields of a status and of how long the instance has recorded what was relayed to it.
 func (r *relay) appendStatus(b []byte, status multisite.ExecutionStatus) []byte {
 	b = httpwire.AppendField(b, executionStatusField, status.String())
@@ -201,15 +141,6 @@
 	return append(b, "\r\n"...)
 }
 
-// parseUptime returns the uptime that a remote instance reports, or 0 if it is missing or invalid.
-func parseUptime(text string) time.Duration {
-	seconds, ok := loadreport.ParseDecimal(text)
-	if !ok || !(seconds >= 0 && seconds < maxUptime.Seconds()) {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // relayID returns the ID of the relayed request, or of the request whose status is queried. Exactly one is required.
 func (c *clientConn) relayID() (id multisite.ForwardedRequestID, err error) {
 	number, count := c.request.requestHead.Values(relayIDField)
@@ -220,12 +151,23 @@
 	return multisite.ForwardedRequestID{Instance: c.peerMember, Number: number}, nil
 }
 
-// acceptRelayed records a relayed request that may run here. Its error rejects one that may not.
+// acceptRelayed records a relayed request that may run here, and asks for its client if that is due. Its error rejects a
+// request that may not run.
 func (c *clientConn) acceptRelayed() error {
+	askedAt, isDue, err := c.recordRelayed(time.Now())
+	if isDue {
+		c.askForClient(askedAt)
+	}
+	return err
+}
+
+// recordRelayed records a relayed request and its lease. It returns the question that is to be asked at once, if any.
+// Its error rejects a request that may not run here.
+func (c *clientConn) recordRelayed(now time.Time) (askedAt time.Time, isDue bool, err error) {
 	relay, r := c.server.instance.relay, &c.request
 	id, err := c.relayID()
 	if err != nil {
-		return err
+		return time.Time{}, false, err
 	}
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
@@ -234,12 +176,13 @@
 		relay.forwarded.Acknowledge(c.lastRelayID)
 	}
 	c.lastRelayID = id
-	status, isAdmitted := relay.forwarded.Admit(time.Now(), id)
+	status, isAdmitted := relay.forwarded.Admit(now, id, c.lease)
 	if !isAdmitted {
-		return relayRejection(status)
+		return time.Time{}, false, relayRejection(status)
 	}
 	r.relayID = id
-	return nil
+	askedAt, isDue = relay.beginLease(now, id, &r.requestHead, c.lease)
+	return askedAt, isDue, nil
 }
 
 // relayRejection decides the answer to a relayed request that is not admitted, from its status: a request that never
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,7 @@
 	relayID     multisite.ForwardedRequestID // set if isFromRelay
 	isRelayed   bool                         // the current attempt is sent to another site's instance
 	relayNumber string                       // of the current attempt, as issued by relayNumbers; set if isRelayed
+	clock       messageClock                 // set if isRelayed
 
 	// Guarded by the instance's mutex:
 	isAnswered   bool // answer is set and final
@@ -109,9 +110,15 @@
 	// connection, even if watchClose has not noticed it yet.
 	hasDisconnected() bool
 
-	// watchClose calls onClose once if the other site's instance that relayed the request closes the connection before
-	// stop is called. If the connection is closed already, onClose is called before watchClose returns.
-	watchClose(onClose func()) (stop func())
+	// confirmClient reports whether an attempt may begin now: the client is connected. It may wait until the deadline, or
+	// until the attempt is aborted.
+	confirmClient(control *attemptControl, deadline time.Time) bool
+
+	// watchClose calls onClose if the client disconnects, or if the other site's instance that relayed the request gives
+	// it up, before stopWatch is called. If that has happened already, onClose is called before watchClose returns.
+	// onClose must not block; it may be called more than once. It is not called any more after stopWatch has returned.
+	watchClose(onClose func())
+	stopWatch()
 
 	// announceResponse reports to the other site's instance that relayed the request that a server has begun its
 	// response.
--- a/internal/gateway/request_trace.go
+++ b/internal/gateway/request_trace.go
@@ -48,6 +48,7 @@
 	StepStatusReported StepKind = "status told"       // detail: the status that the remote instance reported
 	StepStatusUnknown  StepKind = "status unknown"    // the remote instance did not report the attempt's end in time
 	StepEnded          StepKind = "attempt ended"     // detail: the attempt's result
+	StepClientLeft     StepKind = "client left"       // noticed while a relayed attempt was out
 	StepClosedByPeer   StepKind = "closed by peer"    // the relaying instance gave up the relayed request
 	StepAnswerDecided  StepKind = "answer decided"    // detail: the outcome
 	StepAnswerWritten  StepKind = "answer written"    // detail: the HTTP status
--- a/internal/gateway/request_write.go
+++ b/internal/gateway/request_write.go
@@ -36,7 +36,9 @@
 	b = append(b, timeoutField+": "...)
 	b = appendSeconds(b, time.Until(deadline))
 	if r.isRelayed {
-		b = append(b, "\r\n"+relayIDField+": "...)
+		b = append(b, "\r\n"...)
+		b = r.clock.appendRenewable(b)
+		b = append(b, relayIDField+": "...)
 		b = append(b, r.relayNumber...)
 		if r.deadline.Sub(deadline) > minAnswerExtension {
 			b = append(b, "\r\n"+answerWithinField+": "...)
@@ -68,6 +70,8 @@
 		return strings.EqualFold(name, timeoutField)
 	case len(relayIDField):
 		return strings.EqualFold(name, relayIDField)
+	case len(leaseField):
+		return strings.EqualFold(name, leaseField)
 	case len(answerWithinField):
 		return strings.EqualFold(name, answerWithinField)
 	case len(versionField): // also the length of explainField
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,11 @@
 		stop()
 		in.close()
 	}()
+	if in.relay != nil {
+		if in.disconnects, err = graceful.NewDisconnectMonitor(); err != nil {
+			return err
+		}
+	}
 	if config.listener == nil && ctx.Err() != nil {
 		return nil // the process is to end, and no client has connected yet
 	}
--- a/multisite/forwarded_requests.go
+++ b/multisite/forwarded_requests.go
@@ -43,6 +43,7 @@
 	status         ExecutionStatus
 	expiresAt      time.Time
 	retainedAnswer any
+	executor       any // set while the status is Executing
 }
 
 type requestExpiration struct {
@@ -59,10 +60,12 @@
 	return &ForwardedRequests{ttl: ttl, maxRequests: maxRequests, byID: map[ForwardedRequestID]*forwardedRequest{}}, nil
 }
 
-// Admit records a request that has arrived. If ok is false, the request must not be executed: either it was voided or
+// Admit records a request that has arrived, and what carries it out, which Executor returns. If ok is false, the request must not be executed: either it was voided or
 // the table is full, and its status is NeverExecuted, or it has arrived before, and the status is that of the first
 // arrival.
-func (f *ForwardedRequests) Admit(now time.Time, id ForwardedRequestID) (status ExecutionStatus, ok bool) {
+func (f *ForwardedRequests) Admit(
+	now time.Time, id ForwardedRequestID, executor any,
+) (status ExecutionStatus, ok bool) {
 	f.expire(now)
 	if r := f.byID[id]; r != nil {
 		return r.status, false
@@ -70,14 +73,22 @@
 	if f.isFull() {
 		return NeverExecuted, false
 	}
-	f.add(now, id, Executing)
+	f.add(now, id, Executing).executor = executor
 	return Executing, true
 }
 
+// Executor returns what carries a request out, as passed to Admit, or nil if the request is not executing.
+func (f *ForwardedRequests) Executor(id ForwardedRequestID) any {
+	if r := f.byID[id]; r != nil {
+		return r.executor
+	}
+	return nil
+}
+
 // Complete records the final status of a request that Admit has admitted, and the answer to retain.
 func (f *ForwardedRequests) Complete(now time.Time, id ForwardedRequestID, status ExecutionStatus, answer any) {
 	if r := f.byID[id]; r != nil && r.status == Executing {
-		r.status = status
+		r.status, r.executor = status, nil
 		r.retainedAnswer = answer
 		r.expiresAt = now.Add(f.ttl)
 	}
@@ -114,10 +125,11 @@
 
 func (f *ForwardedRequests) isFull() bool { return len(f.byID) >= f.maxRequests }
 
-func (f *ForwardedRequests) add(now time.Time, id ForwardedRequestID, status ExecutionStatus) {
-	expiresAt := now.Add(f.ttl)
-	f.byID[id] = &forwardedRequest{status: status, expiresAt: expiresAt}
-	f.expirations = append(f.expirations, requestExpiration{expiresAt, id})
+func (f *ForwardedRequests) add(now time.Time, id ForwardedRequestID, status ExecutionStatus) *forwardedRequest {
+	r := &forwardedRequest{status: status, expiresAt: now.Add(f.ttl)}
+	f.byID[id] = r
+	f.expirations = append(f.expirations, requestExpiration{r.expiresAt, id})
+	return r
 }
 
 // expire drops the requests whose TTL has passed. A request that is executing is kept until it completes.
--- a/multisite/forwarded_requests_test.go
+++ b/multisite/forwarded_requests_test.go
@@ -100,7 +100,7 @@
 	if s.rng.IntN(8) > 0 { // some requests arrive twice, as from a link that repeats them
 		r.arrivesAt = time.Time{}
 	}
-	status, ok := s.forwarded.Admit(s.now, id)
+	status, ok := s.forwarded.Admit(s.now, id, nil)
 	if ok {
 		r.executionCount++
 		r.endsAt = s.after(400)
@@ -143,7 +143,7 @@
 	for i := range 100_000 {
 		now = now.Add(time.Millisecond)
 		id := ForwardedRequestID{1, fmt.Sprint(i)}
-		if _, ok := f.Admit(now, id); !ok {
+		if _, ok := f.Admit(now, id, nil); !ok {
 			t.Fatalf("request %d was not admitted", i)
 		}
 		if f.Acknowledge(id); f.Len() == 0 {
@@ -163,10 +163,10 @@
 func TestFullForwardedRequests(t *testing.T) {
 	f, _ := NewForwardedRequests(time.Second, 1)
 	now := time.Unix(0, 0)
-	if _, ok := f.Admit(now, ForwardedRequestID{1, "a"}); !ok {
+	if _, ok := f.Admit(now, ForwardedRequestID{1, "a"}, nil); !ok {
 		t.Fatal("the first request was not admitted")
 	}
-	if status, ok := f.Admit(now, ForwardedRequestID{1, "b"}); ok || status != NeverExecuted {
+	if status, ok := f.Admit(now, ForwardedRequestID{1, "b"}, nil); ok || status != NeverExecuted {
 		t.Fatalf("request beyond the limit: admitted, or with the wrong status %v", status)
 	}
 	if status, _ := f.ResolveStatus(now, ForwardedRequestID{1, "b"}); status != ExecutionUnknown {
@@ -181,3 +181,24 @@
 		t.Errorf("status after the first request expired: got %v, want never", status)
 	}
 }
+
+// What carries a request out is known while it is executing, and only then.
+func TestExecutor(t *testing.T) {
+	f, err := NewForwardedRequests(time.Second, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, id := time.Unix(100, 0), ForwardedRequestID{1, "a"}
+	if got := f.Executor(id); got != nil {
+		t.Errorf("request that has not arrived: got executor %v, want nil", got)
+	}
+	f.Admit(now, id, "first")
+	f.Admit(now, id, "repeated")
+	if got := f.Executor(id); got != "first" {
+		t.Errorf("request that is executing: got executor %v, want first", got)
+	}
+	f.Complete(now, id, Executed, "answer")
+	if got := f.Executor(id); got != nil {
+		t.Errorf("request that has ended: got executor %v, want nil", got)
+	}
+}
