Scenario relay-clients-leave: a third of the clients leave while links and instances fail

The regression tests have one fault at a time in one process. The scenario has processes at two sites, the faults of relay-chaos, servers that fail or hang in a third of the attempts, and clients that close or reset within 50 ms and, with a key, come again at once. The new rule clients_left: no attempt reaches a server later than 0.1 s after its client has left; the other rules hold as before (no effect twice, units counted once).

--- a/internal/scenario/cluster_verdict.go
+++ b/internal/scenario/cluster_verdict.go
@@ -45,6 +45,7 @@
 		return wasDown
 	})
 	checker.checkEffects(arrivals, byTrace)
+	checker.checkClientsLeft(clientAttempts, byTrace)
 	env.checkSites(checker)
 	checker.checkHardLimits(byTrace)
 	c.checkCharges(checker, byTrace, clientAttempts, instanceByAddr, history)
--- a/internal/scenario/faults_relay.go
+++ b/internal/scenario/faults_relay.go
@@ -12,6 +12,7 @@
 // Times of the scenario relay-chaos.
 const (
 	minFaultDuration     = 20 * time.Millisecond
+	maxWaitToLeave       = 50 * time.Millisecond   // of a client, where clients leave
 	maxStopDuration      = 1500 * time.Millisecond // for which an instance is stopped
 	maxLinkFaultDuration = 600 * time.Millisecond
 	maxLinkDelay         = 80 * time.Millisecond // of each read on a slow link
--- a/internal/scenario/rule_checks_test.go
+++ b/internal/scenario/rule_checks_test.go
@@ -204,3 +204,27 @@
 		})
 	}
 }
+
+// An attempt that begins up to leftLimit after its client has left is no violation, a later one is. A client that has
+// left needs no answer.
+func TestClientsLeftRule(t *testing.T) {
+	left := ruleTestStart.Add(50 * time.Millisecond)
+	attempts := []testserver.Attempt{
+		{Trace: "on its way", At: ruleTestStart, Ended: left, LeftAt: left},
+		{Trace: "too late", At: ruleTestStart, Ended: left, LeftAt: left},
+		{Trace: "stayed", At: ruleTestStart, Ended: left, AnswerCount: 1, Served: true},
+	}
+	byTrace := map[string][]testserver.Arrival{}
+	for trace, at := range map[string]int{"on its way": 150, "too late": 151, "stayed": 400} {
+		byTrace[trace] = []testserver.Arrival{
+			arrivalOf(trace, "hall-a", testserver.IdempotentWithKey, 10, 20),
+			arrivalOf(trace, "hall-a", testserver.IdempotentWithKey, at, at+10),
+		}
+	}
+	checker := &ruleChecker{verdict: &Verdict{Rules: map[string]int{}, Figures: map[string]float64{}}}
+	checker.checkAnswers(attempts, func(testserver.Attempt) bool { return false })
+	checker.checkClientsLeft(attempts, byTrace)
+	if v := checker.verdict; v.Rules[ruleClientsLeft] != 1 || v.Rules[ruleAnswers] != 0 || v.Figures[figureClientsLeft] != 2 {
+		t.Errorf("got rules %v, figures %v; want 1 violation of %s and 2 clients that left", v.Rules, v.Figures, ruleClientsLeft)
+	}
+}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -98,6 +98,9 @@
 		Deadline:    clientDeadline,
 		Seed:        env.options.Seed,
 		NoResend:    env.scenario.runOnCluster != nil,
+
+		LeaveFraction:  env.scenario.leaveFraction,
+		MaxWaitToLeave: maxWaitToLeave,
 	}
 }
 
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -51,6 +51,8 @@
 	// Instances are stopped for a while (SIGSTOP). This time is deducted from the latency of their answers, and an
 	// idempotent request may have a second attempt in flight if the far instance of the first does not answer.
 	stopsInstances bool
+	// leaveFraction is the fraction of attempts whose clients leave while they wait.
+	leaveFraction float64
 }
 
 // environment is the state of a running scenario.
--- a/internal/scenario/scenario_table.go
+++ b/internal/scenario/scenario_table.go
@@ -13,6 +13,8 @@
 	mixedFaults = testserver.Faults{Error: 0.01, ErrorWithoutRun: 0.01, Reset: 0.01, NoAnswer: 0.004, Reject: 0.02}
 	// retryFaults make clients repeat many of their requests with an idempotency key.
 	retryFaults = testserver.Faults{Error: 0.1, ErrorWithoutRun: 0.02, Reset: 0.1, NoAnswer: 0.03, Reject: 0.02}
+	// hangingFaults make attempts time out, so that further ones begin long after a client has left.
+	hangingFaults = testserver.Faults{Error: 0.1, Reset: 0.05, NoAnswer: 0.2, Reject: 0.02}
 	// siteFaults are for scenarios in which whole sites or the network between them also fail.
 	siteFaults = testserver.Faults{Error: 0.02, ErrorWithoutRun: 0.01, Reset: 0.02, NoAnswer: 0.01, Reject: 0.02}
 )
@@ -166,6 +168,18 @@
 		stopsInstances: true,
 		faults:         siteFaults,
 	},
+	{
+		Name: "relay-clients-leave",
+		Description: "like relay-chaos; servers often fail or hang, and a third of the clients close or reset their connections " +
+			"while they wait, and come again at once if they have a key",
+		mix:            repeatingMix,
+		price:          sameUnits,
+		runOnCluster:   relayChaos,
+		hasTwoSites:    true,
+		stopsInstances: true,
+		faults:         hangingFaults,
+		leaveFraction:  1.0 / 3,
+	},
 	{
 		Name:         "both-cut",
 		Description:  "like link-drops, but the sites stay partitioned from each other for a third of the run",
--- a/internal/scenario/words.go
+++ b/internal/scenario/words.go
@@ -5,6 +5,7 @@
 	ruleAnswers       = "one_answer"      // a client's attempt receives one complete answer, its own and in time
 	ruleEffects       = "no_effect_twice" // no request has its effect twice or two attempts in flight
 	ruleDraining      = "drains"          // no request is sent to a server that has been draining for a while
+	ruleClientsLeft   = "clients_left"    // no attempt begins for a client that has left
 	ruleWarmup        = "cold_servers"    // no cold server is overloaded
 	ruleHardLimits    = "ceilings"        // no customer exceeds the hard limit of its plan
 	ruleUnits         = "units"           // each request that reached a site was charged once, at its price
@@ -19,6 +20,7 @@
 // Names of figures in a verdict that differ from the code's terms. A trailing underscore is followed by a number or,
 // where noted, a name.
 const (
+	figureClientsLeft            = "clients_left"
 	figureTraceSteps             = "trace_steps"
 	figureOverlapsAllowed        = "overlaps_allowed" // of idempotent requests whose far instance did not answer
 	figureSiteLostMs             = "hall_lost_ms_"
--- a/internal/testserver/clientconn.go
+++ b/internal/testserver/clientconn.go
@@ -32,18 +32,30 @@
 
 // send sends an attempt's request and reads its answer. Data that follows the answer counts as a second one. It
 // returns the delay of the answer's Retry-After header, or 0.
-func (clients *Clients) send(attempt *Attempt, text string, deadline time.Time) (retryAfter time.Duration) {
+func (clients *Clients) send(
+	attempt *Attempt, text string, deadline time.Time, leave leave,
+) (retryAfter time.Duration) {
+	readUntil := deadline.Add(lateAnswerWindow)
+	headBy := readUntil
+	if leave.after > 0 {
+		headBy = time.Now().Add(leave.after)
+	}
 	for {
 		conn, isReused, err := clients.connect(attempt.Instance)
 		if err != nil {
 			attempt.ConnectionLost = true
 			return 0
 		}
-		resp, err := conn.exchange(text, deadline)
+		resp, err := conn.exchange(text, headBy)
 		if err == nil {
+			conn.SetDeadline(readUntil)
 			return clients.receive(attempt, conn, resp, text)
 		}
-		conn.Close()
+		conn.close(leave)
+		if netError, ok := errors.AsType[net.Error](err); ok && netError.Timeout() && leave.after > 0 {
+			attempt.LeftAt = time.Now()
+			return 0
+		}
 		if isReused && !clients.NoResend && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
 			continue // the idle connection had been closed: resend on another one
 		}
@@ -54,9 +66,17 @@
 	}
 }
 
+// close closes or resets the connection.
+func (conn *clientConn) close(leave leave) {
+	if tcpConn, ok := conn.Conn.(*net.TCPConn); ok && leave.byReset {
+		tcpConn.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // exchange sends a request's text and reads the head of its answer.
 func (conn *clientConn) exchange(text string, deadline time.Time) (*http.Response, error) {
-	conn.SetDeadline(deadline.Add(lateAnswerWindow))
+	conn.SetDeadline(deadline)
 	if _, err := io.WriteString(conn, text); err != nil {
 		return nil, err
 	}
--- a/internal/testserver/clients.go
+++ b/internal/testserver/clients.go
@@ -45,8 +45,9 @@
 	AnswerCount                int // final answers received
 	Status                     int // 0: none
 	Served                     bool
-	Mismatch                   string // what is wrong with the answer, if anything
-	ConnectionLost             bool   // the connection ended without a complete answer
+	Mismatch                   string    // what is wrong with the answer, if anything
+	ConnectionLost             bool      // the connection ended without a complete answer
+	LeftAt                     time.Time // when the client had closed the connection without waiting; zero: it has not
 }
 
 // Clients send a mix of requests of licensees to the instances.
@@ -62,6 +63,11 @@
 	// an answer: if its instance was killed, the request may already have run.
 	NoResend bool
 
+	// LeaveFraction is the fraction of attempts whose clients close or reset their connections while they wait, at a
+	// random time within MaxWaitToLeave. With an idempotency key they come again at once.
+	LeaveFraction  float64
+	MaxWaitToLeave time.Duration
+
 	mu       sync.Mutex
 	attempts []Attempt
 	idle     map[string][]*clientConn // by address
@@ -139,16 +145,33 @@
 			At:         time.Now(),
 		}
 		text := template.text(placeholders, &attempt, remaining)
-		retryAfter := clients.send(&attempt, text, deadline)
+		retryAfter := clients.send(&attempt, text, deadline, clients.drawLeave(rng))
 		attempt.Ended = time.Now()
 		clients.record(attempt)
 		if !attempt.mayRetry(template) {
 			return
 		}
+		if !attempt.LeftAt.IsZero() {
+			continue
+		}
 		time.Sleep(min(max(retryAfter, minRetryDelay), time.Until(deadline)))
 	}
 }
 
+// leave is how a client leaves while it waits for an answer.
+type leave struct {
+	after   time.Duration // 0: it stays
+	byReset bool
+}
+
+// drawLeave draws whether, when and how the client of an attempt leaves.
+func (clients *Clients) drawLeave(rng *rand.Rand) leave {
+	if clients.LeaveFraction == 0 || rng.Float64() >= clients.LeaveFraction {
+		return leave{}
+	}
+	return leave{after: time.Duration(1 + rng.Int64N(int64(clients.MaxWaitToLeave))), byReset: rng.IntN(2) == 0}
+}
+
 // record keeps an attempt that has ended.
 func (clients *Clients) record(attempt Attempt) {
 	clients.mu.Lock()
