Gateway: a relayed request that a server rejected while its client left counts as sent

It may have reached an app server that rejected it. It now frees the key and counts as sent, as it does while the client stays.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -161,7 +161,7 @@
 	}
 	if relayed.hasClientLeft() && result != policy.OK {
 		in.fail(r)
-		return r.resultAfterClientLeft(result)
+		return resultAfterClientLeft(result)
 	}
 	return result
 }
--- a/internal/gateway/client_left_test.go
+++ b/internal/gateway/client_left_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"mulleinmux/policy"
 )
 
 // leftLimit is the time after a client's close from which on no attempt of its request may begin.
@@ -374,3 +376,28 @@
 		t.Errorf("relayed requests in flight at the end: got %d, want 0", n)
 	}
 }
+
+// Guards against a request that is counted as not sent though it reached a server, which rejected it while its client
+// left (found by the scenario relay-clients-leave). What the other site says of it frees its key and no more.
+func TestAttemptCountsAfterClientLeft(t *testing.T) {
+	for _, c := range []struct {
+		answered, want policy.Result
+		isKeyFree      bool
+	}{
+		{policy.RejectedByServer, policy.NotSent, true},
+		{policy.ErrorResponse, policy.Cancelled, false},
+		{policy.Cancelled, policy.Cancelled, false},
+		{policy.ConnectionReset, policy.ConnectionReset, false},
+		{policy.TimedOut, policy.TimedOut, false},
+	} {
+		r := &pendingRequest{counters: &Counters{}, units: 2, response: response{wasWritten: true}}
+		got := resultAfterClientLeft(c.answered)
+		r.countAttempt(got)
+		if got != c.want || r.neverExecuted(got) != c.isKeyFree {
+			t.Errorf("answer %v: got result %v, key free %v; want %v, %v", c.answered, got, r.neverExecuted(got), c.want, c.isKeyFree)
+		}
+		if sent, units := r.counters.SentRequests.Load(), r.counters.SentUnits.Load(); sent != 1 || units != 2 {
+			t.Errorf("answer %v: counted %d sent, %d units; want 1, 2", c.answered, sent, units)
+		}
+	}
+}
--- a/internal/gateway/relayed_attempt.go
+++ b/internal/gateway/relayed_attempt.go
@@ -146,11 +146,11 @@
 }
 
 // resultAfterClientLeft decides the result of a relayed attempt whose client has left: what the remote instance answers
-// to a request that it has given up says nothing of its health. Its statement that nothing ran holds.
-func (r *pendingRequest) resultAfterClientLeft(result policy.Result) policy.Result {
+// to a request that it has given up says nothing of its health. Its statement that nothing ran holds, but the attempt
+// may have reached a server that has rejected it, so it still counts as sent.
+func resultAfterClientLeft(result policy.Result) policy.Result {
 	switch result {
 	case policy.RejectedByServer:
-		r.response.wasWritten = false
 		return policy.NotSent
 	case policy.ErrorResponse:
 		return policy.Cancelled
