--- a/cmd/gateway/fixture_relay_test.go
+++ b/cmd/gateway/fixture_relay_test.go
@@ -32,6 +32,7 @@
 	{regexp.MustCompile(`(?m)^(X-Expires-In|Retry-After|X-Mulleinmux-Uptime): \d+\.\d{3}$`), "$1: SECONDS.MILLISECONDS"},
 	{regexp.MustCompile(`(?m)^Date: [A-Z][a-z]{2}, \d\d [A-Z][a-z]{2} \d{4} \d\d:\d\d:\d\d GMT$`), "Date: TIME"},
 	{regexp.MustCompile(`\bserved-\d+\b`), "served-NUMBER"},
+	{regexp.MustCompile(`(?m)^X-Mulleinmux-Lease: renewable \d+$`), "X-Mulleinmux-Lease: renewable MICROSECONDS"},
 }
 
 // maskRelayed replaces the parts of relay messages that differ from run to run by placeholders.
@@ -50,6 +51,9 @@
 		{"whole seconds", "X-Expires-In: 2", "X-Expires-In: 2"},
 		{"date of HTTP", "Date: Wed, 02 Dec 2026 06:00:00 GMT", "Date: TIME"},
 		{"another date", "Date: 2026-12-02", "Date: 2026-12-02"},
+		{"lease", "X-Mulleinmux-Lease: renewable 342344223664877\nX-Trace-Id: a",
+			"X-Mulleinmux-Lease: renewable MICROSECONDS\nX-Trace-Id: a"},
+		{"lease without a time", "X-Mulleinmux-Lease: renewable", "X-Mulleinmux-Lease: renewable"},
 		{"numbered trace", "X-Trace-Id: served-12.1", "X-Trace-Id: served-NUMBER.1"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
